Add the statement language

Cause: callers and operators need searches, commands and configuration changes as text.

Each rule hides its definition behind a function.

--- /dev/null
+++ b/packages/language/src/Elements.cpp
@@ -0,0 +1,160 @@
+#include "Elements.h"
+
+#include <algorithm>
+
+namespace goldcrestkeel::grammar {
+
+namespace {
+
+const auto kBlank = encoding::char_(" \t\r\n") |
+                    ("--" >> *(encoding::char_ - '\n')) |
+                    ("/*" >> *(encoding::char_ - "*/") >> "*/");
+
+const auto kNameStart = encoding::char_("a-zA-Z0-9_");
+const auto kNameCharacter = kNameStart | encoding::char_(".-");
+
+const auto kEscape = x3::lit('\\') >>
+                     (x3::lit('n') >> x3::attr('\n') |
+                      x3::lit('t') >> x3::attr('\t') | encoding::char_("\"\\"));
+
+bool
+ParseText(GrammarIterator& aFirst, GrammarIterator aLast, std::string& aValue)
+{
+  static const auto kDefinition =
+    x3::lexeme['"' >> *(kEscape | ~encoding::char_("\"\\")) >>
+               x3::expect[Named("a closing quotation mark; a backslash stands "
+                                "only before \", \\, n or t",
+                                '"')]];
+  return Run(kDefinition, aFirst, aLast, aValue);
+}
+
+bool
+ParseName(GrammarIterator& aFirst, GrammarIterator aLast, std::string& aValue)
+{
+  static const auto kBareName = x3::lexeme[kNameStart >> *kNameCharacter];
+  if (Run(kBareName, aFirst, aLast, aValue)) {
+    return true;
+  }
+  aValue.clear();
+  GrammarIterator at = aFirst;
+  if (!ParseText(at, aLast, aValue) || aValue.empty()) {
+    return false;
+  }
+  aFirst = at;
+  return true;
+}
+
+/** Reads an unsigned number from aLeast on. */
+template<typename Number, Number Least>
+bool
+ParseUnsigned(GrammarIterator& aFirst, GrammarIterator aLast, Number& aValue)
+{
+  static const auto kDefinition =
+    x3::lexeme[x3::uint_parser<Number>{} >> !kNameCharacter];
+  GrammarIterator at = aFirst;
+  if (!Run(kDefinition, at, aLast, aValue) || aValue < Least) {
+    return false;
+  }
+  aFirst = at;
+  return true;
+}
+
+/** Plain decimal fractions: no sign, no exponent, neither "nan" nor "inf". */
+struct FractionPolicies : x3::ureal_policies<double>
+{
+  // NOLINTBEGIN(readability-identifier-naming): names that Spirit requires
+  template<typename Iterator>
+  static bool parse_exp(Iterator&, const Iterator&)
+  {
+    return false;
+  }
+  template<typename Iterator, typename Attribute>
+  static bool parse_nan(Iterator&, const Iterator&, Attribute&)
+  {
+    return false;
+  }
+  template<typename Iterator, typename Attribute>
+  static bool parse_inf(Iterator&, const Iterator&, Attribute&)
+  {
+    return false;
+  }
+  // NOLINTEND(readability-identifier-naming)
+};
+
+bool
+ParseFraction(GrammarIterator& aFirst, GrammarIterator aLast, double& aValue)
+{
+  static const auto kDefinition =
+    x3::lexeme[x3::real_parser<double, FractionPolicies>{} >> !kNameCharacter];
+  GrammarIterator at = aFirst;
+  if (!Run(kDefinition, at, aLast, aValue) || !(aValue >= 0 && aValue <= 1)) {
+    return false;
+  }
+  aFirst = at;
+  return true;
+}
+
+/** Multiplies the enclosing Duration. */
+template<std::int64_t Factor>
+struct Times
+{
+  template<typename Context>
+  void operator()(Context& aContext) const
+  {
+    x3::_val(aContext) *= Factor;
+  }
+};
+
+bool
+ParseDuration(GrammarIterator& aFirst, GrammarIterator aLast, Duration& aValue)
+{
+  // 32 bits of seconds fit into a Duration.
+  static const auto kDefinition =
+    x3::uint_parser<std::uint32_t>{}[([](auto& aContext) {
+      x3::_val(aContext) = Duration{ x3::_attr(aContext) };
+    })] >>
+    (Word("US") | Word("MS")[Times<1000>{}] | Word("S")[Times<1000000>{}]);
+  return Run(kDefinition, aFirst, aLast, aValue);
+}
+
+} // namespace
+
+bool
+Blanks::ParseBlanks(GrammarIterator& aFirst, GrammarIterator aLast)
+{
+  return x3::parse(aFirst, aLast, kBlank);
+}
+
+bool
+Word::ParseWords(GrammarIterator& aFirst, GrammarIterator aLast) const
+{
+  GrammarIterator at = aFirst;
+  std::size_t begin = 0;
+  while (begin < m_name.size()) {
+    const std::size_t end = std::min(m_name.find(' ', begin), m_name.size());
+    const std::string word = m_name.substr(begin, end - begin);
+    const auto definition =
+      x3::lexeme[x3::no_case[encoding::lit(word)] >> !kNameCharacter];
+    if (!x3::phrase_parse(
+          at, aLast, definition, Blanks{}, x3::skip_flag::dont_post_skip)) {
+      return false;
+    }
+    begin = end + 1;
+  }
+  aFirst = at;
+  return true;
+}
+
+const Rule<std::string> kText{ "a text in quotation marks", ParseText };
+const Rule<std::string> kName{ "a name", ParseName };
+const Rule<std::uint32_t> kCount{ "a whole number from 0 to 4294967295",
+                                  ParseUnsigned<std::uint32_t, 0> };
+const Rule<std::uint32_t> kPositive{ "a whole number from 1 to 4294967295",
+                                     ParseUnsigned<std::uint32_t, 1> };
+const Rule<std::uint64_t> kNumber{ "a whole number",
+                                   ParseUnsigned<std::uint64_t, 0> };
+const Rule<double> kFraction{ "a number from 0 to 1", ParseFraction };
+const Rule<Duration> kDuration{ "a duration such as 250 ms, in us, ms or s",
+                                ParseDuration };
+
+} // namespace goldcrestkeel::grammar
--- /dev/null
+++ b/packages/language/src/Letters.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace goldcrestkeel {
+
+/** aText with the letters a to z in upper case, in any locale. */
+std::string
+UpperCase(std::string_view aText);
+
+} // namespace goldcrestkeel
--- /dev/null
+++ b/packages/language/src/Services.cpp
@@ -0,0 +1,258 @@
+#include "Elements.h"
+
+namespace goldcrestkeel::grammar {
+
+namespace {
+
+constexpr const char* kPolicyWords =
+  "DEADLINE, RESPONSE TARGET, COVERAGE, PREFERENCE, EXTRA LOAD, SELECTOR, "
+  "HEDGE";
+
+bool
+ParsePreference(GrammarIterator& aFirst,
+                GrammarIterator aLast,
+                CoveragePreference& aValue)
+{
+  static const auto kDefinition =
+    Word("ANSWER_ON_TIME") >> x3::attr(CoveragePreference::AnswerOnTime) |
+    Word("WAIT_FOR_COVERAGE") >> x3::attr(CoveragePreference::WaitForCoverage);
+  return Run(kDefinition, aFirst, aLast, aValue);
+}
+
+const Rule<CoveragePreference> kPreference{
+  "ANSWER_ON_TIME or WAIT_FOR_COVERAGE",
+  ParsePreference
+};
+
+/** One policy setting, which it writes into the enclosing rule's value. */
+auto
+PolicySetting()
+{
+  return Clause<&PolicyChange::m_deadline>("DEADLINE", kDuration) |
+         Clause<&PolicyChange::m_responseTarget>("RESPONSE TARGET", kDuration) |
+         Clause<&PolicyChange::m_minCoverage>("COVERAGE", kFraction) |
+         Clause<&PolicyChange::m_preference>("PREFERENCE", kPreference) |
+         Clause<&PolicyChange::m_extraLoad>("EXTRA LOAD", kFraction) |
+         Clause<&PolicyChange::m_selector>("SELECTOR", kName) |
+         Clause<&PolicyChange::m_hedge>("HEDGE", kName);
+}
+
+bool
+ParsePolicyChange(GrammarIterator& aFirst,
+                  GrammarIterator aLast,
+                  PolicyChange& aValue)
+{
+  static const auto kDefinition = PolicySetting() % -x3::lit(',');
+  return Run(kDefinition, aFirst, aLast, aValue);
+}
+
+const Rule<PolicyChange> kPolicyChange{ kPolicyWords, ParsePolicyChange };
+
+/** Clauses of a replica while they are read. */
+struct ReplicaClauses
+{
+  std::optional<std::string> m_shard;
+  std::optional<std::string> m_dataCentre;
+  std::optional<std::string> m_region;
+  std::optional<std::uint32_t> m_slots;
+  std::optional<std::uint32_t> m_connections;
+  std::optional<Duration> m_connectCost;
+};
+
+bool
+ParseReplicaClauses(GrammarIterator& aFirst,
+                    GrammarIterator aLast,
+                    ReplicaClauses& aValue)
+{
+  using Value = ReplicaClauses;
+  static const auto kDefinition =
+    *(Clause<&Value::m_shard>("SHARD", kName) |
+      Clause<&Value::m_dataCentre>("DATA CENTRE", kName) |
+      Clause<&Value::m_region>("REGION", kName) |
+      Clause<&Value::m_slots>("SLOTS", kPositive) |
+      Clause<&Value::m_connections>("CONNECTIONS", kPositive) |
+      Clause<&Value::m_connectCost>("CONNECT COST", kDuration)) >
+    Named("SHARD, DATA CENTRE, REGION, SLOTS, CONNECTIONS, CONNECT COST, a "
+          "comma or the end of the replica",
+          &(x3::lit(',') | ')' | ';' | x3::eoi));
+  return Run(kDefinition, aFirst, aLast, aValue);
+}
+
+const Rule<ReplicaClauses> kReplicaClauses{ "the clauses of a replica",
+                                            ParseReplicaClauses };
+
+bool
+ParseReplica(GrammarIterator& aFirst,
+             GrammarIterator aLast,
+             ReplicaSpec& aValue)
+{
+  const auto finish = [](auto& aContext) {
+    const ReplicaClauses& clauses = x3::_attr(aContext);
+    ReplicaSpec& replica = x3::_val(aContext);
+    replica.m_shard = Required(aContext, clauses.m_shard, "SHARD");
+    replica.m_dataCentre =
+      Required(aContext, clauses.m_dataCentre, "DATA CENTRE");
+    replica.m_region = Required(aContext, clauses.m_region, "REGION");
+    replica.m_slots = Required(aContext, clauses.m_slots, "SLOTS");
+    replica.m_connections =
+      Required(aContext, clauses.m_connections, "CONNECTIONS");
+    replica.m_connectCost = clauses.m_connectCost.value_or(Duration{ 0 });
+  };
+  static const auto kDefinition =
+    kName[Set<&ReplicaSpec::m_id>{}] > Word("AT") >
+    kText[Set<&ReplicaSpec::m_address>{}] > kReplicaClauses[finish];
+  return Run(kDefinition, aFirst, aLast, aValue);
+}
+
+const Rule<ReplicaSpec> kReplica{ "the id of a replica", ParseReplica };
+
+bool
+ParseServiceKind(GrammarIterator& aFirst,
+                 GrammarIterator aLast,
+                 ServiceKind& aValue)
+{
+  static const auto kDefinition =
+    Word("SEARCH") >> x3::attr(ServiceKind::Search) |
+    Word("COMMAND") >> x3::attr(ServiceKind::Command);
+  return Run(kDefinition, aFirst, aLast, aValue);
+}
+
+const Rule<ServiceKind> kServiceKind{ "SEARCH or COMMAND", ParseServiceKind };
+
+bool
+ParseShardList(GrammarIterator& aFirst,
+               GrammarIterator aLast,
+               std::vector<std::string>& aValue)
+{
+  static const auto kDefinition =
+    x3::lit('(') > (kName[Append{}] % ',') > Named("a comma or )", ')');
+  return Run(kDefinition, aFirst, aLast, aValue);
+}
+
+const Rule<std::vector<std::string>> kShardList{ "( before the shards",
+                                                 ParseShardList };
+
+bool
+ParseReplicaList(GrammarIterator& aFirst,
+                 GrammarIterator aLast,
+                 std::vector<ReplicaSpec>& aValue)
+{
+  static const auto kDefinition = x3::lit('(') > kReplica[Append{}] >
+                                  *(x3::lit(',') > kReplica[Append{}]) >
+                                  Named("a comma or )", ')');
+  return Run(kDefinition, aFirst, aLast, aValue);
+}
+
+const Rule<std::vector<ReplicaSpec>> kReplicaList{ "( before the replicas",
+                                                   ParseReplicaList };
+
+/** Clauses of CREATE SERVICE while they are read. */
+struct CreateClauses : PolicyChange
+{
+  std::optional<ServiceKind> m_kind;
+  std::optional<std::vector<std::string>> m_shards;
+  std::optional<std::vector<ReplicaSpec>> m_replicas;
+};
+
+bool
+ParseCreateClauses(GrammarIterator& aFirst,
+                   GrammarIterator aLast,
+                   CreateClauses& aValue)
+{
+  using Value = CreateClauses;
+  static const auto kDefinition =
+    *((Clause<&Value::m_kind>("KIND", kServiceKind) |
+       Clause<&Value::m_shards>("SHARDS", kShardList) |
+       Clause<&Value::m_replicas>("REPLICAS", kReplicaList) |
+       PolicySetting()) >>
+      -x3::lit(',')) >
+    End(std::string("KIND, SHARDS, REPLICAS, ") + kPolicyWords);
+  return Run(kDefinition, aFirst, aLast, aValue);
+}
+
+const Rule<CreateClauses> kCreateClauses{ "the clauses of CREATE SERVICE",
+                                          ParseCreateClauses };
+
+bool
+ParseAddition(GrammarIterator& aFirst,
+              GrammarIterator aLast,
+              Alteration& aValue)
+{
+  static const auto kReplicaDefinition =
+    Word("REPLICA") > kReplica[Wrap<AddReplica>{}];
+  static const auto kShardDefinition = Word("SHARD") > kName[Wrap<AddShard>{}];
+  return Run(kReplicaDefinition | kShardDefinition, aFirst, aLast, aValue);
+}
+
+bool
+ParseRemoval(GrammarIterator& aFirst, GrammarIterator aLast, Alteration& aValue)
+{
+  static const auto kReplicaDefinition =
+    Word("REPLICA") > kName[Wrap<DropReplica>{}];
+  static const auto kShardDefinition = Word("SHARD") > kName[Wrap<DropShard>{}];
+  return Run(kReplicaDefinition | kShardDefinition, aFirst, aLast, aValue);
+}
+
+const Rule<Alteration> kAddition{ "REPLICA or SHARD", ParseAddition };
+const Rule<Alteration> kRemoval{ "REPLICA or SHARD", ParseRemoval };
+
+bool
+ParseAlteration(GrammarIterator& aFirst,
+                GrammarIterator aLast,
+                Alteration& aValue)
+{
+  static const auto kSet = Word("SET") > kPolicyChange[Set<>{}];
+  static const auto kAdd = Word("ADD") > kAddition[Set<>{}];
+  static const auto kDrop = Word("DROP") > kRemoval[Set<>{}];
+  return Run(kSet | kAdd | kDrop, aFirst, aLast, aValue);
+}
+
+const Rule<Alteration> kAlteration{ "SET, ADD or DROP", ParseAlteration };
+
+bool
+ParseAlterations(GrammarIterator& aFirst,
+                 GrammarIterator aLast,
+                 std::vector<Alteration>& aValue)
+{
+  static const auto kDefinition =
+    kAlteration[Append{}] > *(x3::lit(',') > kAlteration[Append{}]);
+  return Run(kDefinition, aFirst, aLast, aValue);
+}
+
+const Rule<std::vector<Alteration>> kAlterations{ "SET, ADD or DROP",
+                                                  ParseAlterations };
+
+} // namespace
+
+bool
+ParseCreate(GrammarIterator& aFirst,
+            GrammarIterator aLast,
+            CreateServiceStatement& aValue)
+{
+  const auto finish = [](auto& aContext) {
+    const CreateClauses& clauses = x3::_attr(aContext);
+    CreateServiceStatement& create = x3::_val(aContext);
+    create.m_kind = Required(aContext, clauses.m_kind, "KIND");
+    create.m_shards = Required(aContext, clauses.m_shards, "SHARDS");
+    create.m_replicas = Required(aContext, clauses.m_replicas, "REPLICAS");
+    create.m_policy = clauses;
+  };
+  static const auto kDefinition =
+    Word("CREATE") > Word("SERVICE") >
+    kName[Set<&CreateServiceStatement::m_service>{}] > kCreateClauses[finish];
+  return Run(kDefinition, aFirst, aLast, aValue);
+}
+
+bool
+ParseAlter(GrammarIterator& aFirst,
+           GrammarIterator aLast,
+           AlterServiceStatement& aValue)
+{
+  static const auto kDefinition =
+    Word("ALTER") > Word("SERVICE") >
+    kName[Set<&AlterServiceStatement::m_service>{}] >
+    kAlterations[Set<&AlterServiceStatement::m_alterations>{}] > End("a comma");
+  return Run(kDefinition, aFirst, aLast, aValue);
+}
+
+} // namespace goldcrestkeel::grammar
