--- a/packages/control/include/goldcrestkeel/Control.h
+++ b/packages/control/include/goldcrestkeel/Control.h
@@ -3,5 +3,6 @@
  *  not its parts. */
 #pragma once
 
+#include <goldcrestkeel/control/CommandGuard.h>
 #include <goldcrestkeel/control/Configuration.h>
 #include <goldcrestkeel/control/Store.h>
