Add the redirect and the store index to the peer protocol

Cause: a host that does not own a range has to name the owner, and a range may only be taken over by handover if nobody else owned it in between. Change: CommandOutcome.redirect and RangeHandover.storeIndex; generated code brought up to date.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -88,7 +88,10 @@
   /** "no", "unknown" or "yes". */
   2: required string ran,
   3: required string body,
-  4: optional string detail
+  4: optional string detail,
+  /** Set if the host does not own the key's range; the other fields are then
+      empty. Holds the host that it takes for the owner, or an empty name. */
+  5: optional string redirect
 }
 
 struct CommandRecord {
@@ -102,7 +105,10 @@
 struct RangeHandover {
   1: required i32 range,
   2: required i64 knownSinceMs,
-  3: required list<CommandRecord> records
+  3: required list<CommandRecord> records,
+  /** Index of the range's key in the store while the sender owned the range.
+      The receiver's compare-and-swap expects it. */
+  4: required i64 storeIndex
 }
 
 struct Ack {
--- a/packages/net/gen-cpp/peer_types.cpp
+++ b/packages/net/gen-cpp/peer_types.cpp
@@ -1816,6 +1816,11 @@
   this->detail = val;
 __isset.detail = true;
 }
+
+void CommandOutcome::__set_redirect(const std::string& val) {
+  this->redirect = val;
+__isset.redirect = true;
+}
 std::ostream& operator<<(std::ostream& out, const CommandOutcome& obj)
 {
   obj.printTo(out);
@@ -1879,6 +1884,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->redirect);
+          this->__isset.redirect = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1919,6 +1932,11 @@
     xfer += oprot->writeString(this->detail);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.redirect) {
+    xfer += oprot->writeFieldBegin("redirect", ::apache::thrift::protocol::T_STRING, 5);
+    xfer += oprot->writeString(this->redirect);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1930,6 +1948,7 @@
   swap(a.ran, b.ran);
   swap(a.body, b.body);
   swap(a.detail, b.detail);
+  swap(a.redirect, b.redirect);
   swap(a.__isset, b.__isset);
 }
 
@@ -1938,6 +1957,7 @@
   ran = other41.ran;
   body = other41.body;
   detail = other41.detail;
+  redirect = other41.redirect;
   __isset = other41.__isset;
 }
 CommandOutcome& CommandOutcome::operator=(const CommandOutcome& other42) {
@@ -1945,6 +1965,7 @@
   ran = other42.ran;
   body = other42.body;
   detail = other42.detail;
+  redirect = other42.redirect;
   __isset = other42.__isset;
   return *this;
 }
@@ -1955,6 +1976,7 @@
   out << ", " << "ran=" << to_string(ran);
   out << ", " << "body=" << to_string(body);
   out << ", " << "detail="; (__isset.detail ? (out << to_string(detail)) : (out << "<null>"));
+  out << ", " << "redirect="; (__isset.redirect ? (out << to_string(redirect)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2135,6 +2157,10 @@
 void RangeHandover::__set_records(const std::vector<CommandRecord> & val) {
   this->records = val;
 }
+
+void RangeHandover::__set_storeIndex(const int64_t val) {
+  this->storeIndex = val;
+}
 std::ostream& operator<<(std::ostream& out, const RangeHandover& obj)
 {
   obj.printTo(out);
@@ -2157,6 +2183,7 @@
   bool isset_range = false;
   bool isset_knownSinceMs = false;
   bool isset_records = false;
+  bool isset_storeIndex = false;
 
   while (true)
   {
@@ -2202,6 +2229,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->storeIndex);
+          isset_storeIndex = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2217,6 +2252,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_records)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_storeIndex)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -2245,6 +2282,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("storeIndex", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->storeIndex);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2255,17 +2296,20 @@
   swap(a.range, b.range);
   swap(a.knownSinceMs, b.knownSinceMs);
   swap(a.records, b.records);
+  swap(a.storeIndex, b.storeIndex);
 }
 
 RangeHandover::RangeHandover(const RangeHandover& other51) {
   range = other51.range;
   knownSinceMs = other51.knownSinceMs;
   records = other51.records;
+  storeIndex = other51.storeIndex;
 }
 RangeHandover& RangeHandover::operator=(const RangeHandover& other52) {
   range = other52.range;
   knownSinceMs = other52.knownSinceMs;
   records = other52.records;
+  storeIndex = other52.storeIndex;
   return *this;
 }
 void RangeHandover::printTo(std::ostream& out) const {
@@ -2274,6 +2318,7 @@
   out << "range=" << to_string(range);
   out << ", " << "knownSinceMs=" << to_string(knownSinceMs);
   out << ", " << "records=" << to_string(records);
+  out << ", " << "storeIndex=" << to_string(storeIndex);
   out << ")";
 }
 
--- a/packages/net/gen-cpp/peer_types.h
+++ b/packages/net/gen-cpp/peer_types.h
@@ -702,8 +702,9 @@
 std::ostream& operator<<(std::ostream& out, const CommandForward& obj);
 
 typedef struct _CommandOutcome__isset {
-  _CommandOutcome__isset() : detail(false) {}
+  _CommandOutcome__isset() : detail(false), redirect(false) {}
   bool detail :1;
+  bool redirect :1;
 } _CommandOutcome__isset;
 
 class CommandOutcome : public virtual ::apache::thrift::TBase {
@@ -715,7 +716,8 @@
                  : error(),
                    ran(),
                    body(),
-                   detail() {
+                   detail(),
+                   redirect() {
   }
 
   virtual ~CommandOutcome() noexcept;
@@ -729,6 +731,11 @@
   std::string ran;
   std::string body;
   std::string detail;
+  /**
+   * Set if the host does not own the key's range; the other fields are then
+   * empty. Holds the host that it takes for the owner, or an empty name.
+   */
+  std::string redirect;
 
   _CommandOutcome__isset __isset;
 
@@ -740,6 +747,8 @@
 
   void __set_detail(const std::string& val);
 
+  void __set_redirect(const std::string& val);
+
   bool operator == (const CommandOutcome & rhs) const
   {
     if (!(error == rhs.error))
@@ -752,6 +761,10 @@
       return false;
     else if (__isset.detail && !(detail == rhs.detail))
       return false;
+    if (__isset.redirect != rhs.__isset.redirect)
+      return false;
+    else if (__isset.redirect && !(redirect == rhs.redirect))
+      return false;
     return true;
   }
   bool operator != (const CommandOutcome &rhs) const {
@@ -835,13 +848,19 @@
   RangeHandover& operator=(const RangeHandover&);
   RangeHandover() noexcept
                 : range(0),
-                  knownSinceMs(0) {
+                  knownSinceMs(0),
+                  storeIndex(0) {
   }
 
   virtual ~RangeHandover() noexcept;
   int32_t range;
   int64_t knownSinceMs;
   std::vector<CommandRecord>  records;
+  /**
+   * Index of the range's key in the store while the sender owned the range.
+   * The receiver's compare-and-swap expects it.
+   */
+  int64_t storeIndex;
 
   void __set_range(const int32_t val);
 
@@ -849,6 +868,8 @@
 
   void __set_records(const std::vector<CommandRecord> & val);
 
+  void __set_storeIndex(const int64_t val);
+
   bool operator == (const RangeHandover & rhs) const
   {
     if (!(range == rhs.range))
@@ -857,6 +878,8 @@
       return false;
     if (!(records == rhs.records))
       return false;
+    if (!(storeIndex == rhs.storeIndex))
+      return false;
     return true;
   }
   bool operator != (const RangeHandover &rhs) const {
