Add an engine that runs a search end to end

Cause: the daemon needs an engine behind core/QueryEngine.h before the individual mechanisms are complete. Hedges, retries, shares, admission and the crash guard follow; their methods do nothing yet. Checked: core_test.

--- /dev/null
+++ b/packages/core/src/Engine.cpp
@@ -0,0 +1,739 @@
+#include "Engine.h"
+
+#include <goldcrestkeel/core/Invariant.h>
+
+#include <algorithm>
+
+namespace goldcrestkeel {
+
+namespace {
+
+bool
+CertainlyNotRun(SubFailureKind aKind)
+{
+  switch (aKind) {
+    case SubFailureKind::ConnectFailed:
+    case SubFailureKind::Shed:
+    case SubFailureKind::Draining:
+    case SubFailureKind::VersionGone:
+    case SubFailureKind::DeadlinePassed:
+      return true;
+    case SubFailureKind::Reset:
+    case SubFailureKind::Malformed:
+    case SubFailureKind::TimedOut:
+      return false;
+  }
+  return false;
+}
+
+} // namespace
+
+std::string_view
+NameOf(SubFailureKind aKind)
+{
+  switch (aKind) {
+    case SubFailureKind::ConnectFailed:
+      return "connect_failed";
+    case SubFailureKind::Reset:
+      return "reset";
+    case SubFailureKind::Shed:
+      return "shed";
+    case SubFailureKind::Draining:
+      return "draining";
+    case SubFailureKind::VersionGone:
+      return "version_gone";
+    case SubFailureKind::DeadlinePassed:
+      return "deadline_passed";
+    case SubFailureKind::Malformed:
+      return "malformed";
+    case SubFailureKind::TimedOut:
+      return "timed_out";
+  }
+  return "unknown";
+}
+
+std::unique_ptr<QueryEngine>
+MakeQueryEngine(const EngineOptions& aOptions, RandomSource& aRandom)
+{
+  return std::make_unique<Engine>(aOptions, aRandom);
+}
+
+Query::Query(const StartSearch& aRequest,
+             std::shared_ptr<Service> aService,
+             std::shared_ptr<SnapshotView> aView)
+  : m_request(aRequest)
+  , m_service(std::move(aService))
+  , m_view(std::move(aView))
+  , m_coverage(*m_view)
+  , m_merger(aRequest.m_offset, aRequest.m_limit)
+  , m_shards(m_view->m_groups.size())
+{
+}
+
+Engine::Engine(const EngineOptions& aOptions, RandomSource& aRandom)
+  : m_options(aOptions)
+  , m_random(aRandom)
+  , m_snapshots(MakeBestCoverageSelector())
+{
+}
+
+// ---- Services and replicas ------------------------------------------------
+
+void
+Engine::SetService(TimePoint, const ServiceSpec& aSpec)
+{
+  auto service = std::make_shared<Service>();
+  service->m_spec = aSpec;
+  service->m_selector = MakeReplicaSelector(aSpec.m_policy.m_selector);
+  for (const ReplicaSpec& spec : aSpec.m_replicas) {
+    const ReplicaIndex index = m_replicas.Intern(spec.m_id);
+    ReplicaState& replica = m_replicas[index];
+    replica.m_nearDataCentre = spec.m_dataCentre == m_options.m_dataCentre;
+    replica.m_nearRegion = spec.m_region == m_options.m_region;
+    replica.m_slots = spec.m_slots;
+    replica.m_connections = spec.m_connections;
+    service->m_replicas.push_back(index);
+    m_owners[index] = aSpec.m_name;
+  }
+  service->m_commands.m_replicas = service->m_replicas;
+  // Views hold counters of the queries that run on them, so an old definition
+  // keeps its own.
+  service->m_views = UpdateViews(m_replicas, service->m_replicas, {});
+  m_services[aSpec.m_name] = std::move(service);
+}
+
+void
+Engine::DropService(TimePoint, const std::string& aName)
+{
+  m_services.erase(aName);
+}
+
+std::shared_ptr<Service>
+Engine::FindService(const std::string& aName) const
+{
+  const auto entry = m_services.find(aName);
+  return entry == m_services.end() ? nullptr : entry->second;
+}
+
+Query*
+Engine::FindQuery(QueryId aId)
+{
+  const auto entry = m_queries.find(aId);
+  return entry == m_queries.end() ? nullptr : entry->second.get();
+}
+
+void
+Engine::SetDraining(TimePoint aNow, ReplicaState& aReplica)
+{
+  if (!aReplica.m_draining) {
+    aReplica.m_draining = true;
+    aReplica.m_drainingSince = aNow;
+  }
+  aReplica.m_drainSignal = aNow;
+}
+
+void
+Engine::Handle(TimePoint aNow, const ReplicaStatus& aEvent, Actions&)
+{
+  const std::optional<ReplicaIndex> index = m_replicas.Find(aEvent.m_replica);
+  if (!index) {
+    return;
+  }
+  ReplicaState& replica = m_replicas[*index];
+  const bool restarted =
+    aEvent.m_incarnation != 0 && aEvent.m_incarnation != replica.m_incarnation;
+  if (restarted) {
+    replica.m_incarnation = aEvent.m_incarnation;
+    replica.m_draining = false;
+    replica.m_consecutiveFailures = 0;
+  }
+  if (aEvent.m_draining) {
+    SetDraining(aNow, replica);
+  }
+  replica.m_statusMisses = 0;
+  const bool same = std::equal(
+    replica.m_held.begin(),
+    replica.m_held.end(),
+    aEvent.m_versions.begin(),
+    aEvent.m_versions.end(),
+    [](const HeldVersion& aLeft, const HeldVersion& aRight) {
+      return aLeft.m_shard == aRight.m_shard && aLeft.m_map == aRight.m_map;
+    });
+  if (same) {
+    return;
+  }
+  replica.m_held = aEvent.m_versions;
+  if (const auto service = FindService(m_owners[*index])) {
+    service->m_views =
+      UpdateViews(m_replicas, service->m_replicas, service->m_views);
+  }
+}
+
+void
+Engine::StatusUnavailable(TimePoint, const std::string& aReplica)
+{
+  if (const auto index = m_replicas.Find(aReplica)) {
+    ++m_replicas[*index].m_statusMisses;
+  }
+}
+
+void
+Engine::MarkDraining(TimePoint aNow,
+                     const std::string& aReplica,
+                     std::uint64_t aIncarnation)
+{
+  const auto index = m_replicas.Find(aReplica);
+  if (!index) {
+    return;
+  }
+  ReplicaState& replica = m_replicas[*index];
+  if (aIncarnation == 0 || replica.m_incarnation == 0 ||
+      aIncarnation == replica.m_incarnation) {
+    SetDraining(aNow, replica);
+  }
+}
+
+void
+Engine::SetLiveHosts(TimePoint, std::uint32_t)
+{
+}
+
+// ---- Start ----------------------------------------------------------------
+
+void
+Engine::Refuse(QueryId aQuery,
+               ErrorKind aError,
+               std::string aDetail,
+               Actions& aActions)
+{
+  ++m_counters.m_refused;
+  FinishSearch finish;
+  finish.m_query = aQuery;
+  finish.m_error = aError;
+  finish.m_detail = std::move(aDetail);
+  finish.m_ran = Ran::No;
+  aActions.emplace_back(std::move(finish));
+}
+
+void
+Engine::Handle(TimePoint aNow, const StartSearch& aEvent, Actions& aActions)
+{
+  ++m_counters.m_queries;
+  const auto service = FindService(aEvent.m_service);
+  if (!service) {
+    Refuse(aEvent.m_query,
+           ErrorKind::UnknownService,
+           "no service is named " + aEvent.m_service,
+           aActions);
+    return;
+  }
+  if (service->m_spec.m_kind != ServiceKind::Search) {
+    Refuse(aEvent.m_query,
+           ErrorKind::WrongServiceKind,
+           aEvent.m_service + " accepts commands only",
+           aActions);
+    return;
+  }
+  if (m_queries.size() >= m_options.m_maxRunningQueries) {
+    Refuse(aEvent.m_query,
+           ErrorKind::Overloaded,
+           "too many queries are running",
+           aActions);
+    return;
+  }
+  Begin(aNow, aEvent, aActions);
+}
+
+void
+Engine::Begin(TimePoint aNow, const StartSearch& aEvent, Actions& aActions)
+{
+  const auto service = FindService(aEvent.m_service);
+  std::shared_ptr<SnapshotView> view;
+  if (aEvent.m_snapshot) {
+    std::vector<std::shared_ptr<SnapshotView>> pinned;
+    std::copy_if(service->m_views.begin(),
+                 service->m_views.end(),
+                 std::back_inserter(pinned),
+                 [&](const auto& aView) {
+                   return aView->m_version == *aEvent.m_snapshot;
+                 });
+    view = m_snapshots->Choose(m_replicas, pinned, nullptr);
+    if (!view) {
+      Refuse(aEvent.m_query,
+             ErrorKind::SnapshotUnavailable,
+             "no replica holds snapshot " + std::to_string(*aEvent.m_snapshot),
+             aActions);
+      return;
+    }
+  } else {
+    view = m_snapshots->Choose(m_replicas, service->m_views, nullptr);
+  }
+  if (!view) {
+    Refuse(aEvent.m_query,
+           ErrorKind::NoReplica,
+           "no replica of " + aEvent.m_service +
+             " has reported an index version",
+           aActions);
+    return;
+  }
+  auto owned = std::make_unique<Query>(aEvent, service, view);
+  Query& query = *owned;
+  const ServicePolicy& policy = service->m_spec.m_policy;
+  query.m_arrivedAt = aNow;
+  query.m_startedAt = aNow;
+  query.m_deadline =
+    aNow +
+    (aEvent.m_deadline > Duration{ 0 } ? aEvent.m_deadline : policy.m_deadline);
+  query.m_responseTarget = aNow + policy.m_responseTarget;
+  query.m_minCoverage = aEvent.m_minCoverage.value_or(policy.m_minCoverage);
+  m_queries[aEvent.m_query] = std::move(owned);
+  m_timers.Add({ query.m_deadline, TimerKind::Deadline, aEvent.m_query, 0, 0 });
+  if (policy.m_preference == CoveragePreference::AnswerOnTime &&
+      query.m_responseTarget < query.m_deadline) {
+    m_timers.Add({ query.m_responseTarget,
+                   TimerKind::ResponseTarget,
+                   aEvent.m_query,
+                   0,
+                   0 });
+  }
+  FanOut(aNow, query, aActions);
+}
+
+void
+Engine::FanOut(TimePoint aNow, Query& aQuery, Actions& aActions)
+{
+  const auto shards = static_cast<std::uint32_t>(aQuery.m_shards.size());
+  aQuery.m_openShards = shards;
+  for (ShardRun& run : aQuery.m_shards) {
+    run.m_open = true;
+  }
+  for (std::uint32_t shard = 0; shard < shards; ++shard) {
+    Dispatch(aNow, aQuery, shard, aActions);
+  }
+  FinishIfDone(aNow, aQuery, aActions);
+}
+
+// ---- Sub-requests ---------------------------------------------------------
+
+Engine::Pick
+Engine::PickReplica(TimePoint aNow,
+                    const Service& aService,
+                    ShardGroup& aGroup,
+                    std::span<const ReplicaIndex> aExclude,
+                    ReplicaIndex& aChosen)
+{
+  std::vector<ReplicaIndex> eligible;
+  for (const ReplicaIndex index : aGroup.m_replicas) {
+    if (!m_replicas[index].m_draining &&
+        std::find(aExclude.begin(), aExclude.end(), index) == aExclude.end()) {
+      eligible.push_back(index);
+    }
+  }
+  if (eligible.empty()) {
+    return Pick::None;
+  }
+  aChosen = aService.m_selector->Choose(
+    aNow, m_replicas, eligible, aGroup.m_cursor, m_random);
+  return Pick::Chosen;
+}
+
+void
+Engine::Dispatch(TimePoint aNow,
+                 Query& aQuery,
+                 std::uint32_t aShard,
+                 Actions& aActions)
+{
+  ReplicaIndex replica = 0;
+  const Pick pick = PickReplica(
+    aNow, *aQuery.m_service, aQuery.m_view->m_groups[aShard], {}, replica);
+  if (pick == Pick::Chosen) {
+    Send(aNow, aQuery, aShard, replica, false, aActions);
+  } else {
+    Close(aQuery, aShard);
+  }
+}
+
+void
+Engine::Send(TimePoint aNow,
+             Query& aQuery,
+             std::uint32_t aShard,
+             ReplicaIndex aReplica,
+             bool aHedge,
+             Actions& aActions)
+{
+  ReplicaState& replica = m_replicas[aReplica];
+  GK_INVARIANT(!replica.m_draining,
+               InvariantId::NoWorkAfterDrain,
+               replica.m_id + " is draining");
+  ++replica.m_inFlight;
+  const AttemptId id = m_attempts.Add({ aQuery.m_request.m_query,
+                                        aShard,
+                                        aReplica,
+                                        replica.m_incarnation,
+                                        aNow,
+                                        aHedge });
+  ShardRun& run = aQuery.m_shards[aShard];
+  run.m_attempts[run.m_attempts[0] == 0 ? 0 : 1] = id;
+  ++aQuery.m_sent;
+  ++m_counters.m_subRequests;
+  SendSubRequest send;
+  send.m_attempt = id;
+  send.m_query = aQuery.m_request.m_query;
+  send.m_replica = replica.m_id;
+  send.m_shard = aQuery.m_view->m_groups[aShard].m_shard;
+  send.m_version = aQuery.m_view->m_version;
+  send.m_statement = aQuery.m_request.m_statement;
+  send.m_limit = aQuery.m_request.m_offset + aQuery.m_request.m_limit;
+  send.m_deadline = aQuery.m_deadline;
+  send.m_hedge = aHedge;
+  aActions.emplace_back(std::move(send));
+}
+
+void
+Engine::RemoveAttempt(TimePoint, AttemptId aId, End aEnd)
+{
+  const Attempt attempt = *m_attempts.Find(aId);
+  m_attempts.Remove(aId);
+  ReplicaState& replica = m_replicas[attempt.m_replica];
+  --replica.m_inFlight;
+  if (aEnd == End::Answered) {
+    replica.m_consecutiveFailures = 0;
+  } else if (aEnd == End::Failed) {
+    ++replica.m_consecutiveFailures;
+  }
+  if (Query* query = FindQuery(attempt.m_query)) {
+    for (AttemptId& id : query->m_shards[attempt.m_shard].m_attempts) {
+      if (id == aId) {
+        id = 0;
+      }
+    }
+  }
+}
+
+void
+Engine::CancelAttempts(TimePoint aNow,
+                       Query& aQuery,
+                       std::uint32_t aShard,
+                       Actions& aActions)
+{
+  for (const AttemptId id : aQuery.m_shards[aShard].m_attempts) {
+    if (id != 0) {
+      const ReplicaIndex replica = m_attempts.Find(id)->m_replica;
+      aActions.emplace_back(CancelSubRequest{ id, m_replicas[replica].m_id });
+      RemoveAttempt(aNow, id, End::Cancelled);
+    }
+  }
+}
+
+void
+Engine::Close(Query& aQuery, std::uint32_t aShard)
+{
+  ShardRun& run = aQuery.m_shards[aShard];
+  if (run.m_open) {
+    run.m_open = false;
+    --aQuery.m_openShards;
+  }
+}
+
+// ---- Replies --------------------------------------------------------------
+
+bool
+Engine::Accept(TimePoint, const SubReply& aReply, const Attempt& aAttempt)
+{
+  const Query* query = FindQuery(aAttempt.m_query);
+  if (query == nullptr) {
+    return false;
+  }
+  const ShardGroup& group = query->m_view->m_groups[aAttempt.m_shard];
+  ReplicaState& replica = m_replicas[aAttempt.m_replica];
+  if (aAttempt.m_incarnation != 0 &&
+      aReply.m_incarnation != aAttempt.m_incarnation) {
+    // The backend server has restarted since its last status. Its incarnation
+    // stays unknown until the next one.
+    if (replica.m_incarnation == aAttempt.m_incarnation) {
+      replica.m_incarnation = 0;
+    }
+    return false;
+  }
+  return aReply.m_intact && aReply.m_echoAttempt == aReply.m_attempt &&
+         aReply.m_echoQuery == aAttempt.m_query &&
+         aReply.m_echoShard == group.m_shard &&
+         aReply.m_echoVersion == query->m_view->m_version &&
+         aReply.m_documentsSearched <= group.m_documents;
+}
+
+void
+Engine::Handle(TimePoint aNow, const SubReply& aEvent, Actions& aActions)
+{
+  const Attempt* found = m_attempts.Find(aEvent.m_attempt);
+  if (found == nullptr) {
+    ++m_counters.m_discardedReplies;
+    return;
+  }
+  const Attempt attempt = *found;
+  if (aEvent.m_draining && aEvent.m_echoAttempt == aEvent.m_attempt) {
+    SetDraining(aNow, m_replicas[attempt.m_replica]);
+  }
+  Query& query = *FindQuery(attempt.m_query);
+  const bool accepted = Accept(aNow, aEvent, attempt);
+  RemoveAttempt(aNow, aEvent.m_attempt, accepted ? End::Answered : End::Failed);
+  if (accepted) {
+    CountReply(aNow, query, attempt.m_shard, aEvent, aActions);
+  } else {
+    ++m_counters.m_discardedReplies;
+    AttemptFailed(aNow, query, attempt.m_shard, aActions);
+  }
+  DispatchWaiting(aNow, aActions);
+}
+
+void
+Engine::CountReply(TimePoint aNow,
+                   Query& aQuery,
+                   std::uint32_t aShard,
+                   const SubReply& aReply,
+                   Actions& aActions)
+{
+  GK_INVARIANT(aReply.m_echoQuery == aQuery.m_request.m_query,
+               InvariantId::OwnAnswer,
+               "reply for query " + std::to_string(aReply.m_echoQuery) +
+                 " counted for " + std::to_string(aQuery.m_request.m_query));
+  GK_INVARIANT(aReply.m_echoVersion == aQuery.m_view->m_version,
+               InvariantId::SingleSnapshot,
+               "reply from version " + std::to_string(aReply.m_echoVersion) +
+                 " counted for " + std::to_string(aQuery.m_view->m_version));
+  ShardRun& run = aQuery.m_shards[aShard];
+  const bool whole =
+    aReply.m_documentsSearched == aQuery.m_view->m_groups[aShard].m_documents;
+  aQuery.m_coverage.Count(aShard, aReply.m_documentsSearched);
+  if (whole) {
+    run.m_answered = true;
+    aQuery.m_partials.erase(aShard);
+    aQuery.m_merger.Add(aReply.m_hits);
+    CancelAttempts(aNow, aQuery, aShard, aActions);
+    Close(aQuery, aShard);
+    FinishIfDone(aNow, aQuery, aActions);
+    return;
+  }
+  PartialReply& partial = aQuery.m_partials[aShard];
+  if (aReply.m_documentsSearched >= partial.m_documents) {
+    partial = { aReply.m_documentsSearched, aReply.m_hits };
+  }
+  AttemptFailed(aNow, aQuery, aShard, aActions);
+}
+
+void
+Engine::Handle(TimePoint aNow, const SubFailure& aEvent, Actions& aActions)
+{
+  const Attempt* found = m_attempts.Find(aEvent.m_attempt);
+  if (found == nullptr) {
+    return;
+  }
+  const Attempt attempt = *found;
+  Query& query = *FindQuery(attempt.m_query);
+  const bool notRun = CertainlyNotRun(aEvent.m_kind);
+  if (notRun) {
+    ++query.m_notRun;
+  }
+  if (aEvent.m_kind == SubFailureKind::Draining) {
+    SetDraining(aNow, m_replicas[attempt.m_replica]);
+  }
+  const bool refused = notRun && aEvent.m_kind != SubFailureKind::ConnectFailed;
+  RemoveAttempt(aNow, aEvent.m_attempt, refused ? End::Refused : End::Failed);
+  AttemptFailed(aNow, query, attempt.m_shard, aActions);
+  DispatchWaiting(aNow, aActions);
+}
+
+void
+Engine::AttemptFailed(TimePoint aNow,
+                      Query& aQuery,
+                      std::uint32_t aShard,
+                      Actions& aActions)
+{
+  if (!aQuery.m_shards[aShard].InFlight()) {
+    Close(aQuery, aShard);
+    FinishIfDone(aNow, aQuery, aActions);
+  }
+}
+
+// ---- Finish ---------------------------------------------------------------
+
+bool
+Engine::Satisfied(TimePoint aNow, const Query& aQuery) const
+{
+  const ServicePolicy& policy = aQuery.m_service->m_spec.m_policy;
+  return policy.m_preference == CoveragePreference::AnswerOnTime &&
+         aNow >= aQuery.m_responseTarget &&
+         aQuery.m_coverage.ShardsAnswered() > 0 &&
+         aQuery.m_coverage.Fraction() >= aQuery.m_minCoverage;
+}
+
+void
+Engine::FinishIfDone(TimePoint aNow, Query& aQuery, Actions& aActions)
+{
+  if (aQuery.m_openShards == 0 || aNow >= aQuery.m_deadline ||
+      Satisfied(aNow, aQuery)) {
+    Finish(aNow, aQuery, aActions);
+  }
+}
+
+void
+Engine::Finish(TimePoint aNow, Query& aQuery, Actions& aActions)
+{
+  FinishSearch finish;
+  finish.m_query = aQuery.m_request.m_query;
+  finish.m_snapshot = aQuery.m_view->m_version;
+  finish.m_coverage = aQuery.m_coverage.Report();
+  finish.m_hedges = aQuery.m_hedges;
+  finish.m_retries = aQuery.m_retries;
+  for (auto& [shard, partial] : aQuery.m_partials) {
+    aQuery.m_merger.Add(std::move(partial.m_hits));
+  }
+  const bool answered = aQuery.m_coverage.ShardsAnswered() > 0;
+  if (answered) {
+    finish.m_ran = Ran::Yes;
+  } else {
+    finish.m_ran = aQuery.m_sent > aQuery.m_notRun ? Ran::Unknown : Ran::No;
+  }
+  if (answered && aQuery.m_coverage.Fraction() >= aQuery.m_minCoverage) {
+    finish.m_hits = aQuery.m_merger.Take();
+  } else if (answered) {
+    finish.m_error = ErrorKind::CoverageNotReached;
+    finish.m_detail =
+      "searched " + std::to_string(finish.m_coverage.m_documentsSearched) +
+      " of " + std::to_string(finish.m_coverage.m_documentsTotal) +
+      " documents";
+  } else if (finish.m_ran == Ran::No) {
+    finish.m_error = ErrorKind::NoReplica;
+    finish.m_detail = "no replica accepted the search";
+  } else {
+    finish.m_error = aNow >= aQuery.m_deadline ? ErrorKind::DeadlineExceeded
+                                               : ErrorKind::CoverageNotReached;
+    finish.m_detail = "no shard answered";
+  }
+  aActions.emplace_back(std::move(finish));
+  Release(aNow, aQuery, aActions);
+}
+
+void
+Engine::Release(TimePoint aNow, Query& aQuery, Actions& aActions)
+{
+  for (std::uint32_t shard = 0; shard < aQuery.m_shards.size(); ++shard) {
+    CancelAttempts(aNow, aQuery, shard, aActions);
+  }
+  const QueryId id = aQuery.m_request.m_query;
+  m_queries.erase(id);
+}
+
+void
+Engine::Handle(TimePoint aNow, const CancelSearch& aEvent, Actions& aActions)
+{
+  if (Query* query = FindQuery(aEvent.m_query)) {
+    Release(aNow, *query, aActions);
+    DispatchWaiting(aNow, aActions);
+  }
+}
+
+void
+Engine::DispatchWaiting(TimePoint, Actions&)
+{
+}
+
+// ---- Timers ---------------------------------------------------------------
+
+std::optional<TimePoint>
+Engine::NextTimer() const
+{
+  return m_timers.Next();
+}
+
+void
+Engine::FireTimers(TimePoint aNow, Actions& aActions)
+{
+  while (const std::optional<Timer> timer = m_timers.Take(aNow)) {
+    Fire(aNow, *timer, aActions);
+  }
+  DispatchWaiting(aNow, aActions);
+}
+
+void
+Engine::Fire(TimePoint aNow, const Timer& aTimer, Actions& aActions)
+{
+  Query* query = FindQuery(aTimer.m_query);
+  if (query == nullptr) {
+    return;
+  }
+  switch (aTimer.m_kind) {
+    case TimerKind::Deadline:
+    case TimerKind::ResponseTarget:
+      FinishIfDone(aNow, *query, aActions);
+      break;
+    default:
+      break;
+  }
+}
+
+// ---- Commands -------------------------------------------------------------
+
+std::optional<std::string>
+Engine::PickCommandReplica(TimePoint aNow,
+                           const std::string& aService,
+                           const std::vector<std::string>& aExclude)
+{
+  const auto service = FindService(aService);
+  if (!service) {
+    return std::nullopt;
+  }
+  std::vector<ReplicaIndex> exclude;
+  for (const std::string& id : aExclude) {
+    if (const auto index = m_replicas.Find(id)) {
+      exclude.push_back(*index);
+    }
+  }
+  ReplicaIndex replica = 0;
+  if (PickReplica(aNow, *service, service->m_commands, exclude, replica) !=
+      Pick::Chosen) {
+    return std::nullopt;
+  }
+  ++m_replicas[replica].m_inFlight;
+  return m_replicas[replica].m_id;
+}
+
+void
+Engine::CommandDone(TimePoint,
+                    const std::string& aReplica,
+                    Duration,
+                    std::optional<SubFailureKind> aFailure)
+{
+  const auto index = m_replicas.Find(aReplica);
+  if (!index || m_replicas[*index].m_inFlight == 0) {
+    return;
+  }
+  ReplicaState& replica = m_replicas[*index];
+  --replica.m_inFlight;
+  if (!aFailure) {
+    replica.m_consecutiveFailures = 0;
+  } else if (aFailure == SubFailureKind::Draining) {
+    replica.m_draining = true;
+  }
+}
+
+// ---- Suspects -------------------------------------------------------------
+
+std::vector<SuspectReport>
+Engine::Suspects() const
+{
+  return {};
+}
+
+void
+Engine::MergeSuspects(TimePoint, const std::vector<SuspectReport>&, Actions&)
+{
+}
+
+bool
+Engine::LiftQuarantine(TimePoint, std::uint64_t)
+{
+  return false;
+}
+
+} // namespace goldcrestkeel
--- /dev/null
+++ b/packages/core/src/Engine.h
@@ -0,0 +1,151 @@
+#pragma once
+
+#include "AttemptTable.h"
+#include "Query.h"
+#include "ReplicaTable.h"
+#include "Service.h"
+#include "TimerQueue.h"
+
+#include <goldcrestkeel/core/QueryEngine.h>
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace goldcrestkeel {
+
+class Engine : public QueryEngine
+{
+public:
+  Engine(const EngineOptions& aOptions, RandomSource& aRandom);
+
+  void SetService(TimePoint aNow, const ServiceSpec& aSpec) override;
+  void DropService(TimePoint aNow, const std::string& aName) override;
+
+  void Handle(TimePoint aNow,
+              const StartSearch& aEvent,
+              Actions& aActions) override;
+  void Handle(TimePoint aNow,
+              const SubReply& aEvent,
+              Actions& aActions) override;
+  void Handle(TimePoint aNow,
+              const SubFailure& aEvent,
+              Actions& aActions) override;
+  void Handle(TimePoint aNow,
+              const CancelSearch& aEvent,
+              Actions& aActions) override;
+  void Handle(TimePoint aNow,
+              const ReplicaStatus& aEvent,
+              Actions& aActions) override;
+
+  void FireTimers(TimePoint aNow, Actions& aActions) override;
+  std::optional<TimePoint> NextTimer() const override;
+
+  void StatusUnavailable(TimePoint aNow, const std::string& aReplica) override;
+  void MarkDraining(TimePoint aNow,
+                    const std::string& aReplica,
+                    std::uint64_t aIncarnation) override;
+  void SetLiveHosts(TimePoint aNow, std::uint32_t aLiveHosts) override;
+
+  std::optional<std::string> PickCommandReplica(
+    TimePoint aNow,
+    const std::string& aService,
+    const std::vector<std::string>& aExclude) override;
+  void CommandDone(TimePoint aNow,
+                   const std::string& aReplica,
+                   Duration aLatency,
+                   std::optional<SubFailureKind> aFailure) override;
+
+  std::vector<SuspectReport> Suspects() const override;
+  void MergeSuspects(TimePoint aNow,
+                     const std::vector<SuspectReport>& aReports,
+                     Actions& aActions) override;
+  bool LiftQuarantine(TimePoint aNow, std::uint64_t aFingerprint) override;
+
+  std::size_t RunningQueries() const override { return m_queries.size(); }
+  EngineCounters Counters() const override { return m_counters; }
+
+private:
+  enum class Pick
+  {
+    Chosen,
+    /** Every usable replica is at its share. */
+    Busy,
+    /** No replica may be used. */
+    None,
+  };
+
+  /** How an attempt ended. */
+  enum class End
+  {
+    Answered,
+    Failed,
+    Refused,
+    Cancelled,
+  };
+
+  void Refuse(QueryId aQuery,
+              ErrorKind aError,
+              std::string aDetail,
+              Actions& aActions);
+  void Begin(TimePoint aNow, const StartSearch& aEvent, Actions& aActions);
+  void FanOut(TimePoint aNow, Query& aQuery, Actions& aActions);
+  /** Sends to one replica of the shard, or lets the shard wait or fail. */
+  void Dispatch(TimePoint aNow,
+                Query& aQuery,
+                std::uint32_t aShard,
+                Actions& aActions);
+  void Send(TimePoint aNow,
+            Query& aQuery,
+            std::uint32_t aShard,
+            ReplicaIndex aReplica,
+            bool aHedge,
+            Actions& aActions);
+  Pick PickReplica(TimePoint aNow,
+                   const Service& aService,
+                   ShardGroup& aGroup,
+                   std::span<const ReplicaIndex> aExclude,
+                   ReplicaIndex& aChosen);
+  void RemoveAttempt(TimePoint aNow, AttemptId aId, End aEnd);
+  void CancelAttempts(TimePoint aNow,
+                      Query& aQuery,
+                      std::uint32_t aShard,
+                      Actions& aActions);
+  bool Accept(TimePoint aNow, const SubReply& aReply, const Attempt& aAttempt);
+  void CountReply(TimePoint aNow,
+                  Query& aQuery,
+                  std::uint32_t aShard,
+                  const SubReply& aReply,
+                  Actions& aActions);
+  void AttemptFailed(TimePoint aNow,
+                     Query& aQuery,
+                     std::uint32_t aShard,
+                     Actions& aActions);
+  void Close(Query& aQuery, std::uint32_t aShard);
+  bool Satisfied(TimePoint aNow, const Query& aQuery) const;
+  void FinishIfDone(TimePoint aNow, Query& aQuery, Actions& aActions);
+  void Finish(TimePoint aNow, Query& aQuery, Actions& aActions);
+  void Release(TimePoint aNow, Query& aQuery, Actions& aActions);
+  void DispatchWaiting(TimePoint aNow, Actions& aActions);
+  void SetDraining(TimePoint aNow, ReplicaState& aReplica);
+  void Fire(TimePoint aNow, const Timer& aTimer, Actions& aActions);
+  std::shared_ptr<Service> FindService(const std::string& aName) const;
+  Query* FindQuery(QueryId aId);
+
+  EngineOptions m_options;
+  RandomSource& m_random;
+  ReplicaTable m_replicas;
+  AttemptTable m_attempts;
+  TimerQueue m_timers;
+  std::unique_ptr<SnapshotSelector> m_snapshots;
+  std::unordered_map<std::string, std::shared_ptr<Service>> m_services;
+  /** Service of each replica, by its name. */
+  std::unordered_map<ReplicaIndex, std::string> m_owners;
+  std::unordered_map<QueryId, std::unique_ptr<Query>> m_queries;
+  /** Groups with waiting sub-requests whose replicas have freed a slot. */
+  std::vector<std::pair<std::shared_ptr<Service>, ReplicaIndex>> m_freed;
+  EngineCounters m_counters;
+};
+
+} // namespace goldcrestkeel
--- /dev/null
+++ b/packages/core/src/SnapshotSelector.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "ReplicaTable.h"
+
+#include <goldcrestkeel/core/QueryEngine.h>
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace goldcrestkeel {
+
+/** A sub-request that waits for a free slot of its shard. */
+struct WaitingShard
+{
+  QueryId m_query = 0;
+  std::uint32_t m_shard = 0;
+  std::uint32_t m_epoch = 0;
+};
+
+/** Replicas that hold one shard of one index version. */
+struct ShardGroup
+{
+  std::string m_shard;
+  DocumentCount m_documents = 0;
+  std::vector<ReplicaIndex> m_replicas;
+  /** Cursor of round_robin. */
+  std::uint32_t m_cursor = 0;
+  /** Position among the shards that the service has ever had. */
+  std::uint32_t m_budget = 0;
+  std::deque<WaitingShard> m_waiting;
+};
+
+/** One index version with its shard map and the replicas that serve it. A
+ *  query keeps the view that it pinned. */
+struct SnapshotView
+{
+  VersionId m_version = 0;
+  DocumentCount m_total = 0;
+  ShardMap m_map;
+  std::vector<ShardGroup> m_groups;
+};
+
+/** Views of all index versions that aReplicas report, one for each distinct
+ *  shard map. Views of aPrevious with an equal map are updated and reused. */
+std::vector<std::shared_ptr<SnapshotView>>
+UpdateViews(const ReplicaTable& aTable,
+            const std::vector<ReplicaIndex>& aReplicas,
+            const std::vector<std::shared_ptr<SnapshotView>>& aPrevious);
+
+/** True if aReplica can be expected to answer. */
+bool
+IsReachable(const ReplicaState& aReplica);
+
+/** Documents of the shards of aView that have a reachable replica. */
+DocumentCount
+ReachableDocuments(const ReplicaTable& aTable, const SnapshotView& aView);
+
+/** Chooses the index version that a query pins. */
+class SnapshotSelector
+{
+public:
+  virtual ~SnapshotSelector() = default;
+
+  /** Best view, or nothing if there is none. aExcept is not chosen. */
+  virtual std::shared_ptr<SnapshotView> Choose(
+    const ReplicaTable& aTable,
+    const std::vector<std::shared_ptr<SnapshotView>>& aViews,
+    const SnapshotView* aExcept) const = 0;
+};
+
+/** The version with the best reachable coverage, the newest on a tie. */
+std::unique_ptr<SnapshotSelector>
+MakeBestCoverageSelector();
+
+} // namespace goldcrestkeel
