Add least_loaded, slow start and outlier ejection

Cause: round robin sends a full share to slow, broken and cold replicas. Change: least_loaded compares two random choices by predicted latency; slow start and ejection apply to every strategy. A cancelled attempt counts as a lower bound of the latency, because hedging cancels the slow replies.

--- a/packages/core/src/Engine.cpp
+++ b/packages/core/src/Engine.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/** Replicas of one shard that are compared. */
+constexpr std::size_t kMaxEligible = 16;
+
 bool
 CertainlyNotRun(SubFailureKind aKind)
 {
@@ -26,6 +29,14 @@
   return false;
 }
 
+AttemptEnd
+EndOf(SubFailureKind aKind)
+{
+  const bool refused =
+    CertainlyNotRun(aKind) && aKind != SubFailureKind::ConnectFailed;
+  return refused ? AttemptEnd::Refused : AttemptEnd::Failed;
+}
+
 } // namespace
 
 std::string_view
@@ -146,11 +157,19 @@
     replica.m_incarnation = aEvent.m_incarnation;
     replica.m_draining = false;
     replica.m_consecutiveFailures = 0;
+    replica.m_ejectedUntil = aNow;
+  }
+  if (aEvent.m_cold && (restarted || !replica.m_coldSince)) {
+    StartSlowly(aNow, replica);
   }
   if (aEvent.m_draining) {
     SetDraining(aNow, replica);
   }
   replica.m_statusMisses = 0;
+  const std::uint32_t reported = aEvent.m_inFlight + aEvent.m_queued;
+  replica.m_reportedLoad =
+    reported > replica.m_inFlight ? reported - replica.m_inFlight : 0;
+  replica.m_reportedAt = aNow;
   const bool same = std::equal(
     replica.m_held.begin(),
     replica.m_held.end(),
@@ -322,18 +341,45 @@
                     std::span<const ReplicaIndex> aExclude,
                     ReplicaIndex& aChosen)
 {
-  std::vector<ReplicaIndex> eligible;
+  // Preference: healthy and warm, then healthy, then any that may be used.
+  enum Tier
+  {
+    Warm,
+    Healthy,
+    Usable,
+    Tiers
+  };
+  std::array<std::array<ReplicaIndex, kMaxEligible>, Tiers> eligible;
+  std::array<std::size_t, Tiers> counts{};
+  const auto add = [&](Tier aTier, ReplicaIndex aIndex) {
+    if (counts[aTier] < kMaxEligible) {
+      eligible[aTier][counts[aTier]++] = aIndex;
+    }
+  };
   for (const ReplicaIndex index : aGroup.m_replicas) {
-    if (!m_replicas[index].m_draining &&
-        std::find(aExclude.begin(), aExclude.end(), index) == aExclude.end()) {
-      eligible.push_back(index);
+    const ReplicaState& replica = m_replicas[index];
+    if (replica.m_draining ||
+        std::find(aExclude.begin(), aExclude.end(), index) != aExclude.end()) {
+      continue;
+    }
+    if (IsEjected(aNow, replica) || !ReportsStatus(replica)) {
+      add(Usable, index);
+    } else if (const double share = SlowStartShare(aNow, replica);
+               share < 1 && m_random.Unit() > share) {
+      add(Healthy, index);
+    } else {
+      add(Warm, index);
     }
   }
-  if (eligible.empty()) {
+  const auto tier = std::find_if(
+    counts.begin(), counts.end(), [](std::size_t aCount) { return aCount; });
+  if (tier == counts.end()) {
     return Pick::None;
   }
+  const std::span<const ReplicaIndex> best(
+    eligible[static_cast<std::size_t>(tier - counts.begin())].data(), *tier);
   aChosen = aService.m_selector->Choose(
-    aNow, m_replicas, eligible, aGroup.m_cursor, m_random);
+    aNow, m_replicas, best, aGroup.m_cursor, m_random);
   return Pick::Chosen;
 }
 
@@ -390,17 +436,12 @@
 }
 
 void
-Engine::RemoveAttempt(TimePoint, AttemptId aId, End aEnd)
+Engine::RemoveAttempt(TimePoint aNow, AttemptId aId, AttemptEnd aEnd)
 {
   const Attempt attempt = *m_attempts.Find(aId);
   m_attempts.Remove(aId);
-  ReplicaState& replica = m_replicas[attempt.m_replica];
-  --replica.m_inFlight;
-  if (aEnd == End::Answered) {
-    replica.m_consecutiveFailures = 0;
-  } else if (aEnd == End::Failed) {
-    ++replica.m_consecutiveFailures;
-  }
+  --m_replicas[attempt.m_replica].m_inFlight;
+  RecordEnd(aNow, attempt.m_replica, aEnd, aNow - attempt.m_sentAt);
   if (Query* query = FindQuery(attempt.m_query)) {
     for (AttemptId& id : query->m_shards[attempt.m_shard].m_attempts) {
       if (id == aId) {
@@ -410,17 +451,60 @@
   }
 }
 
+void
+Engine::RecordEnd(TimePoint aNow,
+                  ReplicaIndex aReplica,
+                  AttemptEnd aEnd,
+                  Duration aElapsed)
+{
+  ReplicaState& replica = m_replicas[aReplica];
+  goldcrestkeel::RecordEnd(aNow, replica, aEnd, aElapsed);
+  if (!IsOutlier(replica) || IsEjected(aNow, replica)) {
+    return;
+  }
+  const auto service = FindService(m_owners[aReplica]);
+  if (!service) {
+    return;
+  }
+  std::vector<std::span<const ReplicaIndex>> groups;
+  if (service->m_spec.m_kind == ServiceKind::Command) {
+    groups.emplace_back(service->m_commands.m_replicas);
+  }
+  for (const auto& view : service->m_views) {
+    for (const HeldVersion& held : replica.m_held) {
+      const ShardGroup* group = FindGroup(*view, held.m_shard);
+      if (group != nullptr && held.m_map.m_version == view->m_version) {
+        groups.emplace_back(group->m_replicas);
+      }
+    }
+  }
+  if (EjectUnlessLast(aNow, m_replicas, aReplica, groups)) {
+    ++m_counters.m_ejections;
+    for (const std::span<const ReplicaIndex> group : groups) {
+      GK_INVARIANT(std::any_of(group.begin(),
+                               group.end(),
+                               [&](ReplicaIndex aIndex) {
+                                 return !IsEjected(aNow, m_replicas[aIndex]);
+                               }),
+                   InvariantId::HedgeWithinBudget,
+                   "all replicas of a shard of " + replica.m_id +
+                     " are ejected");
+    }
+  }
+}
+
 void
 Engine::CancelAttempts(TimePoint aNow,
                        Query& aQuery,
                        std::uint32_t aShard,
+                       AttemptEnd aEnd,
                        Actions& aActions)
 {
   for (const AttemptId id : aQuery.m_shards[aShard].m_attempts) {
     if (id != 0) {
       const ReplicaIndex replica = m_attempts.Find(id)->m_replica;
       aActions.emplace_back(CancelSubRequest{ id, m_replicas[replica].m_id });
-      RemoveAttempt(aNow, id, End::Cancelled);
+      RemoveAttempt(aNow, id, aEnd);
     }
   }
 }
@@ -476,7 +560,9 @@
   }
   Query& query = *FindQuery(attempt.m_query);
   const bool accepted = Accept(aNow, aEvent, attempt);
-  RemoveAttempt(aNow, aEvent.m_attempt, accepted ? End::Answered : End::Failed);
+  RemoveAttempt(aNow,
+                aEvent.m_attempt,
+                accepted ? AttemptEnd::Answered : AttemptEnd::Failed);
   if (accepted) {
     CountReply(aNow, query, attempt.m_shard, aEvent, aActions);
   } else {
@@ -509,7 +595,7 @@
     run.m_answered = true;
     aQuery.m_partials.erase(aShard);
     aQuery.m_merger.Add(aReply.m_hits);
-    CancelAttempts(aNow, aQuery, aShard, aActions);
+    CancelAttempts(aNow, aQuery, aShard, AttemptEnd::Cancelled, aActions);
     Close(aQuery, aShard);
     FinishIfDone(aNow, aQuery, aActions);
     return;
@@ -538,7 +624,8 @@
     SetDraining(aNow, m_replicas[attempt.m_replica]);
   }
   const bool refused = notRun && aEvent.m_kind != SubFailureKind::ConnectFailed;
-  RemoveAttempt(aNow, aEvent.m_attempt, refused ? End::Refused : End::Failed);
+  RemoveAttempt(
+    aNow, aEvent.m_attempt, refused ? AttemptEnd::Refused : AttemptEnd::Failed);
   AttemptFailed(aNow, query, attempt.m_shard, aActions);
   DispatchWaiting(aNow, aActions);
 }
@@ -611,14 +698,17 @@
     finish.m_detail = "no shard answered";
   }
   aActions.emplace_back(std::move(finish));
-  Release(aNow, aQuery, aActions);
+  Release(aNow, aQuery, AttemptEnd::Unanswered, aActions);
 }
 
 void
-Engine::Release(TimePoint aNow, Query& aQuery, Actions& aActions)
+Engine::Release(TimePoint aNow,
+                Query& aQuery,
+                AttemptEnd aEnd,
+                Actions& aActions)
 {
   for (std::uint32_t shard = 0; shard < aQuery.m_shards.size(); ++shard) {
-    CancelAttempts(aNow, aQuery, shard, aActions);
+    CancelAttempts(aNow, aQuery, shard, aEnd, aActions);
   }
   const QueryId id = aQuery.m_request.m_query;
   m_queries.erase(id);
@@ -628,7 +718,7 @@
 Engine::Handle(TimePoint aNow, const CancelSearch& aEvent, Actions& aActions)
 {
   if (Query* query = FindQuery(aEvent.m_query)) {
-    Release(aNow, *query, aActions);
+    Release(aNow, *query, AttemptEnd::Cancelled, aActions);
     DispatchWaiting(aNow, aActions);
   }
 }
@@ -699,22 +789,21 @@
 }
 
 void
-Engine::CommandDone(TimePoint,
+Engine::CommandDone(TimePoint aNow,
                     const std::string& aReplica,
-                    Duration,
+                    Duration aLatency,
                     std::optional<SubFailureKind> aFailure)
 {
   const auto index = m_replicas.Find(aReplica);
   if (!index || m_replicas[*index].m_inFlight == 0) {
     return;
   }
-  ReplicaState& replica = m_replicas[*index];
-  --replica.m_inFlight;
-  if (!aFailure) {
-    replica.m_consecutiveFailures = 0;
-  } else if (aFailure == SubFailureKind::Draining) {
-    replica.m_draining = true;
+  --m_replicas[*index].m_inFlight;
+  if (aFailure == SubFailureKind::Draining) {
+    SetDraining(aNow, m_replicas[*index]);
   }
+  RecordEnd(
+    aNow, *index, aFailure ? EndOf(*aFailure) : AttemptEnd::Answered, aLatency);
 }
 
 // ---- Suspects -------------------------------------------------------------
--- a/packages/core/src/Engine.h
+++ b/packages/core/src/Engine.h
@@ -2,6 +2,7 @@
 
 #include "AttemptTable.h"
 #include "Query.h"
+#include "ReplicaHealth.h"
 #include "ReplicaTable.h"
 #include "Service.h"
 #include "TimerQueue.h"
@@ -76,15 +77,6 @@
     None,
   };
 
-  /** How an attempt ended. */
-  enum class End
-  {
-    Answered,
-    Failed,
-    Refused,
-    Cancelled,
-  };
-
   void Refuse(QueryId aQuery,
               ErrorKind aError,
               std::string aDetail,
@@ -107,10 +99,11 @@
                    ShardGroup& aGroup,
                    std::span<const ReplicaIndex> aExclude,
                    ReplicaIndex& aChosen);
-  void RemoveAttempt(TimePoint aNow, AttemptId aId, End aEnd);
+  void RemoveAttempt(TimePoint aNow, AttemptId aId, AttemptEnd aEnd);
   void CancelAttempts(TimePoint aNow,
                       Query& aQuery,
                       std::uint32_t aShard,
+                      AttemptEnd aEnd,
                       Actions& aActions);
   bool Accept(TimePoint aNow, const SubReply& aReply, const Attempt& aAttempt);
   void CountReply(TimePoint aNow,
@@ -126,9 +119,16 @@
   bool Satisfied(TimePoint aNow, const Query& aQuery) const;
   void FinishIfDone(TimePoint aNow, Query& aQuery, Actions& aActions);
   void Finish(TimePoint aNow, Query& aQuery, Actions& aActions);
-  void Release(TimePoint aNow, Query& aQuery, Actions& aActions);
+  void Release(TimePoint aNow,
+               Query& aQuery,
+               AttemptEnd aEnd,
+               Actions& aActions);
   void DispatchWaiting(TimePoint aNow, Actions& aActions);
   void SetDraining(TimePoint aNow, ReplicaState& aReplica);
+  void RecordEnd(TimePoint aNow,
+                 ReplicaIndex aReplica,
+                 AttemptEnd aEnd,
+                 Duration aElapsed);
   void Fire(TimePoint aNow, const Timer& aTimer, Actions& aActions);
   std::shared_ptr<Service> FindService(const std::string& aName) const;
   Query* FindQuery(QueryId aId);
--- a/packages/core/src/SnapshotSelector.cpp
+++ b/packages/core/src/SnapshotSelector.cpp
@@ -9,7 +9,7 @@
 
 /** A lost status report alone does not make a replica unreachable. */
 constexpr std::uint32_t kUnreachableMisses = 3;
-constexpr std::uint32_t kUnreachableFailures = 3;
+constexpr std::uint32_t kUnreachableFailures = 5;
 
 std::shared_ptr<SnapshotView>
 MakeView(const ShardMap& aMap)
@@ -27,23 +27,6 @@
   return view;
 }
 
-ShardGroup*
-FindGroup(SnapshotView& aView, const std::string& aShard)
-{
-  // MakeView() leaves the groups in the order of their names.
-  const auto group =
-    std::lower_bound(aView.m_groups.begin(),
-                     aView.m_groups.end(),
-                     aShard,
-                     [](const ShardGroup& aLeft, const std::string& aRight) {
-                       return aLeft.m_shard < aRight;
-                     });
-  if (group == aView.m_groups.end() || group->m_shard != aShard) {
-    return nullptr;
-  }
-  return &*group;
-}
-
 class BestCoverageSelector : public SnapshotSelector
 {
 public:
@@ -73,6 +56,23 @@
 
 } // namespace
 
+ShardGroup*
+FindGroup(SnapshotView& aView, const std::string& aShard)
+{
+  // MakeView() leaves the groups in the order of their names.
+  const auto group =
+    std::lower_bound(aView.m_groups.begin(),
+                     aView.m_groups.end(),
+                     aShard,
+                     [](const ShardGroup& aLeft, const std::string& aRight) {
+                       return aLeft.m_shard < aRight;
+                     });
+  if (group == aView.m_groups.end() || group->m_shard != aShard) {
+    return nullptr;
+  }
+  return &*group;
+}
+
 std::vector<std::shared_ptr<SnapshotView>>
 UpdateViews(const ReplicaTable& aTable,
             const std::vector<ReplicaIndex>& aReplicas,
@@ -111,6 +111,12 @@
   return result;
 }
 
+bool
+ReportsStatus(const ReplicaState& aReplica)
+{
+  return aReplica.m_statusMisses < kUnreachableMisses;
+}
+
 bool
 IsReachable(const ReplicaState& aReplica)
 {
--- a/packages/core/src/SnapshotSelector.h
+++ b/packages/core/src/SnapshotSelector.h
@@ -49,6 +49,14 @@
             const std::vector<ReplicaIndex>& aReplicas,
             const std::vector<std::shared_ptr<SnapshotView>>& aPrevious);
 
+/** Group of aShard, or nullptr. */
+ShardGroup*
+FindGroup(SnapshotView& aView, const std::string& aShard);
+
+/** False if the replica's status has been missing several times. */
+bool
+ReportsStatus(const ReplicaState& aReplica);
+
 /** True if aReplica can be expected to answer. */
 bool
 IsReachable(const ReplicaState& aReplica);
--- /dev/null
+++ b/packages/core/tests/ReplicaHealthTest.cpp
@@ -0,0 +1,130 @@
+#include "ReplicaHealth.h"
+
+#include "EngineFixture.h"
+#include "ReplicaSelector.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace goldcrestkeel;
+using namespace goldcrestkeel::testing;
+
+namespace {
+
+/** Replicas that 100 searches over one shard were sent to. Replicas in
+ *  aBroken reset the connection. */
+std::map<std::string, int>
+SentTo(EngineFixture& aFixture, const std::vector<std::string>& aBroken)
+{
+  std::map<std::string, int> sent;
+  for (QueryId query = 1; query <= 100; ++query) {
+    const std::size_t first = aFixture.m_sent.size();
+    aFixture.Start(query);
+    for (std::size_t i = first; i < aFixture.m_sent.size(); ++i) {
+      const std::string replica = aFixture.m_sent[i].m_replica;
+      ++sent[replica];
+      if (std::find(aBroken.begin(), aBroken.end(), replica) != aBroken.end()) {
+        aFixture.Fail(i, SubFailureKind::Reset);
+      } else {
+        aFixture.Reply(i, {});
+      }
+    }
+    aFixture.AdvanceTo(aFixture.m_now.time_since_epoch() + Duration{ 1000 });
+  }
+  return sent;
+}
+
+} // namespace
+
+// Guards against ejections that take a whole shard out of service, and against
+// a broken replica that keeps receiving its full share.
+TEST_CASE("A replica that fails repeatedly is ejected", "[ejection]")
+{
+  EngineFixture fixture(1, 3);
+  fixture.m_spec.m_policy.m_selector = GENERATE("round_robin", "least_loaded");
+  fixture.Configure();
+
+  SECTION("and receives little work")
+  {
+    const auto sent = SentTo(fixture, { "s0-r0" });
+    REQUIRE(sent.at("s0-r0") < 15);
+    REQUIRE(fixture.Counters().m_ejections >= 1);
+  }
+
+  SECTION("but never the last one of a shard")
+  {
+    const auto sent = SentTo(fixture, { "s0-r0", "s0-r1", "s0-r2" });
+    int total = 0;
+    for (const auto& [replica, count] : sent) {
+      total += count;
+    }
+    REQUIRE(total >= 100);
+    REQUIRE(fixture.Counters().m_ejections >= 2);
+  }
+}
+
+TEST_CASE("A cold replica starts slowly", "[slow-start]")
+{
+  EngineFixture fixture(1, 2);
+  fixture.m_spec.m_policy.m_selector = "round_robin";
+  fixture.Configure();
+  ReplicaStatus cold;
+  cold.m_replica = "s0-r1";
+  cold.m_incarnation = 2;
+  cold.m_cold = true;
+  cold.m_versions = { { { 1, { { "s0", 100 } } }, "s0" } };
+  fixture.Handle(cold);
+
+  const auto sent = SentTo(fixture, {});
+  REQUIRE(sent.at("s0-r1") < 25);
+}
+
+TEST_CASE("least_loaded compares predicted latencies", "[selector]")
+{
+  const auto random = MakeSeededRandom(1);
+  const auto selector = MakeReplicaSelector("least_loaded");
+  const TimePoint now{ Duration{ 1000000 } };
+  ReplicaTable table;
+  std::vector<ReplicaIndex> all;
+  for (const char* id : { "near", "far", "farther" }) {
+    all.push_back(table.Intern(id));
+    table[all.back()].m_latency = 10000;
+    table[all.back()].m_latencyAt = now;
+    table[all.back()].m_slots = 3;
+  }
+  table[0].m_nearDataCentre = true;
+  const auto nearChosen = [&](TimePoint aNow) {
+    int count = 0;
+    std::uint32_t cursor = 0;
+    for (int i = 0; i < 100; ++i) {
+      count += selector->Choose(aNow, table, all, cursor, *random) == 0;
+    }
+    return count;
+  };
+
+  SECTION("and prefers the near data centre")
+  {
+    REQUIRE(nearChosen(now) == 100);
+  }
+
+  SECTION("until it is slow")
+  {
+    table[0].m_latency = 50000;
+    REQUIRE(nearChosen(now) == 0);
+
+    SECTION("and tries it again after some time")
+    {
+      table[1].m_latencyAt = table[2].m_latencyAt = now + Duration{ 30000000 };
+      REQUIRE(nearChosen(now + Duration{ 30000000 }) == 100);
+    }
+  }
+
+  SECTION("until it is loaded by others, as far as the report is fresh")
+  {
+    table[0].m_reportedLoad = 30;
+    table[0].m_reportedAt = now;
+    REQUIRE(nearChosen(now) == 0);
+    REQUIRE(nearChosen(now + Duration{ 6000000 }) == 100);
+  }
+}
