Add hedges and retries within an extra-load budget

Cause: a straggler or a lost reply delays the whole answer. Retries are jittered, end at the deadline, and share a token bucket per service with the hedges; a second bucket per shard bounds the amplification of a lost shard.

--- a/packages/core/src/Engine.cpp
+++ b/packages/core/src/Engine.cpp
@@ -96,6 +96,13 @@
   auto service = std::make_shared<Service>();
   service->m_spec = aSpec;
   service->m_selector = MakeReplicaSelector(aSpec.m_policy.m_selector);
+  const auto previous = FindService(aSpec.m_name);
+  if (previous && previous->m_history->m_hedgeName == aSpec.m_policy.m_hedge &&
+      previous->m_history->m_extraLoad == aSpec.m_policy.m_extraLoad) {
+    service->m_history = previous->m_history;
+  } else {
+    service->m_history = std::make_shared<ServiceHistory>(aSpec);
+  }
   for (const ReplicaSpec& spec : aSpec.m_replicas) {
     const ReplicaIndex index = m_replicas.Intern(spec.m_id);
     ReplicaState& replica = m_replicas[index];
@@ -329,6 +336,13 @@
   for (std::uint32_t shard = 0; shard < shards; ++shard) {
     Dispatch(aNow, aQuery, shard, aActions);
   }
+  if (const auto delay = aQuery.m_service->m_history->m_hedge->Delay()) {
+    m_timers.Add({ aNow + *delay,
+                   TimerKind::Hedge,
+                   aQuery.m_request.m_query,
+                   0,
+                   aQuery.m_epoch });
+  }
   FinishIfDone(aNow, aQuery, aActions);
 }
 
@@ -393,10 +407,20 @@
   const Pick pick = PickReplica(
     aNow, *aQuery.m_service, aQuery.m_view->m_groups[aShard], {}, replica);
   if (pick == Pick::Chosen) {
-    Send(aNow, aQuery, aShard, replica, false, aActions);
+    Send(aNow, aQuery, aShard, replica, SendKind::Primary, aActions);
   } else {
-    Close(aQuery, aShard);
+    ScheduleRetry(aNow, aQuery, aShard);
+  }
+}
+
+ExtraLoadBudget&
+Engine::BudgetOf(Query& aQuery, std::uint32_t aShard)
+{
+  ShardGroup& group = aQuery.m_view->m_groups[aShard];
+  if (group.m_budget == nullptr) {
+    group.m_budget = &aQuery.m_service->m_history->ShardBudget(group.m_shard);
   }
+  return *group.m_budget;
 }
 
 void
@@ -404,7 +428,7 @@
              Query& aQuery,
              std::uint32_t aShard,
              ReplicaIndex aReplica,
-             bool aHedge,
+             SendKind aKind,
              Actions& aActions)
 {
   ReplicaState& replica = m_replicas[aReplica];
@@ -417,11 +441,28 @@
                                         aReplica,
                                         replica.m_incarnation,
                                         aNow,
-                                        aHedge });
+                                        aKind == SendKind::Hedge });
   ShardRun& run = aQuery.m_shards[aShard];
   run.m_attempts[run.m_attempts[0] == 0 ? 0 : 1] = id;
+  run.m_tried = { aReplica, run.m_tried[0], run.m_tried[1] };
+  run.m_triedCount = static_cast<std::uint8_t>(
+    std::min<std::size_t>(run.m_triedCount + 1, run.m_tried.size()));
   ++aQuery.m_sent;
   ++m_counters.m_subRequests;
+  switch (aKind) {
+    case SendKind::Primary:
+      aQuery.m_service->m_history->m_budget.AddPrimary();
+      BudgetOf(aQuery, aShard).AddPrimary();
+      break;
+    case SendKind::Hedge:
+      ++aQuery.m_hedges;
+      ++m_counters.m_hedges;
+      break;
+    case SendKind::Retry:
+      ++aQuery.m_retries;
+      ++m_counters.m_retries;
+      break;
+  }
   SendSubRequest send;
   send.m_attempt = id;
   send.m_query = aQuery.m_request.m_query;
@@ -431,7 +472,7 @@
   send.m_statement = aQuery.m_request.m_statement;
   send.m_limit = aQuery.m_request.m_offset + aQuery.m_request.m_limit;
   send.m_deadline = aQuery.m_deadline;
-  send.m_hedge = aHedge;
+  send.m_hedge = aKind == SendKind::Hedge;
   aActions.emplace_back(std::move(send));
 }
 
@@ -442,11 +483,16 @@
   m_attempts.Remove(aId);
   --m_replicas[attempt.m_replica].m_inFlight;
   RecordEnd(aNow, attempt.m_replica, aEnd, aNow - attempt.m_sentAt);
-  if (Query* query = FindQuery(attempt.m_query)) {
-    for (AttemptId& id : query->m_shards[attempt.m_shard].m_attempts) {
-      if (id == aId) {
-        id = 0;
-      }
+  Query* query = FindQuery(attempt.m_query);
+  if (query == nullptr) {
+    return;
+  }
+  if (!attempt.m_hedge && aEnd != AttemptEnd::Refused) {
+    query->m_service->m_history->m_hedge->Observe(aNow - attempt.m_sentAt);
+  }
+  for (AttemptId& id : query->m_shards[attempt.m_shard].m_attempts) {
+    if (id == aId) {
+      id = 0;
     }
   }
 }
@@ -637,11 +683,100 @@
                       Actions& aActions)
 {
   if (!aQuery.m_shards[aShard].InFlight()) {
-    Close(aQuery, aShard);
+    ScheduleRetry(aNow, aQuery, aShard);
     FinishIfDone(aNow, aQuery, aActions);
   }
 }
 
+// ---- Hedges and retries ---------------------------------------------------
+
+bool
+Engine::SpendExtra(Query& aQuery, std::uint32_t aShard)
+{
+  ExtraLoadBudget& service = aQuery.m_service->m_history->m_budget;
+  ExtraLoadBudget& shard = BudgetOf(aQuery, aShard);
+  if (!service.CanSpend() || !shard.CanSpend()) {
+    return false;
+  }
+  service.Spend();
+  shard.Spend();
+  return true;
+}
+
+void
+Engine::Hedge(TimePoint aNow, Query& aQuery, Actions& aActions)
+{
+  for (std::uint32_t shard = 0; shard < aQuery.m_shards.size(); ++shard) {
+    ShardRun& run = aQuery.m_shards[shard];
+    if (run.m_attempts[0] == 0 || run.m_attempts[1] != 0) {
+      continue;
+    }
+    ReplicaIndex replica = 0;
+    if (PickReplica(aNow,
+                    *aQuery.m_service,
+                    aQuery.m_view->m_groups[shard],
+                    { run.m_tried.data(), run.m_triedCount },
+                    replica) == Pick::Chosen &&
+        SpendExtra(aQuery, shard)) {
+      Send(aNow, aQuery, shard, replica, SendKind::Hedge, aActions);
+    }
+  }
+}
+
+void
+Engine::ScheduleRetry(TimePoint aNow, Query& aQuery, std::uint32_t aShard)
+{
+  ShardRun& run = aQuery.m_shards[aShard];
+  const bool held = !aQuery.m_view->m_groups[aShard].m_replicas.empty();
+  const std::optional<Duration> delay =
+    held ? RetryDelay(aNow, aQuery.m_deadline, run.m_retries, m_random)
+         : std::nullopt;
+  if (!delay) {
+    Close(aQuery, aShard);
+    return;
+  }
+  ++run.m_retries;
+  run.m_retryDue = true;
+  m_timers.Add({ aNow + *delay,
+                 TimerKind::Retry,
+                 aQuery.m_request.m_query,
+                 aShard,
+                 aQuery.m_epoch });
+}
+
+void
+Engine::Retry(TimePoint aNow,
+              Query& aQuery,
+              std::uint32_t aShard,
+              Actions& aActions)
+{
+  ShardRun& run = aQuery.m_shards[aShard];
+  if (!run.m_retryDue || run.InFlight() || run.m_answered) {
+    return;
+  }
+  run.m_retryDue = false;
+  if (run.m_triedCount == 0) {
+    Dispatch(aNow, aQuery, aShard, aActions);
+  } else {
+    ShardGroup& group = aQuery.m_view->m_groups[aShard];
+    ReplicaIndex replica = 0;
+    Pick pick = PickReplica(aNow,
+                            *aQuery.m_service,
+                            group,
+                            { run.m_tried.data(), run.m_triedCount },
+                            replica);
+    if (pick == Pick::None) {
+      pick = PickReplica(aNow, *aQuery.m_service, group, {}, replica);
+    }
+    if (pick == Pick::Chosen && SpendExtra(aQuery, aShard)) {
+      Send(aNow, aQuery, aShard, replica, SendKind::Retry, aActions);
+    } else {
+      ScheduleRetry(aNow, aQuery, aShard);
+    }
+  }
+  FinishIfDone(aNow, aQuery, aActions);
+}
+
 // ---- Finish ---------------------------------------------------------------
 
 bool
@@ -757,6 +892,16 @@
     case TimerKind::ResponseTarget:
       FinishIfDone(aNow, *query, aActions);
       break;
+    case TimerKind::Hedge:
+      if (aTimer.m_epoch == query->m_epoch) {
+        Hedge(aNow, *query, aActions);
+      }
+      break;
+    case TimerKind::Retry:
+      if (aTimer.m_epoch == query->m_epoch) {
+        Retry(aNow, *query, aTimer.m_shard, aActions);
+      }
+      break;
     default:
       break;
   }
--- a/packages/core/src/Engine.h
+++ b/packages/core/src/Engine.h
@@ -77,6 +77,13 @@
     None,
   };
 
+  enum class SendKind
+  {
+    Primary,
+    Hedge,
+    Retry,
+  };
+
   void Refuse(QueryId aQuery,
               ErrorKind aError,
               std::string aDetail,
@@ -88,11 +95,12 @@
                 Query& aQuery,
                 std::uint32_t aShard,
                 Actions& aActions);
+  static ExtraLoadBudget& BudgetOf(Query& aQuery, std::uint32_t aShard);
   void Send(TimePoint aNow,
             Query& aQuery,
             std::uint32_t aShard,
             ReplicaIndex aReplica,
-            bool aHedge,
+            SendKind aKind,
             Actions& aActions);
   Pick PickReplica(TimePoint aNow,
                    const Service& aService,
@@ -111,6 +119,15 @@
                   std::uint32_t aShard,
                   const SubReply& aReply,
                   Actions& aActions);
+  /** Whether one more sub-request to the shard is within the budgets. */
+  bool SpendExtra(Query& aQuery, std::uint32_t aShard);
+  void Hedge(TimePoint aNow, Query& aQuery, Actions& aActions);
+  /** Plans a retry, or gives the shard up. */
+  void ScheduleRetry(TimePoint aNow, Query& aQuery, std::uint32_t aShard);
+  void Retry(TimePoint aNow,
+             Query& aQuery,
+             std::uint32_t aShard,
+             Actions& aActions);
   void AttemptFailed(TimePoint aNow,
                      Query& aQuery,
                      std::uint32_t aShard,
--- /dev/null
+++ b/packages/core/src/HedgePolicy.cpp
@@ -0,0 +1,84 @@
+#include "HedgePolicy.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/tail_quantile.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace goldcrestkeel {
+
+namespace {
+
+namespace accumulators = boost::accumulators;
+
+/** Samples of one window; the quantile of the last full window is used. */
+constexpr std::size_t kWindow = 1000;
+/** Samples after which the first window is used before it is full. */
+constexpr std::size_t kFirstWindow = 100;
+/** Part of the extra load that hedges plan for; retries need the rest. */
+constexpr double kHedgeShare = 0.9;
+
+using Tail = accumulators::accumulator_set<
+  double,
+  accumulators::stats<accumulators::tag::count,
+                      accumulators::tag::tail_quantile<accumulators::right>>>;
+
+class NoHedge : public HedgePolicy
+{
+public:
+  void Observe(Duration) override {}
+  std::optional<Duration> Delay() const override { return std::nullopt; }
+};
+
+class QuantileHedge : public HedgePolicy
+{
+public:
+  explicit QuantileHedge(double aExtraLoad)
+    : m_quantile(1 - kHedgeShare * std::clamp(aExtraLoad, 0.0, 0.5))
+    , m_tail(MakeTail())
+  {
+  }
+
+  void Observe(Duration aLatency) override
+  {
+    m_tail(static_cast<double>(aLatency.count()));
+    const std::size_t count = accumulators::count(m_tail);
+    if (count == kWindow || (!m_delay && count == kFirstWindow)) {
+      m_delay = Duration{ static_cast<Duration::rep>(accumulators::quantile(
+        m_tail, accumulators::quantile_probability = m_quantile)) };
+    }
+    if (count == kWindow) {
+      m_tail = MakeTail();
+    }
+  }
+
+  std::optional<Duration> Delay() const override { return m_delay; }
+
+private:
+  Tail MakeTail() const
+  {
+    const auto cache =
+      static_cast<std::size_t>(static_cast<double>(kWindow) * (1 - m_quantile));
+    return Tail(accumulators::right_tail_cache_size = cache + 2);
+  }
+
+  double m_quantile;
+  Tail m_tail;
+  std::optional<Duration> m_delay;
+};
+
+} // namespace
+
+std::unique_ptr<HedgePolicy>
+MakeHedgePolicy(std::string_view aName, double aExtraLoad)
+{
+  if (aName == "none") {
+    return std::make_unique<NoHedge>();
+  }
+  return std::make_unique<QuantileHedge>(aExtraLoad);
+}
+
+} // namespace goldcrestkeel
--- /dev/null
+++ b/packages/core/src/RetryBudget.cpp
@@ -0,0 +1,63 @@
+#include "RetryBudget.h"
+
+#include <goldcrestkeel/core/Invariant.h>
+
+#include <algorithm>
+
+namespace goldcrestkeel {
+
+namespace {
+
+/** Upper end of the first delay: about the time in which a refusing replica's
+ *  state changes, and short against the 110 ms target. */
+constexpr Duration kFirstRetryDelay{ 2000 };
+/** Doublings of the delay. */
+constexpr std::uint32_t kDoublings = 6;
+/** Rounding of many additions of a ratio. */
+constexpr double kRounding = 1e-3;
+
+} // namespace
+
+ExtraLoadBudget::ExtraLoadBudget(double aRatio, double aBurst)
+  : m_ratio(aRatio)
+  , m_burst(aBurst)
+  , m_tokens(aBurst)
+{
+}
+
+void
+ExtraLoadBudget::AddPrimary()
+{
+  ++m_primaries;
+  m_tokens = std::min(m_tokens + m_ratio, m_burst);
+}
+
+void
+ExtraLoadBudget::Spend()
+{
+  m_tokens -= 1;
+  ++m_spent;
+  GK_INVARIANT(static_cast<double>(m_spent) <=
+                 m_ratio * static_cast<double>(m_primaries) + m_burst +
+                   kRounding,
+               InvariantId::HedgeWithinBudget,
+               std::to_string(m_spent) + " extra sub-requests for " +
+                 std::to_string(m_primaries));
+}
+
+std::optional<Duration>
+RetryDelay(TimePoint aNow,
+           TimePoint aDeadline,
+           std::uint32_t aRetry,
+           RandomSource& aRandom)
+{
+  const Duration limit = kFirstRetryDelay * (1 << std::min(aRetry, kDoublings));
+  const Duration delay{ static_cast<Duration::rep>(
+    aRandom.Below(static_cast<std::uint64_t>(limit.count())) + 1) };
+  if (aNow + delay >= aDeadline) {
+    return std::nullopt;
+  }
+  return delay;
+}
+
+} // namespace goldcrestkeel
--- /dev/null
+++ b/packages/core/src/Service.cpp
@@ -0,0 +1,32 @@
+#include "Service.h"
+
+#include <algorithm>
+
+namespace goldcrestkeel {
+
+namespace {
+
+/** Tokens that a small service's bucket holds. */
+constexpr double kServiceBurst = 10;
+
+} // namespace
+
+ServiceHistory::ServiceHistory(const ServiceSpec& aSpec)
+  : m_hedgeName(aSpec.m_policy.m_hedge)
+  , m_extraLoad(aSpec.m_policy.m_extraLoad)
+  , m_hedge(MakeHedgePolicy(m_hedgeName, m_extraLoad))
+  , m_budget(m_extraLoad,
+             std::max(kServiceBurst,
+                      m_extraLoad * static_cast<double>(aSpec.m_shards.size())))
+{
+}
+
+ExtraLoadBudget&
+ServiceHistory::ShardBudget(const std::string& aShard)
+{
+  return m_shardBudgets
+    .try_emplace(aShard, kShardBudgetFactor * m_extraLoad, kShardBurst)
+    .first->second;
+}
+
+} // namespace goldcrestkeel
--- a/packages/core/src/SnapshotSelector.h
+++ b/packages/core/src/SnapshotSelector.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ReplicaTable.h"
+#include "RetryBudget.h"
 
 #include <goldcrestkeel/core/QueryEngine.h>
 
@@ -27,8 +28,8 @@
   std::vector<ReplicaIndex> m_replicas;
   /** Cursor of round_robin. */
   std::uint32_t m_cursor = 0;
-  /** Position among the shards that the service has ever had. */
-  std::uint32_t m_budget = 0;
+  /** Retry budget of the shard; looked up at the first use. */
+  ExtraLoadBudget* m_budget = nullptr;
   std::deque<WaitingShard> m_waiting;
 };
 
