--- a/packages/core/src/Engine.cpp
+++ b/packages/core/src/Engine.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/** A query that has met this many retired versions answers with what it has.
+ */
+constexpr std::uint32_t kMaxRestarts = 3;
 /** Replicas of one shard that are compared. */
 constexpr std::size_t kMaxEligible = 16;
 
@@ -81,6 +84,17 @@
 {
 }
 
+void
+Query::Pin(std::shared_ptr<SnapshotView> aView)
+{
+  m_view = std::move(aView);
+  m_coverage = CoverageAccount(*m_view);
+  m_merger = HitMerger(m_request.m_offset, m_request.m_limit);
+  m_shards.assign(m_view->m_groups.size(), {});
+  m_partials.clear();
+  ++m_epoch;
+}
+
 Engine::Engine(const EngineOptions& aOptions, RandomSource& aRandom)
   : m_options(aOptions)
   , m_random(aRandom)
@@ -669,9 +683,10 @@
   if (aEvent.m_kind == SubFailureKind::Draining) {
     SetDraining(aNow, m_replicas[attempt.m_replica]);
   }
-  const bool refused = notRun && aEvent.m_kind != SubFailureKind::ConnectFailed;
-  RemoveAttempt(
-    aNow, aEvent.m_attempt, refused ? AttemptEnd::Refused : AttemptEnd::Failed);
+  RemoveAttempt(aNow, aEvent.m_attempt, EndOf(aEvent.m_kind));
+  if (aEvent.m_kind == SubFailureKind::VersionGone) {
+    DropVersion(attempt.m_replica, query.m_view->m_version);
+  }
   AttemptFailed(aNow, query, attempt.m_shard, aActions);
   DispatchWaiting(aNow, aActions);
 }
@@ -682,6 +697,10 @@
                       std::uint32_t aShard,
                       Actions& aActions)
 {
+  const bool lost = aQuery.m_view->m_groups[aShard].m_replicas.empty();
+  if (lost && Restart(aNow, aQuery, aActions)) {
+    return;
+  }
   if (!aQuery.m_shards[aShard].InFlight()) {
     ScheduleRetry(aNow, aQuery, aShard);
     FinishIfDone(aNow, aQuery, aActions);
@@ -723,6 +742,57 @@
   }
 }
 
+void
+Engine::DropVersion(ReplicaIndex aReplica, VersionId aVersion)
+{
+  std::vector<HeldVersion>& held = m_replicas[aReplica].m_held;
+  std::erase_if(held, [&](const HeldVersion& aHeld) {
+    return aHeld.m_map.m_version == aVersion;
+  });
+  if (const auto service = FindService(m_owners[aReplica])) {
+    service->m_views =
+      UpdateViews(m_replicas, service->m_replicas, service->m_views);
+  }
+}
+
+bool
+Engine::Restart(TimePoint aNow, Query& aQuery, Actions& aActions)
+{
+  const auto current = FindService(aQuery.m_request.m_service);
+  // All pages of one result come from the snapshot that the caller named.
+  if (aQuery.m_request.m_snapshot || aQuery.m_epoch >= kMaxRestarts ||
+      current != aQuery.m_service || aNow >= aQuery.m_deadline) {
+    return false;
+  }
+  const SnapshotView& pinned = *aQuery.m_view;
+  const auto best = m_snapshots->Choose(m_replicas, current->m_views, &pinned);
+  if (!best) {
+    return false;
+  }
+  DocumentCount possible = aQuery.m_coverage.Searched();
+  for (std::size_t i = 0; i < pinned.m_groups.size(); ++i) {
+    const ShardGroup& group = pinned.m_groups[i];
+    if (!aQuery.m_shards[i].m_answered && IsGroupReachable(m_replicas, group)) {
+      possible += group.m_documents;
+    }
+  }
+  const double here =
+    static_cast<double>(possible) / static_cast<double>(pinned.m_total);
+  const double there =
+    static_cast<double>(ReachableDocuments(m_replicas, *best)) /
+    static_cast<double>(best->m_total);
+  if (there <= here) {
+    return false;
+  }
+  for (std::uint32_t shard = 0; shard < aQuery.m_shards.size(); ++shard) {
+    CancelAttempts(aNow, aQuery, shard, AttemptEnd::Cancelled, aActions);
+  }
+  ++m_counters.m_restarts;
+  aQuery.Pin(best);
+  FanOut(aNow, aQuery, aActions);
+  return true;
+}
+
 void
 Engine::ScheduleRetry(TimePoint aNow, Query& aQuery, std::uint32_t aShard)
 {
@@ -755,6 +825,10 @@
     return;
   }
   run.m_retryDue = false;
+  if (aQuery.m_view->m_groups[aShard].m_replicas.empty() &&
+      Restart(aNow, aQuery, aActions)) {
+    return;
+  }
   if (run.m_triedCount == 0) {
     Dispatch(aNow, aQuery, aShard, aActions);
   } else {
--- a/packages/core/src/Engine.h
+++ b/packages/core/src/Engine.h
@@ -123,6 +123,11 @@
   bool SpendExtra(Query& aQuery, std::uint32_t aShard);
   void Hedge(TimePoint aNow, Query& aQuery, Actions& aActions);
   /** Plans a retry, or gives the shard up. */
+  /** Starts the query again on another snapshot if that can cover more than
+   *  the pinned one still can; false if not. */
+  bool Restart(TimePoint aNow, Query& aQuery, Actions& aActions);
+  /** The replica no longer holds the version. */
+  void DropVersion(ReplicaIndex aReplica, VersionId aVersion);
   void ScheduleRetry(TimePoint aNow, Query& aQuery, std::uint32_t aShard);
   void Retry(TimePoint aNow,
              Query& aQuery,
--- a/packages/core/src/Query.h
+++ b/packages/core/src/Query.h
@@ -65,6 +65,9 @@
   std::uint32_t m_sent = 0;
   std::uint32_t m_notRun = 0;
 
+  /** Pins aView and forgets all that was found on another one. */
+  void Pin(std::shared_ptr<SnapshotView> aView);
+
   Query(const StartSearch& aRequest,
         std::shared_ptr<Service> aService,
         std::shared_ptr<SnapshotView> aView);
--- a/packages/core/src/SnapshotSelector.cpp
+++ b/packages/core/src/SnapshotSelector.cpp
@@ -124,15 +124,21 @@
          aReplica.m_consecutiveFailures < kUnreachableFailures;
 }
 
+bool
+IsGroupReachable(const ReplicaTable& aTable, const ShardGroup& aGroup)
+{
+  return std::any_of(
+    aGroup.m_replicas.begin(),
+    aGroup.m_replicas.end(),
+    [&](ReplicaIndex aIndex) { return IsReachable(aTable[aIndex]); });
+}
+
 DocumentCount
 ReachableDocuments(const ReplicaTable& aTable, const SnapshotView& aView)
 {
   DocumentCount documents = 0;
   for (const ShardGroup& group : aView.m_groups) {
-    if (std::any_of(
-          group.m_replicas.begin(),
-          group.m_replicas.end(),
-          [&](ReplicaIndex aIndex) { return IsReachable(aTable[aIndex]); })) {
+    if (IsGroupReachable(aTable, group)) {
       documents += group.m_documents;
     }
   }
--- a/packages/core/src/SnapshotSelector.h
+++ b/packages/core/src/SnapshotSelector.h
@@ -62,6 +62,10 @@
 bool
 IsReachable(const ReplicaState& aReplica);
 
+/** True if a replica of aGroup can be expected to answer. */
+bool
+IsGroupReachable(const ReplicaTable& aTable, const ShardGroup& aGroup);
+
 /** Documents of the shards of aView that have a reachable replica. */
 DocumentCount
 ReachableDocuments(const ReplicaTable& aTable, const SnapshotView& aView);
