Add the simulated backend server and platform

Change: gk-standin-backend and gk-standin-platform under testing/standins, with a shared Pistache wrapper whose replies can be sent later, from another thread, and as raw bytes.

--- /dev/null
+++ b/testing/standins/backend/src/Backend.cpp
@@ -0,0 +1,639 @@
+#include "Backend.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/crc.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+
+namespace goldcrestkeel::standins {
+
+namespace {
+
+/** Smallest retransmission time-out of TCP on Linux. */
+constexpr Microseconds kRetransmission{ 200000 };
+/** Spread of the link delay around its mean. */
+constexpr double kLinkJitter = 0.1;
+constexpr Microseconds kStatusSample{ 100000 };
+/** Longest lag of /status that the history can serve. */
+constexpr std::chrono::seconds kStatusHistory{ 60 };
+
+std::uint32_t
+Checksum(const std::string& aText)
+{
+  boost::crc_32_type crc;
+  crc.process_bytes(aText.data(), aText.size());
+  return crc.checksum();
+}
+
+void
+SetHits(nlohmann::json& aBody, const std::string& aHits)
+{
+  aBody["hits"] = aHits;
+  aBody["length"] = aHits.size();
+  aBody["checksum"] = Checksum(aHits);
+}
+
+} // namespace
+
+template<typename Action>
+void
+Backend::After(Microseconds aDelay, Action aAction)
+{
+  auto timer = std::make_shared<boost::asio::steady_timer>(m_io, aDelay);
+  timer->async_wait([timer, action = std::move(aAction)](
+                      const boost::system::error_code& aError) {
+    if (!aError) {
+      action();
+    }
+  });
+}
+
+Backend::Backend(BackendSettings aSettings)
+  : m_settings(std::move(aSettings))
+  , m_random(m_settings.m_seed)
+  , m_incarnation(static_cast<std::uint64_t>(
+      std::chrono::duration_cast<Microseconds>(
+        std::chrono::system_clock::now().time_since_epoch())
+        .count()))
+  , m_started(std::chrono::steady_clock::now())
+{
+  for (const auto& path : m_settings.m_indexes) {
+    LoadIndex(path);
+  }
+  if (!m_settings.m_runsFile.empty()) {
+    m_runsFile.open(m_settings.m_runsFile, std::ios::app);
+  }
+  m_server = MakeHttpServer(
+    m_settings.m_listen, m_settings.m_threads, [this](HttpRequest aRequest) {
+      boost::asio::post(
+        m_io, [this, request = std::move(aRequest)] { OnRequest(request); });
+    });
+  m_admin = MakeHttpServer(m_settings.m_admin, 1, [this](HttpRequest aRequest) {
+    boost::asio::post(
+      m_io, [this, request = std::move(aRequest)] { OnAdmin(request); });
+  });
+}
+
+void
+Backend::Run()
+{
+  const auto work = boost::asio::make_work_guard(m_io);
+  m_admin->Start();
+  m_server->Start();
+  SampleStatus();
+  m_io.run();
+}
+
+void
+Backend::LoadIndex(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  auto index = std::make_shared<ShardIndex>(file);
+  const IndexKey key{ index->Version(), index->Shard() };
+  m_indexes[key] = std::move(index);
+}
+
+// ---- Requests --------------------------------------------------------------
+
+void
+Backend::OnRequest(HttpRequest aRequest)
+{
+  ++m_counters.m_requests;
+  const auto connections = m_server->Connections();
+  m_counters.m_maxConnections =
+    std::max<std::uint64_t>(m_counters.m_maxConnections, connections);
+  if (aRequest.m_newConnection && connections > m_settings.m_connections) {
+    ++m_counters.m_overConnectionCap;
+    aRequest.m_responder->Close();
+    return;
+  }
+  try {
+    const auto route = aRequest.m_method + " " + aRequest.m_path;
+    if (route == "POST /search" || route == "POST /command") {
+      OnJob(aRequest, aRequest.m_path == "/command");
+    } else if (route == "POST /cancel") {
+      OnCancel(aRequest);
+    } else if (route == "GET /status") {
+      OnStatus(aRequest);
+    } else {
+      aRequest.m_responder->Send(404, R"({"error":"no such path"})");
+    }
+  } catch (const nlohmann::json::exception& error) {
+    aRequest.m_responder->Send(400, Json{ { "error", error.what() } }.dump());
+  }
+}
+
+Backend::JobPointer
+Backend::ReadJob(const HttpRequest& aRequest, bool aCommand)
+{
+  const auto body = Json::parse(aRequest.m_body);
+  auto job = std::make_shared<Job>();
+  job->m_command = aCommand;
+  job->m_responder = aRequest.m_responder;
+  body.at("origin").get_to(job->m_origin);
+  body.at("attempt").get_to(job->m_attempt);
+  job->m_deadline =
+    std::chrono::steady_clock::now() +
+    std::chrono::milliseconds(body.at("deadline_ms").get<std::int64_t>());
+  if (aCommand) {
+    body.at("key").get_to(job->m_key);
+    body.at("body").get_to(job->m_body);
+    body.at("start_before_ms").get_to(job->m_startBefore);
+  } else {
+    body.at("query").get_to(job->m_query);
+    body.at("shard").get_to(job->m_shard);
+    body.at("version").get_to(job->m_version);
+    body.at("statement").get_to(job->m_statement);
+    body.at("limit").get_to(job->m_limit);
+  }
+  return job;
+}
+
+void
+Backend::OnJob(const HttpRequest& aRequest, bool aCommand)
+{
+  auto job = ReadJob(aRequest, aCommand);
+  job->m_link = Link(job->m_origin, aRequest.m_peer);
+  auto delay =
+    Transit(job->m_link) +
+    Microseconds(static_cast<std::int64_t>(m_faults.m_delayMs) * 1000);
+  if (aRequest.m_newConnection) {
+    delay += m_settings.m_connectCost;
+  }
+  m_jobs[{ job->m_origin, job->m_attempt }] = job;
+  After(delay, [this, job] { Arrive(job); });
+}
+
+void
+Backend::OnCancel(const HttpRequest& aRequest)
+{
+  const auto body = Json::parse(aRequest.m_body);
+  const std::pair<std::string, std::uint64_t> key{ body.at("origin"),
+                                                   body.at("attempt") };
+  After(Transit(Link(key.first, aRequest.m_peer)), [this, key] {
+    const auto found = m_jobs.find(key);
+    if (found == m_jobs.end()) {
+      return;
+    }
+    const auto job = found->second;
+    if (job->m_queued) {
+      ++m_counters.m_cancelled;
+      m_waiting.erase(std::find(m_waiting.begin(), m_waiting.end(), job));
+      Refuse(job, "shedding");
+    } else if (!job->m_command) {
+      ++m_counters.m_cancelled;
+      job->m_cancelled = true;
+    }
+  });
+  aRequest.m_responder->Send(204, "");
+}
+
+void
+Backend::OnStatus(const HttpRequest& aRequest)
+{
+  auto status = Status();
+  const auto shown = std::chrono::steady_clock::now() -
+                     std::chrono::milliseconds(
+                       static_cast<std::int64_t>(m_faults.m_statusLagMs));
+  if (m_faults.m_statusLagMs > 0) {
+    for (const auto& [time, sample] : m_statusHistory) {
+      if (time > shown) {
+        break;
+      }
+      status = sample;
+    }
+  }
+  status.merge_patch(m_statusOverride);
+  const auto link = Link("", aRequest.m_peer);
+  After(Transit(link) + Transit(link),
+        [responder = aRequest.m_responder, text = status.dump()] {
+          responder->Send(200, text);
+        });
+}
+
+// ---- Running ---------------------------------------------------------------
+
+void
+Backend::Arrive(const JobPointer& aJob)
+{
+  if (aJob->m_cancelled) {
+    Refuse(aJob, "shedding");
+    return;
+  }
+  if (DrainGraceOver()) {
+    ++m_counters.m_workAfterDrain;
+    Refuse(aJob, "draining");
+    return;
+  }
+  if (m_running >= m_settings.m_slots &&
+      m_waiting.size() >= m_settings.m_queue) {
+    Refuse(aJob, "shedding");
+    return;
+  }
+  aJob->m_queued = true;
+  m_waiting.push_back(aJob);
+  StartWaiting();
+}
+
+void
+Backend::StartWaiting()
+{
+  while (m_running < m_settings.m_slots && !m_waiting.empty()) {
+    const auto job = m_waiting.front();
+    m_waiting.pop_front();
+    job->m_queued = false;
+    if (const char* reason = RefusalAtStart(*job)) {
+      Refuse(job, reason);
+    } else {
+      Start(job);
+    }
+  }
+}
+
+const char*
+Backend::RefusalAtStart(const Job& aJob) const
+{
+  if (std::chrono::steady_clock::now() >= aJob.m_deadline) {
+    return "deadline";
+  }
+  if (aJob.m_command) {
+    return WallNow() > aJob.m_startBefore ? "start_before" : nullptr;
+  }
+  return m_indexes.contains({ aJob.m_version, aJob.m_shard }) ? nullptr
+                                                              : "version";
+}
+
+void
+Backend::Start(const JobPointer& aJob)
+{
+  ++m_running;
+  m_counters.m_maxInFlight =
+    std::max<std::uint64_t>(m_counters.m_maxInFlight, m_running);
+  auto time = ServiceTime();
+  if (aJob->m_command) {
+    ++m_counters.m_commands;
+    RecordRun(aJob->m_key);
+  } else {
+    ++m_counters.m_searches;
+    // A search that cannot finish in time stops early enough for its reply to
+    // arrive before the deadline.
+    const auto left = std::chrono::duration_cast<Microseconds>(
+                        aJob->m_deadline - std::chrono::steady_clock::now()) -
+                      2 * aJob->m_link;
+    if (time > left) {
+      const auto kept = std::max(left, Microseconds{ 0 });
+      aJob->m_searchedShare =
+        static_cast<double>(kept.count()) / static_cast<double>(time.count());
+      time = kept;
+    } else if (Chance(m_faults.m_stopEarly)) {
+      aJob->m_searchedShare = std::uniform_real_distribution<>(0, 1)(m_random);
+    }
+  }
+  After(time, [this, aJob] { Finish(aJob); });
+}
+
+void
+Backend::Finish(const JobPointer& aJob)
+{
+  const auto& text = aJob->m_command ? aJob->m_body : aJob->m_statement;
+  if (!m_crashOn.empty() && text.find(m_crashOn) != std::string::npos) {
+    std::abort();
+  }
+  --m_running;
+  if (aJob->m_command) {
+    Reply(aJob, CommandReply(*aJob));
+  } else if (m_indexes.contains({ aJob->m_version, aJob->m_shard })) {
+    Reply(aJob, SearchReply(*aJob));
+  } else {
+    Refuse(aJob, "version");
+  }
+  StartWaiting();
+}
+
+void
+Backend::RecordRun(const std::string& aKey)
+{
+  ++m_runs[aKey];
+  if (m_runsFile.is_open()) {
+    m_runsFile << aKey << std::endl;
+  }
+}
+
+Backend::Json
+Backend::SearchReply(const Job& aJob) const
+{
+  const auto& index = *m_indexes.at({ aJob.m_version, aJob.m_shard });
+  const auto searched =
+    aJob.m_cancelled
+      ? 0
+      : static_cast<std::size_t>(
+          std::floor(aJob.m_searchedShare * static_cast<double>(index.Size())));
+  auto hits = Json::array();
+  for (const auto& found :
+       index.Search(aJob.m_statement, aJob.m_limit, searched)) {
+    hits.push_back({ { "id", found.m_id },
+                     { "title", found.m_title },
+                     { "score", found.m_score } });
+  }
+  Json body{ { "incarnation", m_incarnation },
+             { "query", aJob.m_query },
+             { "attempt", aJob.m_attempt },
+             { "shard", aJob.m_shard },
+             { "version", aJob.m_version },
+             { "documents_searched", searched },
+             { "complete", searched == index.Size() },
+             { "draining", m_drainingSince.has_value() } };
+  SetHits(body, hits.dump());
+  return body;
+}
+
+Backend::Json
+Backend::CommandReply(const Job& aJob) const
+{
+  return { { "incarnation", m_incarnation },
+           { "attempt", aJob.m_attempt },
+           { "key", aJob.m_key },
+           { "ran", "yes" },
+           { "result", "done: " + aJob.m_body },
+           { "draining", m_drainingSince.has_value() } };
+}
+
+// ---- Replies ---------------------------------------------------------------
+
+void
+Backend::Refuse(const JobPointer& aJob, const std::string& aReason)
+{
+  ++m_counters.m_refused[aReason];
+  m_jobs.erase({ aJob->m_origin, aJob->m_attempt });
+  const Json body{ { "ran", "no" },
+                   { "reason", aReason },
+                   { "incarnation", m_incarnation },
+                   { "attempt", aJob->m_attempt } };
+  After(Transit(aJob->m_link),
+        [aJob, text = body.dump()] { aJob->m_responder->Send(503, text); });
+}
+
+void
+Backend::Reply(const JobPointer& aJob, const Json& aBody)
+{
+  m_jobs.erase({ aJob->m_origin, aJob->m_attempt });
+  auto delay = Transit(aJob->m_link);
+  if (Chance(m_faults.m_late)) {
+    delay += Microseconds(static_cast<std::int64_t>(m_faults.m_lateMs * 1000));
+  }
+  After(delay, [this, aJob, aBody] { Deliver(aJob, aBody); });
+}
+
+void
+Backend::Deliver(const JobPointer& aJob, const Json& aBody)
+{
+  auto& responder = *aJob->m_responder;
+  auto& last = m_lastReply[aJob->m_command ? 1 : 0];
+  auto body = aBody;
+  if (Chance(m_faults.m_cross) && !last.is_null()) {
+    std::swap(body, last);
+  } else {
+    last = body;
+  }
+  if (Chance(m_faults.m_lose)) {
+    responder.Close();
+  } else if (Chance(m_faults.m_hang)) {
+    return;
+  } else if (Chance(m_faults.m_truncate)) {
+    DeliverTruncated(*aJob, std::move(body));
+  } else if (Chance(m_faults.m_corrupt)) {
+    auto text = body.dump();
+    const auto at =
+      std::uniform_int_distribution<std::size_t>(0, text.size() - 1)(m_random);
+    // Search replies carry a checksum of the hits only, so the damage must lie
+    // there to be detectable; command replies are damaged as JSON.
+    if (aJob->m_command) {
+      text[at] = '\x01';
+    } else {
+      auto hits = body["hits"].get<std::string>();
+      hits[at % hits.size()] ^= 1;
+      body["hits"] = hits;
+      text = body.dump(-1, ' ', false, Json::error_handler_t::replace);
+    }
+    responder.Send(200, text);
+  } else if (Chance(m_faults.m_duplicate)) {
+    const auto text = FormatReply(200, body.dump());
+    responder.SendRaw(text + text, false);
+  } else {
+    responder.Send(200, body.dump());
+  }
+}
+
+void
+Backend::DeliverTruncated(const Job& aJob, Json aBody)
+{
+  if (!aJob.m_command && Chance(0.5)) {
+    // Valid JSON with shortened hits: only length and checksum show it.
+    auto hits = aBody["hits"].get<std::string>();
+    hits.resize(hits.size() / 2);
+    aBody["hits"] = hits;
+    aJob.m_responder->Send(
+      200, aBody.dump(-1, ' ', false, Json::error_handler_t::replace));
+    return;
+  }
+  const auto text = FormatReply(200, aBody.dump());
+  aJob.m_responder->SendRaw(
+    text.substr(0, text.size() - aBody.dump().size() / 2), true);
+}
+
+// ---- Conditions ------------------------------------------------------------
+
+Microseconds
+Backend::Link(const std::string& aOrigin, const std::string& aPeer)
+{
+  std::size_t length = 0;
+  Microseconds delay{ 0 };
+  for (const auto& [prefix, link] : m_settings.m_links) {
+    const bool matches = aOrigin.starts_with(prefix) || aPeer == prefix;
+    if (matches && prefix.size() >= length) {
+      length = prefix.size();
+      delay = link;
+    }
+  }
+  return delay;
+}
+
+Microseconds
+Backend::Transit(Microseconds aLink)
+{
+  const auto mean = static_cast<double>(aLink.count());
+  auto delay =
+    Microseconds(static_cast<std::int64_t>(std::uniform_real_distribution<>(
+      mean * (1 - kLinkJitter), mean * (1 + kLinkJitter))(m_random)));
+  if (Chance(m_settings.m_loss)) {
+    delay += kRetransmission;
+  }
+  return delay;
+}
+
+Microseconds
+Backend::ServiceTime()
+{
+  auto time = std::lognormal_distribution<>(
+    std::log(std::max(1.0, static_cast<double>(m_settings.m_service.count()))),
+    m_settings.m_serviceSigma)(m_random);
+  time *= m_faults.m_slowdown;
+  if (Chance(m_faults.m_slowFraction)) {
+    time *= m_faults.m_slowFactor;
+  }
+  if (Cold()) {
+    time *= m_settings.m_coldFactor;
+  }
+  return Microseconds(static_cast<std::int64_t>(time));
+}
+
+bool
+Backend::Chance(double aShare)
+{
+  return aShare > 0 && std::bernoulli_distribution(aShare)(m_random);
+}
+
+bool
+Backend::DrainGraceOver() const
+{
+  return m_drainingSince && std::chrono::steady_clock::now() >
+                              *m_drainingSince + m_settings.m_drainGrace;
+}
+
+bool
+Backend::Cold() const
+{
+  return std::chrono::steady_clock::now() < m_started + m_settings.m_cold;
+}
+
+std::int64_t
+Backend::WallNow() const
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+           std::chrono::system_clock::now().time_since_epoch() +
+           m_settings.m_clockOffset)
+    .count();
+}
+
+Backend::Json
+Backend::Status() const
+{
+  auto versions = Json::array();
+  for (const auto& [key, index] : m_indexes) {
+    versions.push_back({ { "version", key.first },
+                         { "shard", key.second },
+                         { "documents", index->Map() } });
+  }
+  return { { "replica", m_settings.m_replica },
+           { "incarnation", m_incarnation },
+           { "draining", m_drainingSince.has_value() },
+           { "cold", Cold() },
+           { "slots", m_settings.m_slots },
+           { "in_flight", m_running },
+           { "queued", m_waiting.size() },
+           { "versions", versions } };
+}
+
+void
+Backend::SampleStatus()
+{
+  const auto now = std::chrono::steady_clock::now();
+  m_statusHistory.emplace_back(now, Status());
+  while (m_statusHistory.front().first + kStatusHistory < now) {
+    m_statusHistory.pop_front();
+  }
+  After(kStatusSample, [this] { SampleStatus(); });
+}
+
+// ---- Admin -----------------------------------------------------------------
+
+void
+Backend::OnAdmin(HttpRequest aRequest)
+{
+  const auto route = aRequest.m_method + " " + aRequest.m_path;
+  auto& responder = *aRequest.m_responder;
+  try {
+    if (route == "GET /admin/runs") {
+      responder.Send(200, Json{ { "runs", m_runs } }.dump());
+    } else if (route == "GET /admin/state") {
+      responder.Send(200, AdminState().dump());
+    } else if (route == "POST /admin") {
+      responder.Send(200, ApplyAdmin(Json::parse(aRequest.m_body)).dump());
+    } else {
+      responder.Send(404, R"({"error":"no such path"})");
+    }
+  } catch (const std::exception& error) {
+    responder.Send(400, Json{ { "error", error.what() } }.dump());
+  }
+}
+
+Backend::Json
+Backend::ApplyAdmin(const Json& aCommand)
+{
+  for (const auto& [name, value] : aCommand.items()) {
+    ApplyAdminField(name, value);
+  }
+  return AdminState();
+}
+
+void
+Backend::ApplyAdminField(const std::string& aName, const Json& aValue)
+{
+  if (const auto field = FaultField(aName)) {
+    m_faults.*field = aValue.get<double>();
+  } else if (aName == "reset") {
+    m_faults = {};
+    m_crashOn.clear();
+    m_statusOverride = Json::object();
+    m_server->Start();
+  } else if (aName == "drain") {
+    m_drainingSince.reset();
+    if (aValue.get<bool>()) {
+      m_drainingSince = std::chrono::steady_clock::now();
+    }
+  } else if (aName == "load") {
+    LoadIndex(aValue.get<std::string>());
+  } else if (aName == "retire") {
+    std::erase_if(m_indexes, [&](const auto& aEntry) {
+      return aEntry.first.first == aValue.get<std::uint64_t>();
+    });
+  } else if (aName == "refuse") {
+    if (aValue.get<bool>()) {
+      m_server->Stop();
+    } else {
+      m_server->Start();
+    }
+  } else if (aName == "crash_on") {
+    aValue.get_to(m_crashOn);
+  } else if (aName == "status_override") {
+    m_statusOverride = aValue;
+  } else if (aName == "abort") {
+    std::abort();
+  } else {
+    throw std::invalid_argument("unknown field: " + aName);
+  }
+}
+
+Backend::Json
+Backend::AdminState() const
+{
+  return { { "status", Status() },
+           { "connections", m_server->Connections() },
+           { "max_connections", m_counters.m_maxConnections },
+           { "over_connection_cap", m_counters.m_overConnectionCap },
+           { "max_in_flight", m_counters.m_maxInFlight },
+           { "requests", m_counters.m_requests },
+           { "searches", m_counters.m_searches },
+           { "commands", m_counters.m_commands },
+           { "cancelled", m_counters.m_cancelled },
+           { "work_after_drain", m_counters.m_workAfterDrain },
+           { "refused", m_counters.m_refused } };
+}
+
+} // namespace goldcrestkeel::standins
