Add gkctl

Cause: callers and operators need a command line for searches, statements, service files and load.

Change: one module for each sub-command (search, exec, apply, diff, status, audit, load) over a transport interface, with getopt_long and libcurl. If one host may have run it and a later one refuses it, the outcome stays unknown.

Conclusion: tested over a prepared transport and against closed ports; the statements endpoint of the daemon does not exist yet, so the pair of both has not run.

--- /dev/null
+++ b/packages/gkctl/src/Answer.cpp
@@ -0,0 +1,196 @@
+#include "Answer.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace goldcrestkeel::gkctl {
+
+namespace {
+
+using nlohmann::json;
+
+std::string
+TextOf(const json& aBody, const char* aName)
+{
+  if (!aBody.is_object()) {
+    return {};
+  }
+  const auto found = aBody.find(aName);
+  return found != aBody.end() && found->is_string() ? found->get<std::string>()
+                                                    : std::string();
+}
+
+/** Value as text of one line. Control characters are replaced, so that an
+ *  answer cannot send commands to the terminal. */
+std::string
+Line(const json& aValue)
+{
+  std::string text =
+    aValue.is_string() ? aValue.get<std::string>() : Dump(aValue);
+  std::replace_if(
+    text.begin(),
+    text.end(),
+    [](char aCharacter) {
+      return (aCharacter >= 0 && aCharacter < ' ') || aCharacter == '\x7f';
+    },
+    ' ');
+  return text;
+}
+
+bool
+IsTable(const json& aValue)
+{
+  return aValue.is_array() && !aValue.empty() &&
+         std::all_of(aValue.begin(), aValue.end(), [](const json& aRow) {
+           return aRow.is_object();
+         });
+}
+
+std::string
+Table(const json& aRows)
+{
+  std::map<std::string, std::size_t> widths;
+  for (const json& row : aRows) {
+    for (const auto& [name, value] : row.items()) {
+      std::size_t& width = widths[name];
+      width = std::max({ width, name.size(), Line(value).size() });
+    }
+  }
+  const auto format = [&](const auto& aCell) {
+    std::string line;
+    for (const auto& [name, width] : widths) {
+      std::string cell = aCell(name);
+      cell.resize(std::max(cell.size(), width), ' ');
+      line += "  " + cell;
+    }
+    line.erase(line.find_last_not_of(' ') + 1);
+    return line + "\n";
+  };
+  std::string text = format([](const std::string& aName) { return aName; });
+  for (const json& row : aRows) {
+    text += format([&](const std::string& aName) {
+      return row.contains(aName) ? Line(row.at(aName)) : std::string();
+    });
+  }
+  return text;
+}
+
+json
+Problem(std::string_view aError, const std::string& aDetail, Ran aRan)
+{
+  return { { "error", aError },
+           { "detail", aDetail },
+           { "ran", NameOf(aRan) } };
+}
+
+} // namespace
+
+std::string
+Answer::ErrorName() const
+{
+  return TextOf(m_body, "error");
+}
+
+Answer
+ReadAnswer(const std::string& aHost, const Response& aResponse)
+{
+  Answer answer;
+  answer.m_host = aHost;
+  if (aResponse.m_delivery != Delivery::Answered) {
+    const bool lost = aResponse.m_delivery == Delivery::Lost;
+    answer.m_ran = lost ? Ran::Unknown : Ran::No;
+    answer.m_body = Problem(
+      lost ? "answer_lost" : "unreachable", aResponse.m_detail, answer.m_ran);
+    return answer;
+  }
+  answer.m_status = aResponse.m_status;
+  answer.m_body = json::parse(aResponse.m_body, nullptr, false);
+  if (answer.m_body.is_discarded()) {
+    answer.m_ran = Ran::Unknown;
+    answer.m_status = answer.Succeeded() ? 0 : answer.m_status;
+    answer.m_body =
+      Problem("bad_answer", "the answer is not JSON", answer.m_ran);
+    return answer;
+  }
+  answer.m_ran =
+    answer.Succeeded()
+      ? Ran::Yes
+      : RanFromName(TextOf(answer.m_body, "ran")).value_or(Ran::Unknown);
+  return answer;
+}
+
+ExitCode
+ExitCodeOf(const Answer& aAnswer)
+{
+  if (aAnswer.Succeeded()) {
+    constexpr int kAccepted = 202;
+    return aAnswer.m_status == kAccepted ? ExitCode::Pending
+                                         : ExitCode::Success;
+  }
+  switch (aAnswer.m_ran) {
+    case Ran::No:
+      return aAnswer.m_status == 0 ? ExitCode::Unreachable : ExitCode::NotRun;
+    case Ran::Unknown:
+      return ExitCode::Unknown;
+    case Ran::Yes:
+      return ExitCode::Failed;
+  }
+  return ExitCode::Unknown;
+}
+
+std::string
+DescribeProblem(const Answer& aAnswer)
+{
+  const json& body = aAnswer.m_body;
+  std::string text = "error: " + Line(aAnswer.ErrorName());
+  for (const char* name : { "title", "detail" }) {
+    if (const std::string part = TextOf(body, name); !part.empty()) {
+      text += ": " + Line(part);
+    }
+  }
+  text += "\n  ran: " + std::string(NameOf(aAnswer.m_ran));
+  static const std::set<std::string> kShown{ "type",  "title", "detail",
+                                             "error", "ran",   "status" };
+  if (body.is_object()) {
+    for (const auto& [name, value] : body.items()) {
+      if (!kShown.contains(name)) {
+        text += "\n  " + name + ": " + Line(value);
+      }
+    }
+  }
+  text += "\n  host: " + aAnswer.m_host;
+  if (aAnswer.m_attempts > 1) {
+    text += ", after " + std::to_string(aAnswer.m_attempts) + " attempts";
+  }
+  return text;
+}
+
+std::string
+DescribeBody(const json& aBody)
+{
+  if (IsTable(aBody)) {
+    return Table(aBody);
+  }
+  if (!aBody.is_object()) {
+    return Line(aBody) + "\n";
+  }
+  std::string text;
+  std::string tables;
+  for (const auto& [name, value] : aBody.items()) {
+    if (IsTable(value)) {
+      tables += name + ":\n" + Table(value);
+    } else {
+      text += name + ": " + Line(value) + "\n";
+    }
+  }
+  return text + tables;
+}
+
+std::string
+Dump(const json& aValue, int aIndent)
+{
+  return aValue.dump(aIndent, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace goldcrestkeel::gkctl
--- /dev/null
+++ b/packages/gkctl/src/Curl.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "Transport.h"
+
+#include <curl/curl.h>
+
+#include <memory>
+#include <string>
+
+namespace goldcrestkeel::gkctl {
+
+/** Sets libcurl up for the whole process; returns false if that fails. */
+bool
+SetUpCurl();
+
+/** One transfer: easy handle, headers and the answer's body. Its address must
+ *  not change while the transfer runs. */
+class CurlTransfer
+{
+public:
+  /** Throws std::runtime_error if there is no memory for a handle. */
+  CurlTransfer();
+  CurlTransfer(const CurlTransfer&) = delete;
+  CurlTransfer& operator=(const CurlTransfer&) = delete;
+
+  /** Prepares the handle for aRequest. */
+  void Prepare(const Request& aRequest);
+  /** Response of a transfer that ended with aResult. */
+  Response Finish(CURLcode aResult);
+  CURL* Handle() const { return m_handle.get(); }
+
+private:
+  struct EasyDeleter
+  {
+    void operator()(CURL* aHandle) const { curl_easy_cleanup(aHandle); }
+  };
+  struct ListDeleter
+  {
+    void operator()(curl_slist* aList) const { curl_slist_free_all(aList); }
+  };
+
+  void AddHeader(const std::string& aHeader);
+
+  std::unique_ptr<CURL, EasyDeleter> m_handle;
+  std::unique_ptr<curl_slist, ListDeleter> m_headers;
+  std::string m_requestBody;
+  std::string m_body;
+};
+
+} // namespace goldcrestkeel::gkctl
--- /dev/null
+++ b/packages/gkctl/src/OptionTable.cpp
@@ -0,0 +1,140 @@
+#include "OptionTable.h"
+
+#include <getopt.h>
+
+#include <charconv>
+
+namespace goldcrestkeel::gkctl {
+
+namespace {
+
+std::string
+Shortest(double aNumber)
+{
+  char buffer[32];
+  const auto result = std::to_chars(buffer, buffer + sizeof(buffer), aNumber);
+  return { buffer, result.ptr };
+}
+
+double
+ReadNumber(const std::string& aName,
+           const std::string& aText,
+           double aLeast,
+           double aMost)
+{
+  double number = 0;
+  const char* end = aText.data() + aText.size();
+  const auto result = std::from_chars(aText.data(), end, number);
+  if (result.ec != std::errc() || result.ptr != end ||
+      !(number >= aLeast && number <= aMost)) {
+    throw UsageError("--" + aName + " must be a number from " +
+                     Shortest(aLeast) + " to " + Shortest(aMost));
+  }
+  return number;
+}
+
+} // namespace
+
+void
+OptionTable::Flag(std::string aName, std::string aHelp, bool& aValue)
+{
+  m_rows.push_back(
+    { std::move(aName), "", std::move(aHelp), [&aValue](const std::string&) {
+       aValue = true;
+     } });
+}
+
+void
+OptionTable::Value(std::string aName,
+                   std::string aPlaceholder,
+                   std::string aHelp,
+                   std::function<void(const std::string&)> aRead)
+{
+  m_rows.push_back({ std::move(aName),
+                     std::move(aPlaceholder),
+                     std::move(aHelp),
+                     std::move(aRead) });
+}
+
+void
+OptionTable::Text(std::string aName,
+                  std::string aPlaceholder,
+                  std::string aHelp,
+                  std::string& aValue)
+{
+  Value(std::move(aName),
+        std::move(aPlaceholder),
+        std::move(aHelp),
+        [&aValue](const std::string& aText) { aValue = aText; });
+}
+
+void
+OptionTable::Number(std::string aName,
+                    std::string aPlaceholder,
+                    std::string aHelp,
+                    double aLeast,
+                    double aMost,
+                    std::function<void(double)> aRead)
+{
+  const auto read = [=, read = std::move(aRead)](const std::string& aText) {
+    read(ReadNumber(aName, aText, aLeast, aMost));
+  };
+  Value(aName, std::move(aPlaceholder), std::move(aHelp), read);
+}
+
+std::vector<std::string>
+OptionTable::Parse(std::vector<std::string> aArguments) const
+{
+  std::vector<option> options;
+  for (const Row& row : m_rows) {
+    options.push_back(
+      { row.m_name.c_str(),
+        row.m_placeholder.empty() ? no_argument : required_argument,
+        nullptr,
+        0 });
+  }
+  options.push_back({ nullptr, 0, nullptr, 0 });
+  std::vector<char*> arguments;
+  for (std::string& argument : aArguments) {
+    arguments.push_back(argument.data());
+  }
+  arguments.push_back(nullptr);
+
+  const int count = static_cast<int>(aArguments.size());
+  // 0 makes getopt_long start afresh; a test reads several command lines.
+  optind = 0;
+  opterr = 0;
+  int index = 0;
+  int found = 0;
+  while ((found = getopt_long(
+            count, arguments.data(), ":", options.data(), &index)) != -1) {
+    if (found == ':') {
+      throw UsageError(std::string(arguments[optind - 1]) + " needs a value");
+    }
+    if (found == '?') {
+      throw UsageError("unknown option " + std::string(arguments[optind - 1]));
+    }
+    m_rows[static_cast<std::size_t>(index)].m_read(
+      optarg == nullptr ? std::string() : std::string(optarg));
+  }
+  // getopt_long has moved the arguments that are no options to the end.
+  return { arguments.begin() + optind, arguments.begin() + count };
+}
+
+std::string
+OptionTable::Help() const
+{
+  constexpr std::size_t kHelpColumn = 26;
+  std::string help;
+  for (const Row& row : m_rows) {
+    std::string line = "  --" + row.m_name;
+    if (!row.m_placeholder.empty()) {
+      line += " " + row.m_placeholder;
+    }
+    line.resize(std::max(line.size() + 2, kHelpColumn), ' ');
+    help += line + row.m_help + "\n";
+  }
+  return help;
+}
+
+} // namespace goldcrestkeel::gkctl
--- /dev/null
+++ b/packages/gkctl/src/ServicePlan.cpp
@@ -0,0 +1,153 @@
+#include "ServicePlan.h"
+
+#include <goldcrestkeel/core/Errors.h>
+
+#include <algorithm>
+#include <set>
+
+namespace goldcrestkeel::gkctl {
+
+namespace {
+
+PolicyChange
+AllOf(const ServicePolicy& aPolicy)
+{
+  PolicyChange change;
+  change.m_deadline = aPolicy.m_deadline;
+  change.m_responseTarget = aPolicy.m_responseTarget;
+  change.m_minCoverage = aPolicy.m_minCoverage;
+  change.m_preference = aPolicy.m_preference;
+  change.m_extraLoad = aPolicy.m_extraLoad;
+  change.m_selector = aPolicy.m_selector;
+  change.m_hedge = aPolicy.m_hedge;
+  return change;
+}
+
+template<typename Value>
+void
+SetIfDifferent(std::optional<Value>& aChange,
+               const Value& aCurrent,
+               const Value& aWanted)
+{
+  if (!(aCurrent == aWanted)) {
+    aChange = aWanted;
+  }
+}
+
+PolicyChange
+Difference(const ServicePolicy& aCurrent, const ServicePolicy& aWanted)
+{
+  PolicyChange change;
+  SetIfDifferent(change.m_deadline, aCurrent.m_deadline, aWanted.m_deadline);
+  SetIfDifferent(change.m_responseTarget,
+                 aCurrent.m_responseTarget,
+                 aWanted.m_responseTarget);
+  SetIfDifferent(
+    change.m_minCoverage, aCurrent.m_minCoverage, aWanted.m_minCoverage);
+  SetIfDifferent(
+    change.m_preference, aCurrent.m_preference, aWanted.m_preference);
+  SetIfDifferent(change.m_extraLoad, aCurrent.m_extraLoad, aWanted.m_extraLoad);
+  SetIfDifferent(change.m_selector, aCurrent.m_selector, aWanted.m_selector);
+  SetIfDifferent(change.m_hedge, aCurrent.m_hedge, aWanted.m_hedge);
+  return change;
+}
+
+std::map<std::string, ReplicaSpec>
+ById(const std::vector<ReplicaSpec>& aReplicas)
+{
+  std::map<std::string, ReplicaSpec> replicas;
+  for (const ReplicaSpec& replica : aReplicas) {
+    replicas.emplace(replica.m_id, replica);
+  }
+  return replicas;
+}
+
+/** Alterations for the replicas: one that differs is dropped and added. */
+void
+AlterReplicas(const ServiceSpec& aCurrent,
+              const ServiceSpec& aWanted,
+              std::vector<Alteration>& aAlterations)
+{
+  const auto current = ById(aCurrent.m_replicas);
+  const auto wanted = ById(aWanted.m_replicas);
+  const auto same = [](const auto& aReplicas, const ReplicaSpec& aReplica) {
+    const auto found = aReplicas.find(aReplica.m_id);
+    return found != aReplicas.end() && found->second == aReplica;
+  };
+  for (const auto& [id, replica] : current) {
+    if (!same(wanted, replica)) {
+      aAlterations.emplace_back(DropReplica{ id });
+    }
+  }
+  for (const auto& [id, replica] : wanted) {
+    if (!same(current, replica)) {
+      aAlterations.emplace_back(AddReplica{ replica });
+    }
+  }
+}
+
+AlterServiceStatement
+Alter(const ServiceSpec& aCurrent, const ServiceSpec& aWanted)
+{
+  AlterServiceStatement alter;
+  alter.m_service = aWanted.m_name;
+  const PolicyChange policy = Difference(aCurrent.m_policy, aWanted.m_policy);
+  if (policy != PolicyChange{}) {
+    alter.m_alterations.emplace_back(policy);
+  }
+  const std::set<std::string> current(aCurrent.m_shards.begin(),
+                                      aCurrent.m_shards.end());
+  const std::set<std::string> wanted(aWanted.m_shards.begin(),
+                                     aWanted.m_shards.end());
+  for (const std::string& shard : wanted) {
+    if (!current.contains(shard)) {
+      alter.m_alterations.emplace_back(AddShard{ shard });
+    }
+  }
+  AlterReplicas(aCurrent, aWanted, alter.m_alterations);
+  for (const std::string& shard : current) {
+    if (!wanted.contains(shard)) {
+      alter.m_alterations.emplace_back(DropShard{ shard });
+    }
+  }
+  return alter;
+}
+
+} // namespace
+
+std::vector<Statement>
+PlanChanges(const Services& aCurrent, const Services& aWanted, bool aPrune)
+{
+  std::vector<Statement> plan;
+  // Services to be dropped come first, because a wanted one may use their
+  // replica ids.
+  for (const auto& [name, spec] : aCurrent) {
+    if (aPrune && !aWanted.contains(name)) {
+      plan.emplace_back(DropServiceStatement{ name });
+    }
+  }
+  for (const auto& [name, spec] : aWanted) {
+    const auto current = aCurrent.find(name);
+    if (current == aCurrent.end()) {
+      plan.emplace_back(CreateServiceStatement{ name,
+                                                spec.m_kind,
+                                                spec.m_shards,
+                                                spec.m_replicas,
+                                                AllOf(spec.m_policy) });
+      continue;
+    }
+    if (current->second.m_kind != spec.m_kind) {
+      throw Error(ErrorKind::InvalidConfiguration,
+                  "the kind of service " + name +
+                    " differs; drop the service first",
+                  name + ".kind");
+    }
+    AlterServiceStatement alter = Alter(current->second, spec);
+    if (!alter.m_alterations.empty()) {
+      plan.emplace_back(std::move(alter));
+    }
+  }
+  return plan;
+}
+
+} // namespace goldcrestkeel::gkctl
