--- /dev/null
+++ b/scripts/lib/fleet.py
@@ -0,0 +1,210 @@
+"""Starts, reaches and stops the daemons and the simulated outside systems."""
+
+import http.client
+import json
+import os
+import re
+import signal
+import socket
+import subprocess
+import threading
+import time
+
+PLATFORM = "127.10.0.1:20000"
+ADMIN_PORT_OFFSET = 10000
+HTTP_PORT = 8080
+PEER_PORT = 8081
+
+
+def read_services(path):
+    """Services of a configuration file: JSON with whole-line comments."""
+    with open(path, encoding="utf-8") as file:
+        text = re.sub(r"^\s*//.*$", "", file.read(), flags=re.M)
+    return json.loads(text)["services"]
+
+
+def admin_of(address):
+    ip, port = address.split(":")
+    return f"{ip}:{int(port) + ADMIN_PORT_OFFSET}"
+
+
+class Client:
+    """HTTP client with one kept connection a thread and address. It never sends a
+    request twice."""
+
+    def __init__(self):
+        self._local = threading.local()
+
+    def call(self, address, method, path, body=None, headers=None, timeout=10):
+        """Returns (status, body); the body as JSON where possible. Raises OSError
+        or http.client.HTTPException."""
+        pool = self._local.__dict__.setdefault("pool", {})
+        connection = pool.pop(address, None)
+        if connection is None or connection.sock is None or _closed(connection.sock):
+            connection = http.client.HTTPConnection(address, timeout=timeout)
+        data = None if body is None else json.dumps(body)
+        connection.timeout = timeout
+        if connection.sock:
+            connection.sock.settimeout(timeout)
+        connection.request(method, path, data, headers or {})
+        reply = connection.getresponse()
+        text = reply.read()
+        pool[address] = connection
+        try:
+            return reply.status, json.loads(text)
+        except ValueError:
+            return reply.status, text.decode("utf-8", "replace")
+
+
+def _closed(sock):
+    """An idle connection on which something arrived was closed by the server."""
+    try:
+        sock.setblocking(False)
+        return sock.recv(1, socket.MSG_PEEK) is not None
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    finally:
+        sock.setblocking(True)
+
+
+class Fleet:
+    """Processes by name. Every process is stopped by its id."""
+
+    def __init__(self, directory, binaries):
+        self.directory = directory
+        self.binaries = binaries
+        self.processes = {}
+        self.commands = {}
+        self.replicas = {}
+        self.hosts = {}
+        self.client = Client()
+
+    def start(self, name, command):
+        with open(f"{self.directory}/{name}.log", "ab") as log:
+            self.processes[name] = subprocess.Popen(
+                command, stdout=log, stderr=log, stdin=subprocess.DEVNULL,
+                start_new_session=True)
+        self.commands[name] = command
+
+    def restart(self, name):
+        self.start(name, self.commands[name])
+
+    def pid(self, name):
+        return self.processes[name].pid
+
+    def alive(self, name):
+        return self.processes[name].poll() is None
+
+    def kill(self, name, number=signal.SIGKILL):
+        process = self.processes[name]
+        if process.poll() is None:
+            os.kill(process.pid, number)
+
+    def start_platform(self, *options):
+        self.start("platform", [f"{self.binaries}/gk-standin-platform",
+                                "--listen", PLATFORM, *options])
+
+    def start_replica(self, spec, indexes, links, *options):
+        """`links` gives the one-way delay in ms by host id."""
+        command = [f"{self.binaries}/gk-standin-backend",
+                   "--replica", spec["id"], "--listen", spec["address"],
+                   "--slots", str(spec["slots"]),
+                   "--connections", str(spec["connections"]),
+                   "--connect-cost-us", str(int(spec["connect_cost_ms"] * 1000)),
+                   "--runs-file", f'{self.directory}/{spec["id"]}.runs']
+        for path in indexes:
+            command += ["--index", path]
+        for host, delay in links.items():
+            command += ["--link", f"{host}-={int(delay * 1000)}"]
+        self.replicas[spec["id"]] = spec
+        self.start(spec["id"], command + list(options))
+
+    def start_host(self, host, ip, data_centre, region, **settings):
+        self.hosts[host] = f"{ip}:{HTTP_PORT}"
+        settings = {
+            "host": {"id": host, "data_centre": data_centre, "region": region},
+            "http": {"address": f"{ip}:{HTTP_PORT}"},
+            "peer": {"address": f"{ip}:{PEER_PORT}",
+                     "keys": [{"id": "k1", "secret": "demo secret, loopback only"}]},
+            "store": {"address": PLATFORM},
+            "host_list": {"address": PLATFORM},
+            **settings}
+        path = f"{self.directory}/{host}.json"
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(settings, file, indent=2)
+        self.start(host, [f"{self.binaries}/goldcrestkeeld", "--settings", path])
+
+    def set_host_list(self):
+        """Puts all entry hosts on the platform's host list as live."""
+        hosts = [{"id": h, "address": f"{a.split(':')[0]}:{PEER_PORT}",
+                  "state": "live"} for h, a in self.hosts.items()]
+        self.client.call(admin_of(PLATFORM), "POST", "/admin/hosts", {"hosts": hosts})
+
+    def admin(self, replica, command):
+        return self.client.call(admin_of(self.replicas[replica]["address"]),
+                                "POST", "/admin", command)[1]
+
+    def platform(self, command):
+        return self.client.call(admin_of(PLATFORM), "POST", "/admin", command)[1]
+
+    def wait_for(self, address, path, seconds=60):
+        """Waits until a GET replies 200."""
+        deadline = time.monotonic() + seconds
+        while True:
+            try:
+                status, body = self.client.call(address, "GET", path)
+                if status == 200:
+                    return
+            except (OSError, http.client.HTTPException) as error:
+                body = error
+            if time.monotonic() > deadline:
+                raise RuntimeError(f"{address}{path} is not ready: {body}")
+            time.sleep(0.1)
+
+    def wait_for_replicas(self):
+        for spec in self.replicas.values():
+            self.wait_for(spec["address"], "/status")
+
+    def wait_for_hosts(self):
+        for address in self.hosts.values():
+            self.wait_for(address, "/readyz")
+
+    def runs(self):
+        """Runs by command key, over all replicas and their restarts."""
+        runs = {}
+        for replica in self.replicas:
+            path = f"{self.directory}/{replica}.runs"
+            if os.path.exists(path):
+                with open(path, encoding="utf-8") as file:
+                    for key in file.read().split():
+                        runs.setdefault(key, []).append(replica)
+        return runs
+
+    def metric(self, host, name):
+        """Sum over the labels of one metric of a host."""
+        text = self.client.call(self.hosts[host], "GET", "/metrics")[1]
+        return sum(float(line.rsplit(" ", 1)[1]) for line in text.splitlines()
+                   if re.match(rf"{name}(\{{|\s)", line))
+
+    def stop_host(self, host, seconds=30):
+        """Graceful shutdown; returns the exit status, or None if it hung."""
+        self.kill(host, signal.SIGTERM)
+        try:
+            return self.processes[host].wait(seconds)
+        except subprocess.TimeoutExpired:
+            return None
+
+    def stop(self):
+        for name, process in self.processes.items():
+            if process.poll() is None:
+                os.kill(process.pid, signal.SIGCONT)
+                os.kill(process.pid, signal.SIGTERM)
+        deadline = time.monotonic() + 10
+        for process in self.processes.values():
+            try:
+                process.wait(max(0.1, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                os.kill(process.pid, signal.SIGKILL)
+                process.wait()
