Add shares, the admission queue and graceful shutdown

Cause: nothing limited the requests on a replica or the searches that wait. QueryEngine gains ConnectionShare(), BeginShutdown() and Idle() with default bodies. Checked: core_test.

--- a/packages/core/include/goldcrestkeel/core/QueryEngine.h
+++ b/packages/core/include/goldcrestkeel/core/QueryEngine.h
@@ -182,6 +182,10 @@
   std::string m_statement;
 };
 
+/** Longest time for which two entry hosts can disagree about the member list.
+ *  A share of connections and slots grows only after this time. */
+inline constexpr Duration kShareGrowDelay{ 10000000 };
+
 struct EngineOptions
 {
   /** Data centre and region of this entry host. */
@@ -191,6 +195,10 @@
   std::uint32_t m_maxRunningQueries = 512;
   /** Queries that may wait. */
   std::uint32_t m_maxQueuedQueries = 2048;
+  /** Start of this entry host beside others that already run. It then takes no
+   *  share of connections and slots for kShareGrowDelay. Nothing for a host
+   *  that is the first or only one. */
+  std::optional<TimePoint> m_joinedAt;
 };
 
 /** Decides how each search is spread over replicas. Not thread-safe: one loop
@@ -256,6 +264,18 @@
   /** Lifts the quarantine of a fingerprint; false if there is none. */
   virtual bool LiftQuarantine(TimePoint aNow, std::uint64_t aFingerprint) = 0;
 
+  /** Connections to aReplica that this host may hold, 0 if it is unknown. */
+  virtual std::uint32_t ConnectionShare(TimePoint, const std::string&)
+  {
+    return 0;
+  }
+
+  /** Refuses new searches with ShuttingDown from now on; those that run or
+   *  wait are finished. The host may stop when Idle(). */
+  virtual void BeginShutdown(TimePoint) {}
+  /** No search runs or waits, and no command is out. */
+  virtual bool Idle() const { return RunningQueries() == 0; }
+
   virtual std::size_t RunningQueries() const = 0;
   virtual EngineCounters Counters() const = 0;
 };
--- a/packages/core/src/Engine.cpp
+++ b/packages/core/src/Engine.cpp
@@ -11,6 +11,8 @@
 /** A query that has met this many retired versions answers with what it has.
  */
 constexpr std::uint32_t kMaxRestarts = 3;
+/** Shortest time between two looks at a queue of waiting searches. */
+constexpr Duration kShortestTimer{ 100 };
 /** Replicas of one shard that are compared. */
 constexpr std::size_t kMaxEligible = 16;
 
@@ -99,6 +101,7 @@
   : m_options(aOptions)
   , m_random(aRandom)
   , m_snapshots(MakeBestCoverageSelector())
+  , m_shares(aOptions.m_joinedAt)
 {
 }
 
@@ -115,7 +118,8 @@
       previous->m_history->m_extraLoad == aSpec.m_policy.m_extraLoad) {
     service->m_history = previous->m_history;
   } else {
-    service->m_history = std::make_shared<ServiceHistory>(aSpec);
+    service->m_history =
+      std::make_shared<ServiceHistory>(aSpec, m_options.m_maxQueuedQueries);
   }
   for (const ReplicaSpec& spec : aSpec.m_replicas) {
     const ReplicaIndex index = m_replicas.Intern(spec.m_id);
@@ -234,8 +238,35 @@
 }
 
 void
-Engine::SetLiveHosts(TimePoint, std::uint32_t)
+Engine::SetLiveHosts(TimePoint aNow, std::uint32_t aLiveHosts)
 {
+  m_shares.SetLiveHosts(aNow, aLiveHosts);
+}
+
+std::uint32_t
+Engine::ConnectionShare(TimePoint aNow, const std::string& aReplica)
+{
+  const auto index = m_replicas.Find(aReplica);
+  if (!index) {
+    return 0;
+  }
+  return m_shares.Connections(aNow, m_replicas[*index].m_connections);
+}
+
+void
+Engine::BeginShutdown(TimePoint)
+{
+  m_shuttingDown = true;
+}
+
+bool
+Engine::Idle() const
+{
+  return m_queries.empty() && m_commandsOut == 0 &&
+         std::all_of(
+           m_services.begin(), m_services.end(), [](const auto& aItem) {
+             return aItem.second->m_history->m_admission.empty();
+           });
 }
 
 // ---- Start ----------------------------------------------------------------
@@ -259,6 +290,13 @@
 Engine::Handle(TimePoint aNow, const StartSearch& aEvent, Actions& aActions)
 {
   ++m_counters.m_queries;
+  if (m_shuttingDown) {
+    Refuse(aEvent.m_query,
+           ErrorKind::ShuttingDown,
+           "this entry host is shutting down",
+           aActions);
+    return;
+  }
   const auto service = FindService(aEvent.m_service);
   if (!service) {
     Refuse(aEvent.m_query,
@@ -274,19 +312,73 @@
            aActions);
     return;
   }
-  if (m_queries.size() >= m_options.m_maxRunningQueries) {
-    Refuse(aEvent.m_query,
+  const Duration deadline = aEvent.m_deadline > Duration{ 0 }
+                              ? aEvent.m_deadline
+                              : service->m_spec.m_policy.m_deadline;
+  QueuedSearch search{ aEvent, aNow, aNow + deadline };
+  AdmissionQueue& queue = service->m_history->m_admission;
+  if (queue.empty() && CanStart(*service)) {
+    Begin(aNow, search, aActions);
+    return;
+  }
+  if (const auto refused = queue.Push(std::move(search))) {
+    Refuse(refused->m_request.m_query,
            ErrorKind::Overloaded,
-           "too many queries are running",
+           "too many searches are waiting",
            aActions);
+  }
+  Admit(aNow, *service, aActions);
+}
+
+bool
+Engine::CanStart(const Service& aService) const
+{
+  return m_queries.size() < m_options.m_maxRunningQueries &&
+         std::all_of(aService.m_views.begin(),
+                     aService.m_views.end(),
+                     [](const auto& aView) { return aView->m_saturated == 0; });
+}
+
+void
+Engine::Admit(TimePoint aNow, Service& aService, Actions& aActions)
+{
+  AdmissionQueue& queue = aService.m_history->m_admission;
+  if (queue.empty()) {
     return;
   }
-  Begin(aNow, aEvent, aActions);
+  for (const QueuedSearch& search :
+       queue.TakeExpired(aNow, queue.ExpectedRun())) {
+    Refuse(search.m_request.m_query,
+           ErrorKind::DeadlineTooShort,
+           "the search could not start in time",
+           aActions);
+  }
+  while (!queue.empty() && CanStart(aService)) {
+    Begin(aNow, *queue.Pop(), aActions);
+  }
+  if (const auto earliest = queue.EarliestDeadline()) {
+    const TimePoint next =
+      std::max(*earliest - queue.ExpectedRun(), aNow + kShortestTimer);
+    TimePoint& armed = aService.m_history->m_admissionTimer;
+    if (armed <= aNow || next < armed) {
+      armed = next;
+      m_timers.Add({ next, TimerKind::Admission, 0, 0, 0 });
+    }
+  }
 }
 
 void
-Engine::Begin(TimePoint aNow, const StartSearch& aEvent, Actions& aActions)
+Engine::AdmitAll(TimePoint aNow, Actions& aActions)
 {
+  for (const auto& [name, service] : m_services) {
+    Admit(aNow, *service, aActions);
+  }
+}
+
+void
+Engine::Begin(TimePoint aNow, const QueuedSearch& aSearch, Actions& aActions)
+{
+  const StartSearch& aEvent = aSearch.m_request;
   const auto service = FindService(aEvent.m_service);
   std::shared_ptr<SnapshotView> view;
   if (aEvent.m_snapshot) {
@@ -319,17 +411,16 @@
   auto owned = std::make_unique<Query>(aEvent, service, view);
   Query& query = *owned;
   const ServicePolicy& policy = service->m_spec.m_policy;
-  query.m_arrivedAt = aNow;
+  query.m_arrivedAt = aSearch.m_arrivedAt;
   query.m_startedAt = aNow;
-  query.m_deadline =
-    aNow +
-    (aEvent.m_deadline > Duration{ 0 } ? aEvent.m_deadline : policy.m_deadline);
-  query.m_responseTarget = aNow + policy.m_responseTarget;
+  query.m_deadline = aSearch.m_deadline;
+  query.m_responseTarget = aSearch.m_arrivedAt + policy.m_responseTarget;
   query.m_minCoverage = aEvent.m_minCoverage.value_or(policy.m_minCoverage);
   m_queries[aEvent.m_query] = std::move(owned);
   m_timers.Add({ query.m_deadline, TimerKind::Deadline, aEvent.m_query, 0, 0 });
   if (policy.m_preference == CoveragePreference::AnswerOnTime &&
-      query.m_responseTarget < query.m_deadline) {
+      query.m_responseTarget < query.m_deadline &&
+      query.m_responseTarget > aNow) {
     m_timers.Add({ query.m_responseTarget,
                    TimerKind::ResponseTarget,
                    aEvent.m_query,
@@ -384,12 +475,18 @@
       eligible[aTier][counts[aTier]++] = aIndex;
     }
   };
+  bool busy = false;
   for (const ReplicaIndex index : aGroup.m_replicas) {
     const ReplicaState& replica = m_replicas[index];
     if (replica.m_draining ||
         std::find(aExclude.begin(), aExclude.end(), index) != aExclude.end()) {
       continue;
     }
+    if (replica.m_inFlight >=
+        m_shares.Slots(aNow, replica.m_slots, replica.m_connections)) {
+      busy = true;
+      continue;
+    }
     if (IsEjected(aNow, replica) || !ReportsStatus(replica)) {
       add(Usable, index);
     } else if (const double share = SlowStartShare(aNow, replica);
@@ -402,7 +499,7 @@
   const auto tier = std::find_if(
     counts.begin(), counts.end(), [](std::size_t aCount) { return aCount; });
   if (tier == counts.end()) {
-    return Pick::None;
+    return busy ? Pick::Busy : Pick::None;
   }
   const std::span<const ReplicaIndex> best(
     eligible[static_cast<std::size_t>(tier - counts.begin())].data(), *tier);
@@ -422,11 +519,34 @@
     aNow, *aQuery.m_service, aQuery.m_view->m_groups[aShard], {}, replica);
   if (pick == Pick::Chosen) {
     Send(aNow, aQuery, aShard, replica, SendKind::Primary, aActions);
+  } else if (pick == Pick::Busy) {
+    Wait(aQuery, aShard);
   } else {
     ScheduleRetry(aNow, aQuery, aShard);
   }
 }
 
+void
+Engine::Wait(Query& aQuery, std::uint32_t aShard)
+{
+  SnapshotView& view = *aQuery.m_view;
+  ShardGroup& group = view.m_groups[aShard];
+  const bool answers = std::any_of(
+    group.m_replicas.begin(), group.m_replicas.end(), [&](ReplicaIndex aIndex) {
+      return m_replicas[aIndex].m_consecutiveFailures == 0;
+    });
+  if (!answers) {
+    // The slots of a shard that does not answer must not hold up the others.
+    Close(aQuery, aShard);
+    return;
+  }
+  group.m_waiting.push_back(
+    { aQuery.m_request.m_query, aShard, aQuery.m_epoch });
+  aQuery.m_shards[aShard].m_waiting = true;
+  ++view.m_waiting;
+  view.m_saturated += group.m_waiting.size() == group.SaturatedAt();
+}
+
 ExtraLoadBudget&
 Engine::BudgetOf(Query& aQuery, std::uint32_t aShard)
 {
@@ -450,6 +570,10 @@
                InvariantId::NoWorkAfterDrain,
                replica.m_id + " is draining");
   ++replica.m_inFlight;
+  GK_INVARIANT(replica.m_inFlight <= replica.m_connections,
+               InvariantId::WithinCaps,
+               std::to_string(replica.m_inFlight) + " requests on " +
+                 replica.m_id);
   const AttemptId id = m_attempts.Add({ aQuery.m_request.m_query,
                                         aShard,
                                         aReplica,
@@ -496,6 +620,7 @@
   const Attempt attempt = *m_attempts.Find(aId);
   m_attempts.Remove(aId);
   --m_replicas[attempt.m_replica].m_inFlight;
+  m_freed.push_back(attempt.m_replica);
   RecordEnd(aNow, attempt.m_replica, aEnd, aNow - attempt.m_sentAt);
   Query* query = FindQuery(attempt.m_query);
   if (query == nullptr) {
@@ -919,6 +1044,8 @@
   for (std::uint32_t shard = 0; shard < aQuery.m_shards.size(); ++shard) {
     CancelAttempts(aNow, aQuery, shard, aEnd, aActions);
   }
+  aQuery.m_service->m_history->m_admission.ObserveRun(aNow -
+                                                      aQuery.m_startedAt);
   const QueryId id = aQuery.m_request.m_query;
   m_queries.erase(id);
 }
@@ -929,12 +1056,64 @@
   if (Query* query = FindQuery(aEvent.m_query)) {
     Release(aNow, *query, AttemptEnd::Cancelled, aActions);
     DispatchWaiting(aNow, aActions);
+    AdmitAll(aNow, aActions);
+    return;
+  }
+  for (const auto& [name, service] : m_services) {
+    service->m_history->m_admission.Remove(aEvent.m_query);
   }
 }
 
 void
-Engine::DispatchWaiting(TimePoint, Actions&)
+Engine::DispatchGroup(TimePoint aNow,
+                      SnapshotView& aView,
+                      ShardGroup& aGroup,
+                      Actions& aActions)
 {
+  while (!aGroup.m_waiting.empty()) {
+    const WaitingShard waiting = aGroup.m_waiting.front();
+    Query* query = FindQuery(waiting.m_query);
+    const bool valid = query != nullptr && query->m_epoch == waiting.m_epoch &&
+                       query->m_shards[waiting.m_shard].m_waiting;
+    ReplicaIndex replica = 0;
+    if (valid && PickReplica(aNow, *query->m_service, aGroup, {}, replica) !=
+                   Pick::Chosen) {
+      return;
+    }
+    aView.m_saturated -= aGroup.m_waiting.size() == aGroup.SaturatedAt();
+    aGroup.m_waiting.pop_front();
+    --aView.m_waiting;
+    if (valid) {
+      query->m_shards[waiting.m_shard].m_waiting = false;
+      Send(aNow, *query, waiting.m_shard, replica, SendKind::Primary, aActions);
+    }
+  }
+}
+
+void
+Engine::DispatchWaiting(TimePoint aNow, Actions& aActions)
+{
+  while (!m_freed.empty()) {
+    const ReplicaIndex replica = m_freed.back();
+    m_freed.pop_back();
+    const auto service = FindService(m_owners[replica]);
+    if (!service) {
+      continue;
+    }
+    for (const auto& view : service->m_views) {
+      if (view->m_waiting == 0) {
+        continue;
+      }
+      for (const HeldVersion& held : m_replicas[replica].m_held) {
+        if (held.m_map.m_version == view->m_version) {
+          if (ShardGroup* group = FindGroup(*view, held.m_shard)) {
+            DispatchGroup(aNow, *view, *group, aActions);
+          }
+        }
+      }
+    }
+    Admit(aNow, *service, aActions);
+  }
 }
 
 // ---- Timers ---------------------------------------------------------------
@@ -957,6 +1136,10 @@
 void
 Engine::Fire(TimePoint aNow, const Timer& aTimer, Actions& aActions)
 {
+  if (aTimer.m_kind == TimerKind::Admission) {
+    AdmitAll(aNow, aActions);
+    return;
+  }
   Query* query = FindQuery(aTimer.m_query);
   if (query == nullptr) {
     return;
@@ -1004,6 +1187,7 @@
     return std::nullopt;
   }
   ++m_replicas[replica].m_inFlight;
+  ++m_commandsOut;
   return m_replicas[replica].m_id;
 }
 
@@ -1018,6 +1202,7 @@
     return;
   }
   --m_replicas[*index].m_inFlight;
+  --m_commandsOut;
   if (aFailure == SubFailureKind::Draining) {
     SetDraining(aNow, m_replicas[*index]);
   }
--- a/packages/core/src/Engine.h
+++ b/packages/core/src/Engine.h
@@ -5,6 +5,7 @@
 #include "ReplicaHealth.h"
 #include "ReplicaTable.h"
 #include "Service.h"
+#include "ShareTable.h"
 #include "TimerQueue.h"
 
 #include <goldcrestkeel/core/QueryEngine.h>
@@ -64,6 +65,11 @@
                      Actions& aActions) override;
   bool LiftQuarantine(TimePoint aNow, std::uint64_t aFingerprint) override;
 
+  std::uint32_t ConnectionShare(TimePoint aNow,
+                                const std::string& aReplica) override;
+  void BeginShutdown(TimePoint aNow) override;
+  bool Idle() const override;
+
   std::size_t RunningQueries() const override { return m_queries.size(); }
   EngineCounters Counters() const override { return m_counters; }
 
@@ -88,7 +94,11 @@
               ErrorKind aError,
               std::string aDetail,
               Actions& aActions);
-  void Begin(TimePoint aNow, const StartSearch& aEvent, Actions& aActions);
+  void Begin(TimePoint aNow, const QueuedSearch& aSearch, Actions& aActions);
+  bool CanStart(const Service& aService) const;
+  /** Starts queued searches and refuses those that are too late. */
+  void Admit(TimePoint aNow, Service& aService, Actions& aActions);
+  void AdmitAll(TimePoint aNow, Actions& aActions);
   void FanOut(TimePoint aNow, Query& aQuery, Actions& aActions);
   /** Sends to one replica of the shard, or lets the shard wait or fail. */
   void Dispatch(TimePoint aNow,
@@ -145,6 +155,13 @@
                Query& aQuery,
                AttemptEnd aEnd,
                Actions& aActions);
+  void Wait(Query& aQuery, std::uint32_t aShard);
+  /** Sends waiting sub-requests of aGroup while it has free slots. */
+  void DispatchGroup(TimePoint aNow,
+                     SnapshotView& aView,
+                     ShardGroup& aGroup,
+                     Actions& aActions);
+  /** Sends what waits for the slots that have been freed. */
   void DispatchWaiting(TimePoint aNow, Actions& aActions);
   void SetDraining(TimePoint aNow, ReplicaState& aReplica);
   void RecordEnd(TimePoint aNow,
@@ -165,8 +182,11 @@
   /** Service of each replica, by its name. */
   std::unordered_map<ReplicaIndex, std::string> m_owners;
   std::unordered_map<QueryId, std::unique_ptr<Query>> m_queries;
-  /** Groups with waiting sub-requests whose replicas have freed a slot. */
-  std::vector<std::pair<std::shared_ptr<Service>, ReplicaIndex>> m_freed;
+  /** Replicas that have freed a slot since the last DispatchWaiting(). */
+  std::vector<ReplicaIndex> m_freed;
+  ShareTable m_shares;
+  std::uint32_t m_commandsOut = 0;
+  bool m_shuttingDown = false;
   EngineCounters m_counters;
 };
 
--- a/packages/core/src/Service.cpp
+++ b/packages/core/src/Service.cpp
@@ -11,13 +11,14 @@
 
 } // namespace
 
-ServiceHistory::ServiceHistory(const ServiceSpec& aSpec)
+ServiceHistory::ServiceHistory(const ServiceSpec& aSpec, std::size_t aMaxQueued)
   : m_hedgeName(aSpec.m_policy.m_hedge)
   , m_extraLoad(aSpec.m_policy.m_extraLoad)
   , m_hedge(MakeHedgePolicy(m_hedgeName, m_extraLoad))
   , m_budget(m_extraLoad,
              std::max(kServiceBurst,
                       m_extraLoad * static_cast<double>(aSpec.m_shards.size())))
+  , m_admission(aMaxQueued)
 {
 }
 
--- a/packages/core/src/Service.h
+++ b/packages/core/src/Service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "AdmissionQueue.h"
 #include "HedgePolicy.h"
 #include "ReplicaSelector.h"
 #include "RetryBudget.h"
@@ -21,7 +22,11 @@
   ExtraLoadBudget m_budget;
   std::unordered_map<std::string, ExtraLoadBudget> m_shardBudgets;
 
-  explicit ServiceHistory(const ServiceSpec& aSpec);
+  AdmissionQueue m_admission;
+  /** When the next admission timer fires. */
+  TimePoint m_admissionTimer = TimePoint::min();
+
+  ServiceHistory(const ServiceSpec& aSpec, std::size_t aMaxQueued);
 
   /** Bucket of one shard. Stays where it is. */
   ExtraLoadBudget& ShardBudget(const std::string& aShard);
@@ -38,8 +43,6 @@
   std::shared_ptr<ServiceHistory> m_history;
   /** All replicas of a command service. */
   ShardGroup m_commands;
-  /** Sub-requests that wait for a slot, over all shards. */
-  std::uint32_t m_waiting = 0;
 };
 
 } // namespace goldcrestkeel
--- a/packages/core/src/SnapshotSelector.h
+++ b/packages/core/src/SnapshotSelector.h
@@ -31,6 +31,9 @@
   /** Retry budget of the shard; looked up at the first use. */
   ExtraLoadBudget* m_budget = nullptr;
   std::deque<WaitingShard> m_waiting;
+
+  /** Length of m_waiting that keeps all replicas busy. */
+  static constexpr std::size_t SaturatedAt() { return 4; }
 };
 
 /** One index version with its shard map and the replicas that serve it. A
@@ -40,6 +43,10 @@
   VersionId m_version = 0;
   DocumentCount m_total = 0;
   ShardMap m_map;
+  /** Sub-requests that wait for a slot, over all groups. */
+  std::uint32_t m_waiting = 0;
+  /** Groups with so many waiting sub-requests that no new query starts. */
+  std::uint32_t m_saturated = 0;
   std::vector<ShardGroup> m_groups;
 };
 
