Add the crash guard

Cause: a statement that crashes the replicas it runs on is hedged, retried and sent again by its caller until no replica is left. Change: resets make the statement a suspect, stop the hedges of its query and, if several shards see one, its retries; its answer is held for 100 ms so that the other hosts know the suspect before the caller comes back. A suspect runs one copy at a time without extra copies; a second crash quarantines it, an answer from the shards concerned clears it. A reset ejects the replica at once.

--- a/packages/core/include/goldcrestkeel/core/QueryEngine.h
+++ b/packages/core/include/goldcrestkeel/core/QueryEngine.h
@@ -173,7 +173,7 @@
 struct SuspectReport
 {
   std::uint64_t m_fingerprint = 0;
-  /** Replicas that died while the statement ran on them. */
+  /** Runs of the statement during which replicas died. */
   std::uint32_t m_crashes = 0;
   bool m_quarantined = false;
   /** Grows with each change of this entry; the larger one wins. */
@@ -261,6 +261,9 @@
   virtual void MergeSuspects(TimePoint aNow,
                              const std::vector<SuspectReport>& aReports,
                              Actions& aActions) = 0;
+  /** Grows whenever Suspects() changes, so that a new suspect can be sent to
+   *  the other hosts at once. */
+  virtual std::uint64_t SuspectsVersion() const { return 0; }
   /** Lifts the quarantine of a fingerprint; false if there is none. */
   virtual bool LiftQuarantine(TimePoint aNow, std::uint64_t aFingerprint) = 0;
 
--- /dev/null
+++ b/packages/core/src/CrashGuard.cpp
@@ -0,0 +1,219 @@
+#include "CrashGuard.h"
+
+#include <algorithm>
+
+namespace goldcrestkeel {
+
+namespace {
+
+/** Crashes after which a statement is not run any more. */
+constexpr std::uint32_t kQuarantineCrashes = 2;
+/** Coverage of a run that clears a suspect reported by another host. */
+constexpr double kClearingFraction = 0.5;
+/** Entries kept; suspects that are not quarantined are dropped first. */
+constexpr std::size_t kMaxEntries = 10000;
+
+constexpr std::uint64_t kFnvOffset = 14695981039346656037ULL;
+constexpr std::uint64_t kFnvPrime = 1099511628211ULL;
+
+bool
+IsSpace(char aCharacter)
+{
+  return aCharacter == ' ' || (aCharacter >= '\t' && aCharacter <= '\r');
+}
+
+} // namespace
+
+// FNV-1a: hosts exchange fingerprints, so that std::hash, which may differ
+// between builds, does not do.
+std::uint64_t
+Fingerprint(std::string_view aStatement)
+{
+  std::uint64_t hash = kFnvOffset;
+  bool space = false;
+  bool started = false;
+  const auto add = [&](char aCharacter) {
+    hash = (hash ^ static_cast<unsigned char>(aCharacter)) * kFnvPrime;
+  };
+  for (char character : aStatement) {
+    if (IsSpace(character)) {
+      space = started;
+      continue;
+    }
+    if (space) {
+      add(' ');
+      space = false;
+    }
+    started = true;
+    const bool upper = character >= 'A' && character <= 'Z';
+    add(upper ? static_cast<char>(character - 'A' + 'a') : character);
+  }
+  return hash;
+}
+
+void
+CrashGuard::Entry::Forget()
+{
+  m_shards.clear();
+  m_replicas.clear();
+}
+
+Verdict
+CrashGuard::Judge(std::uint64_t aFingerprint) const
+{
+  const auto entry = m_entries.find(aFingerprint);
+  if (entry == m_entries.end()) {
+    return Verdict::Harmless;
+  }
+  const SuspectReport& report = entry->second.m_report;
+  if (report.m_quarantined) {
+    return Verdict::Quarantined;
+  }
+  return report.m_crashes > 0 ? Verdict::Suspect : Verdict::Harmless;
+}
+
+void
+CrashGuard::Crashed(std::uint64_t aFingerprint,
+                    const std::string& aStatement,
+                    const std::string& aShard,
+                    ReplicaIndex aReplica,
+                    std::uint64_t aIncarnation,
+                    bool aNewRun)
+{
+  MakeRoom();
+  Entry& entry = m_entries[aFingerprint];
+  if (std::find(entry.m_shards.begin(), entry.m_shards.end(), aShard) ==
+      entry.m_shards.end()) {
+    entry.m_shards.push_back(aShard);
+  }
+  const std::pair replica(aReplica, aIncarnation);
+  const bool known =
+    std::find(entry.m_replicas.begin(), entry.m_replicas.end(), replica) !=
+    entry.m_replicas.end();
+  if (!known) {
+    entry.m_replicas.push_back(replica);
+  }
+  if (!aNewRun || known) {
+    return;
+  }
+  SuspectReport& report = entry.m_report;
+  report.m_fingerprint = aFingerprint;
+  report.m_statement = aStatement;
+  report.m_lifted = false;
+  ++report.m_crashes;
+  ++report.m_version;
+  ++m_version;
+  if (report.m_crashes >= kQuarantineCrashes && !report.m_quarantined) {
+    report.m_quarantined = true;
+    ++m_quarantined;
+  }
+}
+
+void
+CrashGuard::Completed(std::uint64_t aFingerprint,
+                      const std::vector<std::string>& aMissing,
+                      double aFraction)
+{
+  const auto found = m_entries.find(aFingerprint);
+  if (found == m_entries.end()) {
+    return;
+  }
+  Entry& entry = found->second;
+  if (entry.m_report.m_crashes == 0 || entry.m_report.m_quarantined) {
+    return;
+  }
+  const bool answered =
+    entry.m_shards.empty()
+      ? aFraction >= kClearingFraction
+      : std::none_of(
+          aMissing.begin(), aMissing.end(), [&](const std::string& aShard) {
+            return std::find(entry.m_shards.begin(),
+                             entry.m_shards.end(),
+                             aShard) != entry.m_shards.end();
+          });
+  if (answered) {
+    entry.m_report.m_crashes = 0;
+    entry.Forget();
+    ++entry.m_report.m_version;
+    ++m_version;
+  }
+}
+
+void
+CrashGuard::Merge(const std::vector<SuspectReport>& aReports)
+{
+  for (const SuspectReport& report : aReports) {
+    MakeRoom();
+    Entry& entry = m_entries[report.m_fingerprint];
+    SuspectReport& known = entry.m_report;
+    const bool tie = report.m_version == known.m_version;
+    // Two hosts can reach the same version independently; the graver entry
+    // then stands on both.
+    const bool graver = report.m_quarantined > known.m_quarantined ||
+                        (report.m_quarantined == known.m_quarantined &&
+                         report.m_crashes > known.m_crashes);
+    if (report.m_version < known.m_version || (tie && !graver)) {
+      continue;
+    }
+    if (report.m_quarantined && !known.m_quarantined) {
+      ++m_quarantined;
+    }
+    known = report;
+    if (report.m_crashes == 0) {
+      entry.Forget();
+    }
+    ++m_version;
+  }
+}
+
+bool
+CrashGuard::Lift(std::uint64_t aFingerprint)
+{
+  const auto found = m_entries.find(aFingerprint);
+  if (found == m_entries.end() || !found->second.m_report.m_quarantined) {
+    return false;
+  }
+  SuspectReport& report = found->second.m_report;
+  report.m_quarantined = false;
+  report.m_lifted = true;
+  report.m_crashes = 0;
+  found->second.Forget();
+  ++report.m_version;
+  ++m_version;
+  return true;
+}
+
+std::vector<SuspectReport>
+CrashGuard::List() const
+{
+  std::vector<SuspectReport> reports;
+  reports.reserve(m_entries.size());
+  for (const auto& [fingerprint, entry] : m_entries) {
+    reports.push_back(entry.m_report);
+  }
+  std::sort(reports.begin(),
+            reports.end(),
+            [](const SuspectReport& aLeft, const SuspectReport& aRight) {
+              return aLeft.m_fingerprint < aRight.m_fingerprint;
+            });
+  return reports;
+}
+
+void
+CrashGuard::MakeRoom()
+{
+  if (m_entries.size() < kMaxEntries) {
+    return;
+  }
+  std::erase_if(m_entries, [](const auto& aItem) {
+    const SuspectReport& report = aItem.second.m_report;
+    return !report.m_quarantined && report.m_crashes == 0;
+  });
+  for (auto entry = m_entries.begin();
+       entry != m_entries.end() && m_entries.size() >= kMaxEntries;) {
+    entry = entry->second.m_report.m_quarantined ? std::next(entry)
+                                                 : m_entries.erase(entry);
+  }
+}
+
+} // namespace goldcrestkeel
--- a/packages/core/src/Engine.cpp
+++ b/packages/core/src/Engine.cpp
@@ -3,6 +3,8 @@
 #include <goldcrestkeel/core/Invariant.h>
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace goldcrestkeel {
 
@@ -11,6 +13,10 @@
 /** A query that has met this many retired versions answers with what it has.
  */
 constexpr std::uint32_t kMaxRestarts = 3;
+/** A shard whose connection was reset is not tried again before resets of other
+ *  shards of the same fan-out could have arrived: a round trip between regions
+ *  takes up to 46 ms with both client legs, half of which is common. */
+constexpr Duration kResetPause{ 25000 };
 /** Shortest time between two looks at a queue of waiting searches. */
 constexpr Duration kShortestTimer{ 100 };
 /** Replicas of one shard that are compared. */
@@ -37,6 +43,9 @@
 AttemptEnd
 EndOf(SubFailureKind aKind)
 {
+  if (aKind == SubFailureKind::Reset) {
+    return AttemptEnd::Reset;
+  }
   const bool refused =
     CertainlyNotRun(aKind) && aKind != SubFailureKind::ConnectFailed;
   return refused ? AttemptEnd::Refused : AttemptEnd::Failed;
@@ -207,9 +216,41 @@
     return;
   }
   replica.m_held = aEvent.m_versions;
-  if (const auto service = FindService(m_owners[*index])) {
-    service->m_views =
-      UpdateViews(m_replicas, service->m_replicas, service->m_views);
+  RefreshViews(aNow, m_owners[*index]);
+}
+
+void
+Engine::RefreshViews(TimePoint aNow, const std::string& aService)
+{
+  const auto service = FindService(aService);
+  if (!service) {
+    return;
+  }
+  const auto previous = std::exchange(
+    service->m_views,
+    UpdateViews(m_replicas, service->m_replicas, service->m_views));
+  for (const auto& view : previous) {
+    const auto& views = service->m_views;
+    if (view->m_waiting == 0 ||
+        std::find(views.begin(), views.end(), view) != views.end()) {
+      continue;
+    }
+    for (ShardGroup& group : view->m_groups) {
+      for (const WaitingShard& waiting : std::exchange(group.m_waiting, {})) {
+        Query* query = FindQuery(waiting.m_query);
+        if (query != nullptr && query->m_epoch == waiting.m_epoch) {
+          query->m_shards[waiting.m_shard].m_waiting = false;
+          query->m_shards[waiting.m_shard].m_retryDue = true;
+          m_timers.Add({ aNow,
+                         TimerKind::Retry,
+                         waiting.m_query,
+                         waiting.m_shard,
+                         waiting.m_epoch });
+        }
+      }
+    }
+    view->m_waiting = 0;
+    view->m_saturated = 0;
   }
 }
 
@@ -379,6 +420,9 @@
 Engine::Begin(TimePoint aNow, const QueuedSearch& aSearch, Actions& aActions)
 {
   const StartSearch& aEvent = aSearch.m_request;
+  if (!PassGuard(aNow, aSearch, aActions)) {
+    return;
+  }
   const auto service = FindService(aEvent.m_service);
   std::shared_ptr<SnapshotView> view;
   if (aEvent.m_snapshot) {
@@ -411,6 +455,11 @@
   auto owned = std::make_unique<Query>(aEvent, service, view);
   Query& query = *owned;
   const ServicePolicy& policy = service->m_spec.m_policy;
+  query.m_fingerprint = Fingerprint(aEvent.m_statement);
+  if (m_guard.Judge(query.m_fingerprint) == Verdict::Suspect) {
+    query.m_guarded = true;
+    m_guardedRuns.insert(query.m_fingerprint);
+  }
   query.m_arrivedAt = aSearch.m_arrivedAt;
   query.m_startedAt = aNow;
   query.m_deadline = aSearch.m_deadline;
@@ -810,7 +859,10 @@
   }
   RemoveAttempt(aNow, aEvent.m_attempt, EndOf(aEvent.m_kind));
   if (aEvent.m_kind == SubFailureKind::VersionGone) {
-    DropVersion(attempt.m_replica, query.m_view->m_version);
+    DropVersion(aNow, attempt.m_replica, query.m_view->m_version);
+  }
+  if (aEvent.m_kind == SubFailureKind::Reset) {
+    ConnectionReset(aNow, query, attempt);
   }
   AttemptFailed(aNow, query, attempt.m_shard, aActions);
   DispatchWaiting(aNow, aActions);
@@ -822,6 +874,13 @@
                       std::uint32_t aShard,
                       Actions& aActions)
 {
+  if (aQuery.m_guarded && aQuery.m_resets > 0) {
+    if (!aQuery.m_shards[aShard].InFlight()) {
+      Close(aQuery, aShard);
+      FinishIfDone(aNow, aQuery, aActions);
+    }
+    return;
+  }
   const bool lost = aQuery.m_view->m_groups[aShard].m_replicas.empty();
   if (lost && Restart(aNow, aQuery, aActions)) {
     return;
@@ -832,6 +891,67 @@
   }
 }
 
+void
+Engine::ConnectionReset(TimePoint aNow, Query& aQuery, const Attempt& aAttempt)
+{
+  const std::uint32_t shard = aAttempt.m_shard;
+  const SnapshotView& view = *aQuery.m_view;
+  ShardRun& run = aQuery.m_shards[shard];
+  // A second reset on the same shard is a second crash of the statement.
+  const bool newRun = aQuery.m_resets == 0 || run.m_reset;
+  run.m_reset = true;
+  if (aQuery.m_resets++ == 0) {
+    aQuery.m_firstReset = aNow;
+  } else {
+    aQuery.m_guarded = true;
+  }
+  m_guard.Crashed(aQuery.m_fingerprint,
+                  aQuery.m_request.m_statement,
+                  view.m_groups[shard].m_shard,
+                  aAttempt.m_replica,
+                  aAttempt.m_incarnation,
+                  newRun);
+}
+
+bool
+Engine::PassGuard(TimePoint aNow,
+                  const QueuedSearch& aSearch,
+                  Actions& aActions)
+{
+  const std::uint64_t fingerprint = Fingerprint(aSearch.m_request.m_statement);
+  const Verdict verdict = m_guard.Judge(fingerprint);
+  if (verdict == Verdict::Quarantined) {
+    Refuse(aSearch.m_request.m_query,
+           ErrorKind::Quarantined,
+           "replicas died while this statement ran; fingerprint " +
+             std::to_string(fingerprint),
+           aActions);
+    return false;
+  }
+  if (aNow >= aSearch.m_deadline) {
+    Refuse(aSearch.m_request.m_query,
+           ErrorKind::DeadlineTooShort,
+           "the search could not start in time",
+           aActions);
+    return false;
+  }
+  if (verdict == Verdict::Suspect && m_guardedRuns.contains(fingerprint)) {
+    m_suspects.push_back(aSearch);
+    m_timers.Add({ aSearch.m_deadline, TimerKind::Hold, 0, 0, 0 });
+    return false;
+  }
+  return true;
+}
+
+void
+Engine::ResumeSuspects(TimePoint aNow, Actions& aActions)
+{
+  m_resumeSuspects = false;
+  for (const QueuedSearch& search : std::exchange(m_suspects, {})) {
+    Begin(aNow, search, aActions);
+  }
+}
+
 // ---- Hedges and retries ---------------------------------------------------
 
 bool
@@ -850,6 +970,9 @@
 void
 Engine::Hedge(TimePoint aNow, Query& aQuery, Actions& aActions)
 {
+  if (aQuery.m_guarded || aQuery.m_resets > 0) {
+    return;
+  }
   for (std::uint32_t shard = 0; shard < aQuery.m_shards.size(); ++shard) {
     ShardRun& run = aQuery.m_shards[shard];
     if (run.m_attempts[0] == 0 || run.m_attempts[1] != 0) {
@@ -868,16 +991,13 @@
 }
 
 void
-Engine::DropVersion(ReplicaIndex aReplica, VersionId aVersion)
+Engine::DropVersion(TimePoint aNow, ReplicaIndex aReplica, VersionId aVersion)
 {
   std::vector<HeldVersion>& held = m_replicas[aReplica].m_held;
   std::erase_if(held, [&](const HeldVersion& aHeld) {
     return aHeld.m_map.m_version == aVersion;
   });
-  if (const auto service = FindService(m_owners[aReplica])) {
-    service->m_views =
-      UpdateViews(m_replicas, service->m_replicas, service->m_views);
-  }
+  RefreshViews(aNow, m_owners[aReplica]);
 }
 
 bool
@@ -922,6 +1042,10 @@
 Engine::ScheduleRetry(TimePoint aNow, Query& aQuery, std::uint32_t aShard)
 {
   ShardRun& run = aQuery.m_shards[aShard];
+  if (aQuery.m_guarded && run.m_triedCount > 0) {
+    Close(aQuery, aShard);
+    return;
+  }
   const bool held = !aQuery.m_view->m_groups[aShard].m_replicas.empty();
   const std::optional<Duration> delay =
     held ? RetryDelay(aNow, aQuery.m_deadline, run.m_retries, m_random)
@@ -932,7 +1056,8 @@
   }
   ++run.m_retries;
   run.m_retryDue = true;
-  m_timers.Add({ aNow + *delay,
+  const Duration pause = run.m_reset ? kResetPause : Duration{ 0 };
+  m_timers.Add({ aNow + *delay + pause,
                  TimerKind::Retry,
                  aQuery.m_request.m_query,
                  aShard,
@@ -950,6 +1075,11 @@
     return;
   }
   run.m_retryDue = false;
+  if (aQuery.m_guarded && run.m_triedCount > 0) {
+    Close(aQuery, aShard);
+    FinishIfDone(aNow, aQuery, aActions);
+    return;
+  }
   if (aQuery.m_view->m_groups[aShard].m_replicas.empty() &&
       Restart(aNow, aQuery, aActions)) {
     return;
@@ -993,10 +1123,29 @@
 {
   if (aQuery.m_openShards == 0 || aNow >= aQuery.m_deadline ||
       Satisfied(aNow, aQuery)) {
+    if (HoldBack(aNow, aQuery)) {
+      return;
+    }
     Finish(aNow, aQuery, aActions);
   }
 }
 
+bool
+Engine::HoldBack(TimePoint aNow, Query& aQuery)
+{
+  const TimePoint end =
+    std::min(aQuery.m_firstReset + kSuspectHold, aQuery.m_deadline);
+  if (aQuery.m_resets == 0 || aNow >= end ||
+      m_guard.Judge(aQuery.m_fingerprint) == Verdict::Harmless ||
+      aQuery.m_coverage.Fraction() == 1) {
+    return false;
+  }
+  if (!std::exchange(aQuery.m_held, true)) {
+    m_timers.Add({ end, TimerKind::Hold, aQuery.m_request.m_query, 0, 0 });
+  }
+  return true;
+}
+
 void
 Engine::Finish(TimePoint aNow, Query& aQuery, Actions& aActions)
 {
@@ -1004,6 +1153,9 @@
   finish.m_query = aQuery.m_request.m_query;
   finish.m_snapshot = aQuery.m_view->m_version;
   finish.m_coverage = aQuery.m_coverage.Report();
+  m_guard.Completed(aQuery.m_fingerprint,
+                    finish.m_coverage.m_missingShards,
+                    finish.m_coverage.m_fraction);
   finish.m_hedges = aQuery.m_hedges;
   finish.m_retries = aQuery.m_retries;
   for (auto& [shard, partial] : aQuery.m_partials) {
@@ -1046,6 +1198,9 @@
   }
   aQuery.m_service->m_history->m_admission.ObserveRun(aNow -
                                                       aQuery.m_startedAt);
+  if (m_guardedRuns.erase(aQuery.m_fingerprint) > 0) {
+    m_resumeSuspects = !m_suspects.empty();
+  }
   const QueryId id = aQuery.m_request.m_query;
   m_queries.erase(id);
 }
@@ -1059,6 +1214,9 @@
     AdmitAll(aNow, aActions);
     return;
   }
+  std::erase_if(m_suspects, [&](const QueuedSearch& aSearch) {
+    return aSearch.m_request.m_query == aEvent.m_query;
+  });
   for (const auto& [name, service] : m_services) {
     service->m_history->m_admission.Remove(aEvent.m_query);
   }
@@ -1093,6 +1251,9 @@
 void
 Engine::DispatchWaiting(TimePoint aNow, Actions& aActions)
 {
+  if (m_resumeSuspects) {
+    ResumeSuspects(aNow, aActions);
+  }
   while (!m_freed.empty()) {
     const ReplicaIndex replica = m_freed.back();
     m_freed.pop_back();
@@ -1140,6 +1301,10 @@
     AdmitAll(aNow, aActions);
     return;
   }
+  if (aTimer.m_kind == TimerKind::Hold && aTimer.m_query == 0) {
+    ResumeSuspects(aNow, aActions);
+    return;
+  }
   Query* query = FindQuery(aTimer.m_query);
   if (query == nullptr) {
     return;
@@ -1147,6 +1312,7 @@
   switch (aTimer.m_kind) {
     case TimerKind::Deadline:
     case TimerKind::ResponseTarget:
+    case TimerKind::Hold:
       FinishIfDone(aNow, *query, aActions);
       break;
     case TimerKind::Hedge:
@@ -1215,18 +1381,40 @@
 std::vector<SuspectReport>
 Engine::Suspects() const
 {
-  return {};
+  return m_guard.List();
+}
+
+std::uint64_t
+Engine::SuspectsVersion() const
+{
+  return m_guard.Version();
 }
 
 void
-Engine::MergeSuspects(TimePoint, const std::vector<SuspectReport>&, Actions&)
+Engine::MergeSuspects(TimePoint,
+                      const std::vector<SuspectReport>& aReports,
+                      Actions&)
 {
+  m_guard.Merge(aReports);
+  for (const auto& [id, query] : m_queries) {
+    if (m_guard.Judge(query->m_fingerprint) != Verdict::Harmless) {
+      query->m_guarded = true;
+    }
+  }
 }
 
 bool
-Engine::LiftQuarantine(TimePoint, std::uint64_t)
+Engine::LiftQuarantine(TimePoint, std::uint64_t aFingerprint)
 {
-  return false;
+  return m_guard.Lift(aFingerprint);
+}
+
+EngineCounters
+Engine::Counters() const
+{
+  EngineCounters counters = m_counters;
+  counters.m_quarantined = m_guard.Quarantined();
+  return counters;
 }
 
 } // namespace goldcrestkeel
--- a/packages/core/src/Engine.h
+++ b/packages/core/src/Engine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "AttemptTable.h"
+#include "CrashGuard.h"
 #include "Query.h"
 #include "ReplicaHealth.h"
 #include "ReplicaTable.h"
@@ -13,6 +14,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace goldcrestkeel {
@@ -63,6 +65,7 @@
   void MergeSuspects(TimePoint aNow,
                      const std::vector<SuspectReport>& aReports,
                      Actions& aActions) override;
+  std::uint64_t SuspectsVersion() const override;
   bool LiftQuarantine(TimePoint aNow, std::uint64_t aFingerprint) override;
 
   std::uint32_t ConnectionShare(TimePoint aNow,
@@ -71,7 +74,7 @@
   bool Idle() const override;
 
   std::size_t RunningQueries() const override { return m_queries.size(); }
-  EngineCounters Counters() const override { return m_counters; }
+  EngineCounters Counters() const override;
 
 private:
   enum class Pick
@@ -137,12 +140,23 @@
    *  the pinned one still can; false if not. */
   bool Restart(TimePoint aNow, Query& aQuery, Actions& aActions);
   /** The replica no longer holds the version. */
-  void DropVersion(ReplicaIndex aReplica, VersionId aVersion);
+  void DropVersion(TimePoint aNow, ReplicaIndex aReplica, VersionId aVersion);
   void ScheduleRetry(TimePoint aNow, Query& aQuery, std::uint32_t aShard);
   void Retry(TimePoint aNow,
              Query& aQuery,
              std::uint32_t aShard,
              Actions& aActions);
+  /** The connection of an attempt was reset: the replica may have died. */
+  void ConnectionReset(TimePoint aNow, Query& aQuery, const Attempt& aAttempt);
+  /** False if the search may not begin now; it is then refused or waits for
+   *  the run of the same statement that is under way. */
+  bool PassGuard(TimePoint aNow,
+                 const QueuedSearch& aSearch,
+                 Actions& aActions);
+  /** Starts the searches that have waited for the end of a guarded run. */
+  void ResumeSuspects(TimePoint aNow, Actions& aActions);
+  /** Updates the views; queries that wait on a retired one go on. */
+  void RefreshViews(TimePoint aNow, const std::string& aService);
   void AttemptFailed(TimePoint aNow,
                      Query& aQuery,
                      std::uint32_t aShard,
@@ -150,6 +164,8 @@
   void Close(Query& aQuery, std::uint32_t aShard);
   bool Satisfied(TimePoint aNow, const Query& aQuery) const;
   void FinishIfDone(TimePoint aNow, Query& aQuery, Actions& aActions);
+  /** True if the answer must wait for the end of kSuspectHold. */
+  bool HoldBack(TimePoint aNow, Query& aQuery);
   void Finish(TimePoint aNow, Query& aQuery, Actions& aActions);
   void Release(TimePoint aNow,
                Query& aQuery,
@@ -185,6 +201,12 @@
   /** Replicas that have freed a slot since the last DispatchWaiting(). */
   std::vector<ReplicaIndex> m_freed;
   ShareTable m_shares;
+  CrashGuard m_guard;
+  /** Fingerprints of the guarded runs under way. */
+  std::unordered_set<std::uint64_t> m_guardedRuns;
+  /** Searches that wait for a guarded run of the same statement. */
+  std::vector<QueuedSearch> m_suspects;
+  bool m_resumeSuspects = false;
   std::uint32_t m_commandsOut = 0;
   bool m_shuttingDown = false;
   EngineCounters m_counters;
--- a/packages/core/src/Query.h
+++ b/packages/core/src/Query.h
@@ -28,6 +28,8 @@
   bool m_open = false;
   bool m_waiting = false;
   bool m_retryDue = false;
+  /** The connection of the last attempt was reset. */
+  bool m_reset = false;
 
   bool InFlight() const { return m_attempts[0] != 0 || m_attempts[1] != 0; }
 };
@@ -56,6 +58,14 @@
   TimePoint m_responseTarget;
   double m_minCoverage = 0;
 
+  std::uint64_t m_fingerprint = 0;
+  /** Neither hedges nor retries: the statement may crash replicas. */
+  bool m_guarded = false;
+  std::uint32_t m_resets = 0;
+  /** Set while the query waits for the end of kSuspectHold. */
+  bool m_held = false;
+  TimePoint m_firstReset;
+
   std::uint32_t m_openShards = 0;
   /** Grows with each restart on another snapshot; older timers are void. */
   std::uint32_t m_epoch = 0;
--- a/packages/core/src/ReplicaHealth.cpp
+++ b/packages/core/src/ReplicaHealth.cpp
@@ -52,6 +52,10 @@
     case AttemptEnd::Failed:
       ++aReplica.m_consecutiveFailures;
       break;
+    case AttemptEnd::Reset:
+      aReplica.m_consecutiveFailures =
+        std::max(aReplica.m_consecutiveFailures + 1, kOutlierFailures);
+      break;
     case AttemptEnd::Refused:
       break;
     case AttemptEnd::Unanswered:
--- a/packages/core/src/ReplicaHealth.h
+++ b/packages/core/src/ReplicaHealth.h
@@ -15,6 +15,8 @@
   Answered,
   /** No usable reply: lost, broken or malformed. */
   Failed,
+  /** The connection broke: the replica has probably died. */
+  Reset,
   /** The replica refused without running the request. */
   Refused,
   /** The result was no longer needed. */
--- /dev/null
+++ b/packages/core/tests/CrashGuardTest.cpp
@@ -0,0 +1,108 @@
+#include "CrashGuard.h"
+
+#include "EngineFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace goldcrestkeel;
+using namespace goldcrestkeel::testing;
+
+TEST_CASE("A fingerprint ignores case and white space", "[crash]")
+{
+  REQUIRE(Fingerprint("Oak  RAIL ") == Fingerprint("oak rail"));
+  REQUIRE(Fingerprint("oak rail") != Fingerprint("oakrail"));
+}
+
+// Guards against a request that takes down all replicas of a shard, and
+// against the refusal of a harmless one.
+TEST_CASE("Several connections of one fan-out are reset", "[crash]")
+{
+  EngineFixture fixture(2, 3);
+  fixture.Start(1);
+  fixture.Fail(0, SubFailureKind::Reset);
+  fixture.Fail(1, SubFailureKind::Reset);
+
+  SECTION("so it is neither hedged nor retried, and its answer is held back")
+  {
+    fixture.AdvanceTo(Duration{ 90000 });
+    REQUIRE(fixture.m_sent.size() == 2);
+    REQUIRE(fixture.m_finished.empty());
+    fixture.AdvanceTo(Duration{ 110000 });
+    REQUIRE(fixture.Only().m_error);
+    REQUIRE(fixture.Only().m_ran == Ran::Unknown);
+    REQUIRE(fixture.Engine().Suspects().front().m_crashes == 1);
+  }
+
+  SECTION("and again when it is sent again: it is quarantined")
+  {
+    fixture.AdvanceTo(Duration{ 200000 });
+    fixture.Start(2);
+    fixture.Fail(2, SubFailureKind::Reset);
+    fixture.Fail(3, SubFailureKind::Reset);
+    fixture.AdvanceTo(Duration{ 400000 });
+    fixture.Start(3);
+    REQUIRE(fixture.m_sent.size() == 4);
+    REQUIRE(fixture.m_finished.back().m_error == ErrorKind::Quarantined);
+    REQUIRE(fixture.m_finished.back().m_ran == Ran::No);
+    REQUIRE(fixture.Counters().m_quarantined == 1);
+
+    SECTION("until an operator lifts it")
+    {
+      const auto fingerprint =
+        fixture.Engine().Suspects().front().m_fingerprint;
+      REQUIRE(fixture.Engine().LiftQuarantine(fixture.m_now, fingerprint));
+      fixture.Start(4);
+      REQUIRE(fixture.m_sent.size() == 6);
+    }
+
+    SECTION("on other hosts too")
+    {
+      EngineFixture other(2, 3);
+      Actions actions;
+      other.Engine().MergeSuspects(
+        other.m_now, fixture.Engine().Suspects(), actions);
+      other.Start(1);
+      REQUIRE(other.Only().m_error == ErrorKind::Quarantined);
+    }
+  }
+
+  SECTION("and it completes when it is sent again: it is cleared")
+  {
+    fixture.AdvanceTo(Duration{ 200000 });
+    fixture.Start(2);
+    fixture.Start(3);
+    INFO("only one copy of a suspect runs at a time");
+    REQUIRE(fixture.m_sent.size() == 4);
+    fixture.Reply(2, {});
+    fixture.Reply(3, {});
+    REQUIRE(fixture.Engine().Suspects().front().m_crashes == 0);
+    REQUIRE(fixture.m_sent.size() == 6);
+  }
+}
+
+TEST_CASE("One connection of a fan-out is reset", "[crash]")
+{
+  EngineFixture fixture(2, 3);
+  fixture.Start(1);
+  fixture.Reply(1, {});
+  fixture.Fail(0, SubFailureKind::Reset);
+  fixture.AdvanceTo(Duration{ 20000 });
+  REQUIRE(fixture.m_sent.size() == 2);
+  fixture.AdvanceTo(Duration{ 40000 });
+  REQUIRE(fixture.m_sent.size() == 3);
+
+  SECTION("and the retry completes: the statement is harmless")
+  {
+    fixture.Reply(2, {});
+    REQUIRE(fixture.Only().m_coverage.m_fraction == 1);
+    REQUIRE(fixture.Engine().Suspects().front().m_crashes == 0);
+  }
+
+  SECTION("and so is the retry: the statement is quarantined")
+  {
+    fixture.Fail(2, SubFailureKind::Reset);
+    fixture.AdvanceTo(Duration{ 200000 });
+    REQUIRE(fixture.m_sent.size() == 3);
+    REQUIRE(fixture.Engine().Suspects().front().m_quarantined);
+  }
+}
--- a/packages/core/tests/HedgeTest.cpp
+++ b/packages/core/tests/HedgeTest.cpp
@@ -69,7 +69,7 @@
 
   SECTION("on another replica")
   {
-    fixture.Fail(0, SubFailureKind::Reset);
+    fixture.Fail(0, SubFailureKind::Malformed);
     fixture.AdvanceTo(Duration{ 10000 });
     REQUIRE(fixture.m_sent.size() == 3);
     REQUIRE(fixture.m_sent[2].m_replica != fixture.m_sent[0].m_replica);
