--- a/packages/core/include/goldcrestkeel/core/QueryEngine.h
+++ b/packages/core/include/goldcrestkeel/core/QueryEngine.h
@@ -195,6 +195,8 @@
   std::uint32_t m_maxRunningQueries = 512;
   /** Queries that may wait. */
   std::uint32_t m_maxQueuedQueries = 2048;
+  /** False only to measure what the crash guard achieves. */
+  bool m_crashGuard = true;
   /** Start of this entry host beside others that already run. It then takes no
    *  share of connections and slots for kShareGrowDelay. Nothing for a host
    *  that is the first or only one. */
--- a/packages/core/src/Engine.cpp
+++ b/packages/core/src/Engine.cpp
@@ -895,6 +895,9 @@
 Engine::ConnectionReset(TimePoint aNow, Query& aQuery, const Attempt& aAttempt)
 {
   const std::uint32_t shard = aAttempt.m_shard;
+  if (!m_options.m_crashGuard) {
+    return;
+  }
   const SnapshotView& view = *aQuery.m_view;
   ShardRun& run = aQuery.m_shards[shard];
   // A second reset on the same shard is a second crash of the statement.
