Hedge relative to the average latency of the replica

Cause: the hedge delay was one latency for the whole service. A shard whose best replica is in another data centre reached it with nearly every sub-request, so that its budget was spent when a real straggler came: 84 of the 132 searches above 70 ms had no hedge. Change: HedgePolicy learns the quantile of latency over the replica's average; a hedge without budget or slot is tried again 2 ms later.

--- a/packages/core/src/Engine.cpp
+++ b/packages/core/src/Engine.cpp
@@ -17,6 +17,8 @@
  *  shards of the same fan-out could have arrived: a round trip between regions
  *  takes up to 46 ms with both client legs, half of which is common. */
 constexpr Duration kResetPause{ 25000 };
+/** Shortest time between two looks at the stragglers of one query. */
+constexpr Duration kHedgeStep{ 2000 };
 /** Shortest time between two looks at a queue of waiting searches. */
 constexpr Duration kShortestTimer{ 100 };
 /** Replicas of one shard that are compared. */
@@ -490,13 +492,7 @@
   for (std::uint32_t shard = 0; shard < shards; ++shard) {
     Dispatch(aNow, aQuery, shard, aActions);
   }
-  if (const auto delay = aQuery.m_service->m_history->m_hedge->Delay()) {
-    m_timers.Add({ aNow + *delay,
-                   TimerKind::Hedge,
-                   aQuery.m_request.m_query,
-                   0,
-                   aQuery.m_epoch });
-  }
+  PlanHedges(aNow, aQuery);
   FinishIfDone(aNow, aQuery, aActions);
 }
 
@@ -668,6 +664,7 @@
 {
   const Attempt attempt = *m_attempts.Find(aId);
   m_attempts.Remove(aId);
+  const Duration expected = ExpectedLatency(m_replicas[attempt.m_replica]);
   --m_replicas[attempt.m_replica].m_inFlight;
   m_freed.push_back(attempt.m_replica);
   RecordEnd(aNow, attempt.m_replica, aEnd, aNow - attempt.m_sentAt);
@@ -676,7 +673,8 @@
     return;
   }
   if (!attempt.m_hedge && aEnd != AttemptEnd::Refused) {
-    query->m_service->m_history->m_hedge->Observe(aNow - attempt.m_sentAt);
+    query->m_service->m_history->m_hedge->Observe(aNow - attempt.m_sentAt,
+                                                  expected);
   }
   for (AttemptId& id : query->m_shards[attempt.m_shard].m_attempts) {
     if (id == aId) {
@@ -978,11 +976,10 @@
   }
   for (std::uint32_t shard = 0; shard < aQuery.m_shards.size(); ++shard) {
     ShardRun& run = aQuery.m_shards[shard];
-    if (run.m_attempts[0] == 0 || run.m_attempts[1] != 0) {
-      continue;
-    }
+    const auto due = HedgeTime(run, aQuery);
     ReplicaIndex replica = 0;
-    if (PickReplica(aNow,
+    if (due && *due <= aNow &&
+        PickReplica(aNow,
                     *aQuery.m_service,
                     aQuery.m_view->m_groups[shard],
                     { run.m_tried.data(), run.m_triedCount },
@@ -991,6 +988,45 @@
       Send(aNow, aQuery, shard, replica, SendKind::Hedge, aActions);
     }
   }
+  PlanHedges(aNow, aQuery);
+}
+
+std::optional<TimePoint>
+Engine::HedgeTime(const ShardRun& aRun, const Query& aQuery)
+{
+  if (aRun.m_attempts[0] == 0 || aRun.m_attempts[1] != 0) {
+    return std::nullopt;
+  }
+  const Attempt& attempt = *m_attempts.Find(aRun.m_attempts[0]);
+  const auto delay = aQuery.m_service->m_history->m_hedge->Delay(
+    ExpectedLatency(m_replicas[attempt.m_replica]));
+  if (!delay) {
+    return std::nullopt;
+  }
+  return attempt.m_sentAt + *delay;
+}
+
+void
+Engine::PlanHedges(TimePoint aNow, Query& aQuery)
+{
+  if (aQuery.m_guarded) {
+    return;
+  }
+  std::optional<TimePoint> next;
+  for (const ShardRun& run : aQuery.m_shards) {
+    const auto due = HedgeTime(run, aQuery);
+    if (due && (!next || *due < *next)) {
+      next = due;
+    }
+  }
+  if (next) {
+    // A hedge that had no budget or no free slot is tried again.
+    m_timers.Add({ std::max(*next, aNow + kHedgeStep),
+                   TimerKind::Hedge,
+                   aQuery.m_request.m_query,
+                   0,
+                   aQuery.m_epoch });
+  }
 }
 
 void
--- a/packages/core/src/Engine.h
+++ b/packages/core/src/Engine.h
@@ -135,6 +135,9 @@
   /** Whether one more sub-request to the shard is within the budgets. */
   bool SpendExtra(Query& aQuery, std::uint32_t aShard);
   void Hedge(TimePoint aNow, Query& aQuery, Actions& aActions);
+  /** When the only attempt of a shard is to be hedged, if at all. */
+  std::optional<TimePoint> HedgeTime(const ShardRun& aRun, const Query& aQuery);
+  void PlanHedges(TimePoint aNow, Query& aQuery);
   /** Plans a retry, or gives the shard up. */
   /** Starts the query again on another snapshot if that can cover more than
    *  the pinned one still can; false if not. */
--- a/packages/core/src/HedgePolicy.cpp
+++ b/packages/core/src/HedgePolicy.cpp
@@ -29,10 +29,16 @@
 class NoHedge : public HedgePolicy
 {
 public:
-  void Observe(Duration) override {}
-  std::optional<Duration> Delay() const override { return std::nullopt; }
+  void Observe(Duration, Duration) override {}
+  std::optional<Duration> Delay(Duration) const override
+  {
+    return std::nullopt;
+  }
 };
 
+/** Learns how much longer than the average of its replica a sub-request takes.
+ *  A quantile of the latencies themselves would hedge nearly all sub-requests
+ *  of a shard whose replicas are all far away. */
 class QuantileHedge : public HedgePolicy
 {
 public:
@@ -42,20 +48,31 @@
   {
   }
 
-  void Observe(Duration aLatency) override
+  void Observe(Duration aLatency, Duration aExpected) override
   {
-    m_tail(static_cast<double>(aLatency.count()));
+    if (aExpected <= Duration{ 0 }) {
+      return;
+    }
+    m_tail(static_cast<double>(aLatency.count()) /
+           static_cast<double>(aExpected.count()));
     const std::size_t count = accumulators::count(m_tail);
-    if (count == kWindow || (!m_delay && count == kFirstWindow)) {
-      m_delay = Duration{ static_cast<Duration::rep>(accumulators::quantile(
-        m_tail, accumulators::quantile_probability = m_quantile)) };
+    if (count == kWindow || (!m_factor && count == kFirstWindow)) {
+      m_factor = accumulators::quantile(
+        m_tail, accumulators::quantile_probability = m_quantile);
     }
     if (count == kWindow) {
       m_tail = MakeTail();
     }
   }
 
-  std::optional<Duration> Delay() const override { return m_delay; }
+  std::optional<Duration> Delay(Duration aExpected) const override
+  {
+    if (!m_factor || aExpected <= Duration{ 0 }) {
+      return std::nullopt;
+    }
+    return Duration{ static_cast<Duration::rep>(
+      *m_factor * static_cast<double>(aExpected.count())) };
+  }
 
 private:
   Tail MakeTail() const
@@ -67,7 +84,7 @@
 
   double m_quantile;
   Tail m_tail;
-  std::optional<Duration> m_delay;
+  std::optional<double> m_factor;
 };
 
 } // namespace
--- a/packages/core/src/HedgePolicy.h
+++ b/packages/core/src/HedgePolicy.h
@@ -14,11 +14,13 @@
 public:
   virtual ~HedgePolicy() = default;
 
-  /** Latency of a sub-request, or the time after which it was cancelled. */
-  virtual void Observe(Duration aLatency) = 0;
+  /** Latency of a sub-request, or the time after which it was cancelled, and
+   *  the average latency of its replica. */
+  virtual void Observe(Duration aLatency, Duration aExpected) = 0;
 
-  /** Time from the first copy to the second, or nothing for no hedge. */
-  virtual std::optional<Duration> Delay() const = 0;
+  /** Time from the first copy, on a replica with the average latency
+   *  aExpected, to the second; nothing for no hedge. */
+  virtual std::optional<Duration> Delay(Duration aExpected) const = 0;
 };
 
 /** Strategy with this name: "none" or "quantile"; any other name gives
--- a/packages/core/src/ReplicaHealth.cpp
+++ b/packages/core/src/ReplicaHealth.cpp
@@ -70,6 +70,12 @@
   }
 }
 
+Duration
+ExpectedLatency(const ReplicaState& aReplica)
+{
+  return Duration{ static_cast<Duration::rep>(aReplica.m_latency) };
+}
+
 bool
 IsOutlier(const ReplicaState& aReplica)
 {
--- a/packages/core/src/ReplicaHealth.h
+++ b/packages/core/src/ReplicaHealth.h
@@ -32,6 +32,10 @@
           AttemptEnd aEnd,
           Duration aElapsed);
 
+/** Average latency, 0 before the first sample. */
+Duration
+ExpectedLatency(const ReplicaState& aReplica);
+
 /** True if the replica has failed so often that it should be ejected. */
 bool
 IsOutlier(const ReplicaState& aReplica);
