--- a/packages/core/src/Engine.h
+++ b/packages/core/src/Engine.h
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "AttemptTable.h"
+#include "CrashGuard.h"
 #include "Query.h"
 #include "ReplicaHealth.h"
 #include "ReplicaTable.h"
 #include "Service.h"
+#include "ShareTable.h"
 #include "TimerQueue.h"
 
 #include <goldcrestkeel/core/QueryEngine.h>
@@ -12,6 +14,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace goldcrestkeel {
@@ -62,10 +65,16 @@
   void MergeSuspects(TimePoint aNow,
                      const std::vector<SuspectReport>& aReports,
                      Actions& aActions) override;
+  std::uint64_t SuspectsVersion() const override;
   bool LiftQuarantine(TimePoint aNow, std::uint64_t aFingerprint) override;
 
+  std::uint32_t ConnectionShare(TimePoint aNow,
+                                const std::string& aReplica) override;
+  void BeginShutdown(TimePoint aNow) override;
+  bool Idle() const override;
+
   std::size_t RunningQueries() const override { return m_queries.size(); }
-  EngineCounters Counters() const override { return m_counters; }
+  EngineCounters Counters() const override;
 
 private:
   enum class Pick
@@ -88,7 +97,11 @@
               ErrorKind aError,
               std::string aDetail,
               Actions& aActions);
-  void Begin(TimePoint aNow, const StartSearch& aEvent, Actions& aActions);
+  void Begin(TimePoint aNow, const QueuedSearch& aSearch, Actions& aActions);
+  bool CanStart(const Service& aService) const;
+  /** Starts queued searches and refuses those that are too late. */
+  void Admit(TimePoint aNow, Service& aService, Actions& aActions);
+  void AdmitAll(TimePoint aNow, Actions& aActions);
   void FanOut(TimePoint aNow, Query& aQuery, Actions& aActions);
   /** Sends to one replica of the shard, or lets the shard wait or fail. */
   void Dispatch(TimePoint aNow,
@@ -122,17 +135,31 @@
   /** Whether one more sub-request to the shard is within the budgets. */
   bool SpendExtra(Query& aQuery, std::uint32_t aShard);
   void Hedge(TimePoint aNow, Query& aQuery, Actions& aActions);
+  /** When the only attempt of a shard is to be hedged, if at all. */
+  std::optional<TimePoint> HedgeTime(const ShardRun& aRun, const Query& aQuery);
+  void PlanHedges(TimePoint aNow, Query& aQuery);
   /** Plans a retry, or gives the shard up. */
   /** Starts the query again on another snapshot if that can cover more than
    *  the pinned one still can; false if not. */
   bool Restart(TimePoint aNow, Query& aQuery, Actions& aActions);
   /** The replica no longer holds the version. */
-  void DropVersion(ReplicaIndex aReplica, VersionId aVersion);
+  void DropVersion(TimePoint aNow, ReplicaIndex aReplica, VersionId aVersion);
   void ScheduleRetry(TimePoint aNow, Query& aQuery, std::uint32_t aShard);
   void Retry(TimePoint aNow,
              Query& aQuery,
              std::uint32_t aShard,
              Actions& aActions);
+  /** The connection of an attempt was reset: the replica may have died. */
+  void ConnectionReset(TimePoint aNow, Query& aQuery, const Attempt& aAttempt);
+  /** False if the search may not begin now; it is then refused or waits for
+   *  the run of the same statement that is under way. */
+  bool PassGuard(TimePoint aNow,
+                 const QueuedSearch& aSearch,
+                 Actions& aActions);
+  /** Starts the searches that have waited for the end of a guarded run. */
+  void ResumeSuspects(TimePoint aNow, Actions& aActions);
+  /** Updates the views; queries that wait on a retired one go on. */
+  void RefreshViews(TimePoint aNow, const std::string& aService);
   void AttemptFailed(TimePoint aNow,
                      Query& aQuery,
                      std::uint32_t aShard,
@@ -140,11 +167,20 @@
   void Close(Query& aQuery, std::uint32_t aShard);
   bool Satisfied(TimePoint aNow, const Query& aQuery) const;
   void FinishIfDone(TimePoint aNow, Query& aQuery, Actions& aActions);
+  /** True if the answer must wait for the end of kSuspectHold. */
+  bool HoldBack(TimePoint aNow, Query& aQuery);
   void Finish(TimePoint aNow, Query& aQuery, Actions& aActions);
   void Release(TimePoint aNow,
                Query& aQuery,
                AttemptEnd aEnd,
                Actions& aActions);
+  void Wait(Query& aQuery, std::uint32_t aShard);
+  /** Sends waiting sub-requests of aGroup while it has free slots. */
+  void DispatchGroup(TimePoint aNow,
+                     SnapshotView& aView,
+                     ShardGroup& aGroup,
+                     Actions& aActions);
+  /** Sends what waits for the slots that have been freed. */
   void DispatchWaiting(TimePoint aNow, Actions& aActions);
   void SetDraining(TimePoint aNow, ReplicaState& aReplica);
   void RecordEnd(TimePoint aNow,
@@ -165,8 +201,17 @@
   /** Service of each replica, by its name. */
   std::unordered_map<ReplicaIndex, std::string> m_owners;
   std::unordered_map<QueryId, std::unique_ptr<Query>> m_queries;
-  /** Groups with waiting sub-requests whose replicas have freed a slot. */
-  std::vector<std::pair<std::shared_ptr<Service>, ReplicaIndex>> m_freed;
+  /** Replicas that have freed a slot since the last DispatchWaiting(). */
+  std::vector<ReplicaIndex> m_freed;
+  ShareTable m_shares;
+  CrashGuard m_guard;
+  /** Fingerprints of the guarded runs under way. */
+  std::unordered_set<std::uint64_t> m_guardedRuns;
+  /** Searches that wait for a guarded run of the same statement. */
+  std::vector<QueuedSearch> m_suspects;
+  bool m_resumeSuspects = false;
+  std::uint32_t m_commandsOut = 0;
+  bool m_shuttingDown = false;
   EngineCounters m_counters;
 };
 
