--- /dev/null
+++ b/packages/net/include/goldcrestkeel/net/SystemClock.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <goldcrestkeel/core/Time.h>
+
+namespace goldcrestkeel {
+
+/** Clocks of the operating system. Thread-safe. */
+class SystemClock : public Clock
+{
+public:
+  TimePoint Now() const override;
+  WallTime WallNow() const override;
+};
+
+} // namespace goldcrestkeel
