--- /dev/null
+++ b/packages/net/include/goldcrestkeel/Net.h
@@ -0,0 +1,18 @@
+/** Umbrella header of the network library: everything that reads or writes.
+ *  Include this header only, not its parts. */
+#pragma once
+
+#include <goldcrestkeel/net/Api.h>
+#include <goldcrestkeel/net/BackendClient.h>
+#include <goldcrestkeel/net/CommandDriver.h>
+#include <goldcrestkeel/net/EventLoop.h>
+#include <goldcrestkeel/net/HttpBackendClient.h>
+#include <goldcrestkeel/net/HttpClient.h>
+#include <goldcrestkeel/net/HttpFront.h>
+#include <goldcrestkeel/net/Lifecycle.h>
+#include <goldcrestkeel/net/Log.h>
+#include <goldcrestkeel/net/Metrics.h>
+#include <goldcrestkeel/net/SearchDriver.h>
+#include <goldcrestkeel/net/Settings.h>
+#include <goldcrestkeel/net/StoreClient.h>
+#include <goldcrestkeel/net/SystemClock.h>
--- /dev/null
+++ b/packages/net/src/Api.cpp
@@ -0,0 +1,291 @@
+#include "Problem.h"
+#include "RequestParsing.h"
+
+#include <goldcrestkeel/net/Api.h>
+#include <goldcrestkeel/net/Log.h>
+
+#include <algorithm>
+#include <string_view>
+
+namespace goldcrestkeel {
+
+namespace {
+
+constexpr std::string_view kServicesPrefix = "/v1/services/";
+constexpr int kOk = 200;
+constexpr int kFirstServerError = 500;
+
+void
+RequireMethod(const CallerRequest& aRequest, std::string_view aMethod)
+{
+  if (aRequest.m_method != aMethod) {
+    throw Error(ErrorKind::MethodNotAllowed,
+                aRequest.m_path + " accepts " + std::string(aMethod));
+  }
+}
+
+nlohmann::json
+ToJson(const CoverageReport& aCoverage)
+{
+  return { { "fraction", aCoverage.m_fraction },
+           { "documents_searched", aCoverage.m_documentsSearched },
+           { "documents_total", aCoverage.m_documentsTotal },
+           { "shards_answered", aCoverage.m_shardsAnswered },
+           { "shards_total", aCoverage.m_shardsTotal },
+           { "missing_shards", aCoverage.m_missingShards } };
+}
+
+nlohmann::json
+ToJson(const std::vector<Hit>& aHits)
+{
+  nlohmann::json hits = nlohmann::json::array();
+  for (const Hit& hit : aHits) {
+    hits.push_back({ { "id", hit.m_id },
+                     { "title", hit.m_title },
+                     { "score", hit.m_score } });
+  }
+  return hits;
+}
+
+CallerAnswer
+ToAnswer(const FinishSearch& aFinish, const std::string& aRequestId)
+{
+  if (aFinish.m_error) {
+    nlohmann::json extra = nlohmann::json::object();
+    if (*aFinish.m_error == ErrorKind::CoverageNotReached) {
+      extra["coverage"] = ToJson(aFinish.m_coverage);
+      extra["snapshot"] = aFinish.m_snapshot;
+    }
+    return ProblemAnswer(
+      *aFinish.m_error, aFinish.m_ran, aFinish.m_detail, {}, aRequestId, extra);
+  }
+  return { kOk,
+           Dump({ { "request_id", aRequestId },
+                  { "snapshot", aFinish.m_snapshot },
+                  { "coverage", ToJson(aFinish.m_coverage) },
+                  { "hits", ToJson(aFinish.m_hits) } }) };
+}
+
+CallerAnswer
+ToAnswer(const CommandOutcome& aOutcome, const std::string& aRequestId)
+{
+  if (aOutcome.m_error) {
+    return ProblemAnswer(
+      *aOutcome.m_error, aOutcome.m_ran, aOutcome.m_detail, {}, aRequestId);
+  }
+  return { kOk,
+           Dump({ { "request_id", aRequestId },
+                  { "ran", NameOf(aOutcome.m_ran) },
+                  { "result", aOutcome.m_result } }) };
+}
+
+} // namespace
+
+Api::Api(ApiParts aParts)
+  : m_parts(std::move(aParts))
+{
+}
+
+void
+Api::Handle(std::shared_ptr<Exchange> aExchange)
+{
+  try {
+    Route(aExchange);
+  } catch (const Error& error) {
+    Log(Severity::Info,
+        "request refused",
+        { { "request_id", aExchange->Request().m_requestId },
+          { "path", aExchange->Request().m_path },
+          { "error", InfoOf(error.Kind()).m_name },
+          { "detail", error.what() } });
+    m_parts.m_metrics.CountRequest("refused", error.Kind(), Duration{ 0 });
+    aExchange->Answer(ProblemAnswer(error, aExchange->Request().m_requestId));
+  }
+}
+
+void
+Api::Route(const SharedExchange& aExchange)
+{
+  const CallerRequest& request = aExchange->Request();
+  if (request.m_path == "/healthz") {
+    RequireMethod(request, "GET");
+    aExchange->Answer({ kOk, "{\"alive\":true}" });
+  } else if (request.m_path == "/readyz") {
+    RequireMethod(request, "GET");
+    if (!m_parts.m_lifecycle.Ready()) {
+      throw Error(ErrorKind::NotReady,
+                  m_parts.m_lifecycle.Draining() ? "draining"
+                                                 : "no configuration");
+    }
+    aExchange->Answer({ kOk, "{\"ready\":true}" });
+  } else if (request.m_path == "/metrics") {
+    RequireMethod(request, "GET");
+    HandleMetrics(aExchange);
+  } else if (request.m_path.starts_with(kServicesPrefix)) {
+    HandleService(aExchange);
+  } else {
+    throw Error(ErrorKind::NotFound, "no such path", "path");
+  }
+}
+
+void
+Api::HandleService(const SharedExchange& aExchange)
+{
+  const CallerRequest& request = aExchange->Request();
+  const std::string_view rest =
+    std::string_view(request.m_path).substr(kServicesPrefix.size());
+  const std::size_t slash = rest.find('/');
+  const std::string service(rest.substr(0, slash));
+  const std::string_view operation =
+    slash == std::string_view::npos ? std::string_view() : rest.substr(slash);
+  if (operation == "/search") {
+    RequireMethod(request, "POST");
+    CheckAccepting();
+    HandleSearch(aExchange, service);
+  } else if (operation == "/commands") {
+    RequireMethod(request, "POST");
+    CheckAccepting();
+    HandleCommand(aExchange, service);
+  } else {
+    throw Error(ErrorKind::NotFound, "no such path", "path");
+  }
+}
+
+void
+Api::CheckAccepting() const
+{
+  if (m_parts.m_lifecycle.Refusing()) {
+    throw Error(ErrorKind::ShuttingDown, "the host is shutting down");
+  }
+  if (!m_parts.m_lifecycle.Serving()) {
+    throw Error(ErrorKind::NotReady, "the host has no configuration in force");
+  }
+}
+
+void
+Api::HandleSearch(const SharedExchange& aExchange, const std::string& aService)
+{
+  const RequestLimits limits{ m_parts.m_maxBodyBytes, m_parts.m_maxDeadline };
+  StartSearch search = ParseSearch(aExchange->Request(), aService, limits);
+  OnLoop(aExchange, [this, aExchange, search = std::move(search)] {
+    RunSearch(aExchange, search);
+  });
+}
+
+void
+Api::HandleCommand(const SharedExchange& aExchange, const std::string& aService)
+{
+  const RequestLimits limits{ m_parts.m_maxBodyBytes, m_parts.m_maxDeadline };
+  CommandRequest request = ParseCommand(aExchange->Request(), aService, limits);
+  OnLoop(aExchange, [this, aExchange, request = std::move(request)] {
+    RunCommand(aExchange, request.m_command, request.m_deadline);
+  });
+}
+
+void
+Api::HandleMetrics(const SharedExchange& aExchange)
+{
+  OnLoop(aExchange, [this, aExchange] {
+    m_parts.m_updateMetrics();
+    aExchange->Answer({ kOk, m_parts.m_metrics.Text(), "text/plain" });
+  });
+}
+
+const ServiceSpec&
+Api::ServiceFor(const std::string& aName, ServiceKind aKind)
+{
+  const auto found = m_parts.m_searches.Services().find(aName);
+  if (found == m_parts.m_searches.Services().end()) {
+    throw Error(ErrorKind::UnknownService, "unknown service", "service");
+  }
+  if (found->second.m_kind != aKind) {
+    throw Error(ErrorKind::WrongServiceKind,
+                "the service is of the kind \"" +
+                  std::string(NameOf(found->second.m_kind)) + "\"",
+                "service");
+  }
+  return found->second;
+}
+
+void
+Api::RunSearch(const SharedExchange& aExchange, StartSearch aSearch)
+{
+  const ServiceSpec& service =
+    ServiceFor(aSearch.m_service, ServiceKind::Search);
+  if (aSearch.m_deadline == Duration{ 0 }) {
+    aSearch.m_deadline = service.m_policy.m_deadline;
+  }
+  const TimePoint start = m_parts.m_loop.Now();
+  const QueryId query = m_parts.m_searches.Search(
+    std::move(aSearch), [this, aExchange, start](FinishSearch&& aFinish) {
+      Count(aExchange, "search", start, aFinish.m_error);
+      if (!aFinish.m_error) {
+        m_parts.m_metrics.ObserveCoverage(aFinish.m_coverage.m_fraction);
+      }
+      aExchange->Answer(ToAnswer(aFinish, aExchange->Request().m_requestId));
+    });
+  aExchange->OnGone([this, query] {
+    m_parts.m_loop.Post([this, query] { m_parts.m_searches.Cancel(query); });
+  });
+}
+
+void
+Api::RunCommand(const SharedExchange& aExchange,
+                Command aCommand,
+                std::optional<Duration> aDeadline)
+{
+  const ServiceSpec& service =
+    ServiceFor(aCommand.m_service, ServiceKind::Command);
+  if (m_parts.m_commands == nullptr) {
+    throw Error(ErrorKind::NotReady, "the host takes no commands yet");
+  }
+  const TimePoint start = m_parts.m_loop.Now();
+  m_parts.m_commands->Submit(
+    std::move(aCommand),
+    aDeadline.value_or(service.m_policy.m_deadline),
+    false,
+    [this, aExchange, start](const AnswerCommand& aAnswer) {
+      Count(aExchange, "command", start, aAnswer.m_outcome.m_error);
+      aExchange->Answer(
+        ToAnswer(aAnswer.m_outcome, aExchange->Request().m_requestId));
+    });
+}
+
+void
+Api::OnLoop(const SharedExchange& aExchange, std::function<void()> aRun)
+{
+  m_parts.m_loop.Post([this, aExchange, run = std::move(aRun)] {
+    try {
+      run();
+    } catch (const Error& error) {
+      Count(aExchange, "refused", m_parts.m_loop.Now(), error.Kind());
+      aExchange->Answer(ProblemAnswer(error, aExchange->Request().m_requestId));
+    } catch (const std::exception& error) {
+      Count(aExchange, "refused", m_parts.m_loop.Now(), ErrorKind::Internal);
+      aExchange->Answer(ProblemAnswer(Error(ErrorKind::Internal, error.what()),
+                                      aExchange->Request().m_requestId));
+    }
+  });
+}
+
+void
+Api::Count(const SharedExchange& aExchange,
+           std::string_view aKind,
+           TimePoint aStart,
+           std::optional<ErrorKind> aError)
+{
+  const Duration time = m_parts.m_loop.Now() - aStart;
+  m_parts.m_metrics.CountRequest(aKind, aError, time);
+  const bool serverError =
+    aError && InfoOf(*aError).m_httpStatus >= kFirstServerError;
+  Log(serverError ? Severity::Warning
+                  : (aError ? Severity::Info : Severity::Debug),
+      "request finished",
+      { { "request_id", aExchange->Request().m_requestId },
+        { "kind", aKind },
+        { "path", aExchange->Request().m_path },
+        { "outcome", aError ? InfoOf(*aError).m_name : "ok" },
+        { "microseconds", time.count() } });
+}
+
+} // namespace goldcrestkeel
--- /dev/null
+++ b/packages/net/src/Problem.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <goldcrestkeel/core/Errors.h>
+#include <goldcrestkeel/net/HttpFront.h>
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace goldcrestkeel {
+
+/** Answer of type application/problem+json. aRan can differ from the table's
+ *  value; aField names the faulty input field, if any; aExtra holds further
+ *  members. */
+CallerAnswer
+ProblemAnswer(ErrorKind aKind,
+              Ran aRan,
+              std::string_view aDetail,
+              std::string_view aField,
+              const std::string& aRequestId,
+              const nlohmann::json& aExtra = nlohmann::json::object());
+
+CallerAnswer
+ProblemAnswer(const Error& aError, const std::string& aRequestId);
+
+/** JSON text; bytes that are not UTF-8 are replaced. */
+std::string
+Dump(const nlohmann::json& aValue);
+
+} // namespace goldcrestkeel
--- /dev/null
+++ b/packages/net/src/RequestParsing.cpp
@@ -0,0 +1,230 @@
+#include "RequestParsing.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cmath>
+#include <set>
+
+namespace goldcrestkeel {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kMaxQueryBytes = 4096;
+constexpr std::size_t kMaxCommandBytes = 32768;
+constexpr std::uint64_t kMaxHits = 1000;
+constexpr std::uint64_t kMaxOffset = 100000;
+// Deeper nesting is refused: no valid request nests at all.
+constexpr int kMaxDepth = 4;
+
+[[noreturn]] void
+Reject(const std::string& aField, const std::string& aDetail)
+{
+  throw Error(ErrorKind::BadRequest, aField + ": " + aDetail, aField);
+}
+
+// Typed access to the members of a request body.
+class Body
+{
+public:
+  Body(const CallerRequest& aRequest, const RequestLimits& aLimits)
+    : m_limits(aLimits)
+  {
+    if (aRequest.m_body.size() > aLimits.m_maxBodyBytes) {
+      throw Error(ErrorKind::BodyTooLarge,
+                  "the body has " + std::to_string(aRequest.m_body.size()) +
+                    " bytes, at most " +
+                    std::to_string(aLimits.m_maxBodyBytes) + " are allowed",
+                  "body");
+    }
+    try {
+      m_json = json::parse(aRequest.m_body, LimitDepth);
+    } catch (const json::parse_error&) {
+      throw Error(ErrorKind::BadRequest, "body: must be JSON", "body");
+    }
+    if (!m_json.is_object()) {
+      throw Error(ErrorKind::BadRequest, "body: must be an object", "body");
+    }
+  }
+
+  std::optional<std::string> Text(const char* aName, std::size_t aMaxBytes)
+  {
+    const json* member = Find(aName);
+    if (member == nullptr) {
+      return std::nullopt;
+    }
+    if (!member->is_string() || member->get_ref<const std::string&>().empty() ||
+        member->get_ref<const std::string&>().size() > aMaxBytes) {
+      Reject(aName,
+             "must be a string of 1 to " + std::to_string(aMaxBytes) +
+               " bytes");
+    }
+    return member->get<std::string>();
+  }
+
+  std::string RequiredText(const char* aName, std::size_t aMaxBytes)
+  {
+    std::optional<std::string> text = Text(aName, aMaxBytes);
+    if (!text) {
+      Reject(aName, "is missing");
+    }
+    return *std::move(text);
+  }
+
+  std::optional<std::uint64_t> Integer(const char* aName,
+                                       std::uint64_t aMin,
+                                       std::uint64_t aMax)
+  {
+    const json* member = Find(aName);
+    if (member == nullptr) {
+      return std::nullopt;
+    }
+    if (!member->is_number_unsigned() || member->get<std::uint64_t>() < aMin ||
+        member->get<std::uint64_t>() > aMax) {
+      Reject(aName,
+             "must be an integer from " + std::to_string(aMin) + " to " +
+               std::to_string(aMax));
+    }
+    return member->get<std::uint64_t>();
+  }
+
+  std::optional<double> Fraction(const char* aName)
+  {
+    const json* member = Find(aName);
+    if (member == nullptr) {
+      return std::nullopt;
+    }
+    if (!member->is_number() || !(member->get<double>() >= 0.0) ||
+        !(member->get<double>() <= 1.0)) {
+      Reject(aName, "must be a number from 0 to 1");
+    }
+    return member->get<double>();
+  }
+
+  std::optional<Duration> Deadline()
+  {
+    const auto max = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+        m_limits.m_maxDeadline)
+        .count());
+    const auto milliseconds = Integer("deadline_ms", 1, max);
+    if (!milliseconds) {
+      return std::nullopt;
+    }
+    return std::chrono::milliseconds(*milliseconds);
+  }
+
+  CallerClass Class()
+  {
+    const json* member = Find("class");
+    if (member == nullptr) {
+      return CallerClass::Interactive;
+    }
+    const auto callerClass =
+      member->is_string()
+        ? CallerClassFromName(member->get_ref<const std::string&>())
+        : std::nullopt;
+    if (!callerClass) {
+      Reject("class", "must be \"interactive\" or \"batch\"");
+    }
+    return *callerClass;
+  }
+
+  // To be called last: rejects members that nothing has read.
+  void RejectUnknown() const
+  {
+    for (const auto& [name, value] : m_json.items()) {
+      if (!m_known.contains(name)) {
+        Reject(name.substr(0, kMaxFieldName), "unknown field");
+      }
+    }
+  }
+
+private:
+  static constexpr std::size_t kMaxFieldName = 64;
+
+  // The parser recurses for each level of nesting.
+  static bool LimitDepth(int aDepth, json::parse_event_t aEvent, json&)
+  {
+    const bool opens = aEvent == json::parse_event_t::object_start ||
+                       aEvent == json::parse_event_t::array_start;
+    if (opens && aDepth > kMaxDepth) {
+      throw Error(ErrorKind::BadRequest, "body: is nested too deeply", "body");
+    }
+    return true;
+  }
+
+  const json* Find(const char* aName)
+  {
+    m_known.insert(aName);
+    const auto found = m_json.find(aName);
+    return found == m_json.end() ? nullptr : &*found;
+  }
+
+  const RequestLimits& m_limits;
+  json m_json;
+  std::set<std::string> m_known;
+};
+
+} // namespace
+
+StartSearch
+ParseSearch(const CallerRequest& aRequest,
+            const std::string& aService,
+            const RequestLimits& aLimits)
+{
+  Body body(aRequest, aLimits);
+  StartSearch search;
+  search.m_service = aService;
+  search.m_statement = body.RequiredText("query", kMaxQueryBytes);
+  search.m_deadline = body.Deadline().value_or(Duration{ 0 });
+  search.m_minCoverage = body.Fraction("min_coverage");
+  search.m_limit = static_cast<std::uint32_t>(
+    body.Integer("limit", 1, kMaxHits).value_or(search.m_limit));
+  search.m_offset = static_cast<std::uint32_t>(
+    body.Integer("offset", 0, kMaxOffset).value_or(0));
+  search.m_snapshot =
+    body.Integer("snapshot", 1, std::numeric_limits<std::uint64_t>::max());
+  search.m_class = body.Class();
+  body.RejectUnknown();
+  return search;
+}
+
+CommandRequest
+ParseCommand(const CallerRequest& aRequest,
+             const std::string& aService,
+             const RequestLimits& aLimits)
+{
+  if (!aRequest.m_idempotencyKey || aRequest.m_idempotencyKey->empty()) {
+    throw Error(ErrorKind::MissingIdempotencyKey,
+                "a command needs the header Idempotency-Key",
+                "Idempotency-Key");
+  }
+  Body body(aRequest, aLimits);
+  CommandRequest request;
+  request.m_command.m_service = aService;
+  request.m_command.m_key = *aRequest.m_idempotencyKey;
+  request.m_command.m_body = body.RequiredText("command", kMaxCommandBytes);
+  request.m_command.m_class = body.Class();
+  request.m_deadline = body.Deadline();
+  body.RejectUnknown();
+  return request;
+}
+
+StatementRequest
+ParseStatementRequest(const CallerRequest& aRequest,
+                      const RequestLimits& aLimits)
+{
+  constexpr std::size_t kMaxOperationId = 64;
+  Body body(aRequest, aLimits);
+  StatementRequest request;
+  request.m_statement = body.RequiredText("statement", aLimits.m_maxBodyBytes);
+  request.m_operationId =
+    body.Text("operation_id", kMaxOperationId).value_or("");
+  request.m_deadline = body.Deadline();
+  body.RejectUnknown();
+  return request;
+}
+
+} // namespace goldcrestkeel
