--- /dev/null
+++ b/packages/goldcrestkeeld/src/Options.cpp
@@ -0,0 +1,59 @@
+#include "Options.h"
+
+#include <goldcrestkeel/Core.h>
+
+#include <getopt.h>
+
+#include <array>
+
+namespace goldcrestkeel {
+
+Options
+ParseOptions(int aCount, char** aArguments)
+{
+  const std::array<option, 4> known{
+    option{ "settings", required_argument, nullptr, 's' },
+    option{ "check", no_argument, nullptr, 'c' },
+    option{ "help", no_argument, nullptr, 'h' },
+    option{ nullptr, 0, nullptr, 0 },
+  };
+  Options options;
+  opterr = 0;
+  int found = 0;
+  while ((found = getopt_long(
+            aCount, aArguments, "s:ch", known.data(), nullptr)) != -1) {
+    if (found == 's') {
+      options.m_settingsPath = optarg;
+    } else if (found == 'c') {
+      options.m_check = true;
+    } else if (found == 'h') {
+      options.m_help = true;
+    } else {
+      throw Error(ErrorKind::BadRequest,
+                  std::string("unknown or incomplete argument ") +
+                    aArguments[optind - 1]);
+    }
+  }
+  if (optind < aCount) {
+    throw Error(ErrorKind::BadRequest,
+                std::string("unexpected argument ") + aArguments[optind]);
+  }
+  if (options.m_settingsPath.empty() && !options.m_help) {
+    throw Error(ErrorKind::BadRequest, "--settings is missing");
+  }
+  return options;
+}
+
+std::string
+UsageText()
+{
+  return "usage: goldcrestkeeld --settings FILE [--check]\n"
+         "\n"
+         "  -s, --settings FILE  settings, JSON with comments\n"
+         "  -c, --check          only check the settings; lists all faults\n"
+         "  -h, --help           this text\n"
+         "\n"
+         "SIGTERM drains and stops; SIGHUP reads the settings again.\n";
+}
+
+} // namespace goldcrestkeel
