--- a/packages/net/src/BackendCodec.cpp
+++ b/packages/net/src/BackendCodec.cpp
@@ -87,8 +87,12 @@
 std::vector<Hit>
 DecodeHits(const std::string& aText)
 {
+  const json list = json::parse(aText);
+  if (!list.is_array()) {
+    throw json::type_error::create(302, "the hits are not a list", &list);
+  }
   std::vector<Hit> hits;
-  for (const json& item : json::parse(aText)) {
+  for (const json& item : list) {
     hits.push_back(Hit{ item.at("id").get<std::string>(),
                         item.at("title").get<std::string>(),
                         item.at("score").get<double>() });
