--- /dev/null
+++ b/packages/net/tests/ClientTest.cpp
@@ -0,0 +1,362 @@
+#include "TestSockets.h"
+
+#include <goldcrestkeel/Net.h>
+
+#include <catch2/catch.hpp>
+
+#include <future>
+
+using namespace goldcrestkeel;
+using namespace goldcrestkeel::test;
+
+namespace {
+
+// Long enough for any reply of a server on this host.
+constexpr Duration kLongTimeout{ 20000000 };
+constexpr Duration kRound{ 20000 };
+
+struct Fixture
+{
+  SystemClock m_clock;
+  HttpClient m_client;
+  EventLoop m_loop{ m_clock, m_client };
+
+  template<typename Condition>
+  void RunUntil(Condition aCondition)
+  {
+    while (!aCondition()) {
+      m_loop.RunOnce(kRound);
+    }
+  }
+
+  HttpReply Exchange(HttpRequest aRequest)
+  {
+    std::optional<HttpReply> reply;
+    m_client.Start(std::move(aRequest),
+                   [&](HttpReply&& aReply) { reply = std::move(aReply); });
+    RunUntil([&] { return reply.has_value(); });
+    return *reply;
+  }
+
+  BackendOutcome Run(HttpBackendClient& aBackend,
+                     const BackendCommand& aCommand)
+  {
+    std::optional<BackendOutcome> outcome;
+    aBackend.RunCommand(aCommand, [&](BackendOutcome&& aOutcome) {
+      outcome = std::move(aOutcome);
+    });
+    RunUntil([&] { return outcome.has_value(); });
+    return *outcome;
+  }
+
+  StoreResult Call(StoreClient& aStore, const StoreCall& aCall)
+  {
+    std::optional<StoreResult> result;
+    aStore.Call(aCall, [&](const StoreResult& aResult) { result = aResult; });
+    RunUntil([&] { return result.has_value(); });
+    return *result;
+  }
+};
+
+HttpRequest
+Post(const std::string& aAddress)
+{
+  HttpRequest request;
+  request.m_method = HttpMethod::Post;
+  request.m_url = "http://" + aAddress + "/x";
+  request.m_body = "{}";
+  request.m_timeout = kLongTimeout;
+  return request;
+}
+
+BackendCommand
+CommandFor(const std::string& aAddress, CommandAttemptId aAttempt)
+{
+  BackendCommand command;
+  command.m_attempt = aAttempt;
+  command.m_replica = "r1";
+  command.m_address = aAddress;
+  command.m_key = "1-a";
+  command.m_body = "hold";
+  command.m_deadline = kLongTimeout;
+  return command;
+}
+
+std::string
+CommandReplyText(int aAttempt)
+{
+  return R"({"incarnation":1,"attempt":)" + std::to_string(aAttempt) +
+         R"(,"key":"1-a","ran":"yes","result":"ok","draining":false})";
+}
+
+} // namespace
+
+// Guards against a failure that is taken for "not sent" although the request
+// may have run, and the reverse.
+TEST_CASE_METHOD(Fixture,
+                 "The HTTP client tells how far a request came",
+                 "[http]")
+{
+  SECTION("no connection")
+  {
+    REQUIRE(Exchange(Post(ClosedAddress())).m_outcome == HttpOutcome::NotSent);
+  }
+  SECTION("the connection closes without a reply")
+  {
+    ScriptedServer server([](int, int, const std::string&) { return ""; });
+    REQUIRE(Exchange(Post(server.Address())).m_outcome == HttpOutcome::Broken);
+  }
+  SECTION("the reply is cut short")
+  {
+    ScriptedServer server([](int, int aRequest, const std::string&) {
+      return aRequest == 1 ? "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n"
+                             "Connection: close\r\n\r\nabc"
+                           : "";
+    });
+    HttpRequest request = Post(server.Address());
+    request.m_timeout = Duration{ 200000 };
+    REQUIRE(Exchange(request).m_outcome != HttpOutcome::Replied);
+  }
+  SECTION("the server never replies")
+  {
+    std::promise<void> end;
+    auto ended = end.get_future();
+    ScriptedServer server([&](int, int, const std::string&) {
+      ended.wait();
+      return "";
+    });
+    HttpRequest request = Post(server.Address());
+    request.m_timeout = Duration{ 100000 };
+    REQUIRE(Exchange(request).m_outcome == HttpOutcome::TimedOut);
+    end.set_value();
+  }
+  SECTION("the reply is not HTTP")
+  {
+    ScriptedServer server(
+      [](int, int, const std::string&) { return "nonsense\r\n\r\n"; });
+    REQUIRE(Exchange(Post(server.Address())).m_outcome != HttpOutcome::Replied);
+  }
+  SECTION("an aborted transfer does not call back")
+  {
+    ScriptedServer server(
+      [](int, int, const std::string&) { return MakeResponse(200, "{}"); });
+    const TransferId aborted = m_client.Start(
+      Post(server.Address()), [](HttpReply&&) { FAIL("called back"); });
+    m_client.Abort(aborted);
+    REQUIRE(Exchange(Post(server.Address())).m_status == 200);
+  }
+}
+
+// Guards against libcurl's silent second POST on a reused connection that
+// closes without a reply.
+TEST_CASE_METHOD(Fixture, "A command is sent at most once", "[http][command]")
+{
+  // The first request of a connection is answered, the second one runs and the
+  // connection closes.
+  ScriptedServer server([](int, int aRequest, const std::string& aText) {
+    const bool second = aText.find("\"attempt\":2") != std::string::npos;
+    if (aRequest == 2 || (second && aText.starts_with("POST /command"))) {
+      return std::string();
+    }
+    return MakeResponse(200, CommandReplyText(1));
+  });
+  HttpBackendClient backend(m_client, "host-1");
+
+  SECTION("a command on its own connection runs once and is left open")
+  {
+    const BackendOutcome first = Run(backend, CommandFor(server.Address(), 1));
+    REQUIRE(std::get<BackendReply>(first).m_result == "ok");
+    const BackendOutcome second = Run(backend, CommandFor(server.Address(), 2));
+    REQUIRE(std::get<BackendFailure>(second).m_kind == SubFailureKind::Reset);
+    REQUIRE(server.Requests().size() == 2);
+  }
+  SECTION("the scenario shows the second run on a reused connection")
+  {
+    Exchange(Post(server.Address()));
+    Exchange(Post(server.Address()));
+    REQUIRE(server.Requests().size() == 3);
+  }
+}
+
+// Guards against a refusal that proves "not run" without belonging to the
+// attempt, and against replies that are not what the protocol says.
+TEST_CASE_METHOD(Fixture, "Command replies are checked", "[command]")
+{
+  std::string response;
+  ScriptedServer server([&](int, int, const std::string&) { return response; });
+  HttpBackendClient backend(m_client, "host-1");
+  const auto kindOf = [&] {
+    return std::get<BackendFailure>(
+             Run(backend, CommandFor(server.Address(), 1)))
+      .m_kind;
+  };
+
+  SECTION("a refusal of this attempt")
+  {
+    response =
+      MakeResponse(503, R"({"ran":"no","reason":"start_before","attempt":1})");
+    REQUIRE(kindOf() == SubFailureKind::DeadlinePassed);
+  }
+  SECTION("a refusal of another attempt proves nothing")
+  {
+    response =
+      MakeResponse(503, R"({"ran":"no","reason":"shedding","attempt":7})");
+    REQUIRE(kindOf() == SubFailureKind::Malformed);
+  }
+  SECTION("an unknown reason proves nothing")
+  {
+    response =
+      MakeResponse(503, R"({"ran":"no","reason":"other","attempt":1})");
+    REQUIRE(kindOf() == SubFailureKind::Malformed);
+  }
+  SECTION("a body that is not JSON")
+  {
+    response = MakeResponse(200, "{");
+    REQUIRE(kindOf() == SubFailureKind::Malformed);
+  }
+  SECTION("another status")
+  {
+    response = MakeResponse(500, CommandReplyText(1));
+    REQUIRE(kindOf() == SubFailureKind::Malformed);
+  }
+}
+
+// Guards against a write whose outcome is open being reported as failed, which
+// would let the caller write again.
+TEST_CASE_METHOD(Fixture,
+                 "The store client tells Failed from Unknown",
+                 "[store]")
+{
+  std::string response;
+  ScriptedServer server([&](int, int, const std::string&) { return response; });
+  StoreClient store(m_client, server.Address(), kLongTimeout);
+  StoreCall write;
+  write.m_operation = StoreOperation::CompareAndSwap;
+  write.m_key = "a/b c";
+  write.m_value = "v";
+  write.m_index = 4;
+
+  SECTION("no connection: failed")
+  {
+    StoreClient closed(m_client, ClosedAddress(), kLongTimeout);
+    REQUIRE(Call(closed, write).m_status == StoreStatus::Failed);
+  }
+  SECTION("lost reply: unknown, and sent once")
+  {
+    REQUIRE(Call(store, write).m_status == StoreStatus::Unknown);
+    REQUIRE(server.Requests().size() == 1);
+    REQUIRE(server.Requests()[0].starts_with("PUT /v1/kv/a/b%20c?cas=4 "));
+  }
+  SECTION("internal error: unknown")
+  {
+    response = MakeResponse(500, "");
+    REQUIRE(Call(store, write).m_status == StoreStatus::Unknown);
+  }
+  SECTION("reply that is not JSON: unknown")
+  {
+    response = MakeResponse(200, "tru");
+    REQUIRE(Call(store, write).m_status == StoreStatus::Unknown);
+  }
+  SECTION("refusal: failed")
+  {
+    response = MakeResponse(503, "");
+    REQUIRE(Call(store, write).m_status == StoreStatus::Failed);
+  }
+  SECTION("lost against another writer: conflict")
+  {
+    response = MakeResponse(200, "false");
+    REQUIRE(Call(store, write).m_status == StoreStatus::Conflict);
+  }
+  SECTION("acquire with a lapsed session: not found")
+  {
+    write.m_operation = StoreOperation::Acquire;
+    response = MakeResponse(500, "invalid session \"x\"");
+    REQUIRE(Call(store, write).m_status == StoreStatus::NotFound);
+  }
+  SECTION("a lost read has changed nothing")
+  {
+    write.m_operation = StoreOperation::Get;
+    REQUIRE(Call(store, write).m_status == StoreStatus::Failed);
+  }
+  SECTION("a value")
+  {
+    write.m_operation = StoreOperation::Get;
+    response = MakeResponse(
+      200, R"([{"Key":"k","Value":"AP8x","ModifyIndex":9,"Session":"s"}])");
+    const StoreResult result = Call(store, write);
+    REQUIRE(result.m_status == StoreStatus::Ok);
+    REQUIRE(result.m_value == std::string("\0\xff"
+                                          "1",
+                                          3));
+    REQUIRE(result.m_index == 9);
+    REQUIRE(result.m_session == "s");
+  }
+  SECTION("a watch of an absent key can wait for its creation")
+  {
+    write.m_operation = StoreOperation::Watch;
+    response = MakeResponse(404, "", "X-Consul-Index: 12\r\n");
+    const StoreResult result = Call(store, write);
+    REQUIRE(result.m_status == StoreStatus::NotFound);
+    REQUIRE(result.m_index == 12);
+  }
+}
+
+// Guards against replies of replicas that would enter an answer unchecked.
+TEST_CASE_METHOD(Fixture, "Search replies are checked", "[search]")
+{
+  std::string body =
+    R"({"incarnation":3,"query":1,"attempt":2,"shard":"s","version":4,)"
+    R"("documents_searched":5,"complete":true,"draining":false,)"
+    R"("hits":"[]","length":2,"checksum":223132457})";
+  ScriptedServer server(
+    [&](int, int, const std::string&) { return MakeResponse(200, body); });
+  HttpBackendClient backend(m_client, "host-1");
+  const auto search = [&] {
+    SendSubRequest request;
+    request.m_attempt = 2;
+    request.m_query = 1;
+    std::optional<SubOutcome> outcome;
+    backend.Search(server.Address(),
+                   request,
+                   kLongTimeout,
+                   [&](SubOutcome&& aOutcome) { outcome = aOutcome; });
+    RunUntil([&] { return outcome.has_value(); });
+    return *outcome;
+  };
+  const auto replace = [&](const std::string& aOld, const std::string& aNew) {
+    body.replace(body.find(aOld), aOld.size(), aNew);
+  };
+
+  SECTION("an intact reply")
+  {
+    const SubReply reply = std::get<SubReply>(search());
+    REQUIRE(reply.m_intact);
+    REQUIRE(reply.m_documentsSearched == 5);
+  }
+  SECTION("a wrong checksum")
+  {
+    replace("223132457", "223132458");
+    REQUIRE_FALSE(std::get<SubReply>(search()).m_intact);
+  }
+  SECTION("a wrong length")
+  {
+    replace("\"length\":2", "\"length\":3");
+    REQUIRE_FALSE(std::get<SubReply>(search()).m_intact);
+  }
+  SECTION("a crossed reply keeps its own echoes")
+  {
+    replace("\"attempt\":2", "\"attempt\":8");
+    REQUIRE(std::get<SubReply>(search()).m_echoAttempt == 8);
+  }
+  SECTION("a negative number of documents")
+  {
+    replace("\"documents_searched\":5", "\"documents_searched\":-5");
+    REQUIRE(std::get<SubFailure>(search()).m_kind == SubFailureKind::Malformed);
+  }
+  SECTION("hits that are no list of documents")
+  {
+    replace("\"[]\"", "\"{}\"");
+    replace("223132457", "2745614147");
+    REQUIRE(std::get<SubFailure>(search()).m_kind == SubFailureKind::Malformed);
+  }
+}
