Read fractions of statements exactly

Spirit's parser of real numbers does not round to the nearest double.

Change: the grammar reads the digits and std::from_chars the value; a test has the fraction of the first finding.

--- a/packages/language/src/Elements.cpp
+++ b/packages/language/src/Elements.cpp
@@ -1,6 +1,7 @@
 #include "Elements.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace goldcrestkeel::grammar {
 
@@ -59,35 +60,24 @@
   return true;
 }
 
-/** Plain decimal fractions: no sign, no exponent, neither "nan" nor "inf". */
-struct FractionPolicies : x3::ureal_policies<double>
-{
-  // NOLINTBEGIN(readability-identifier-naming): names that Spirit requires
-  template<typename Iterator>
-  static bool parse_exp(Iterator&, const Iterator&)
-  {
-    return false;
-  }
-  template<typename Iterator, typename Attribute>
-  static bool parse_nan(Iterator&, const Iterator&, Attribute&)
-  {
-    return false;
-  }
-  template<typename Iterator, typename Attribute>
-  static bool parse_inf(Iterator&, const Iterator&, Attribute&)
-  {
-    return false;
-  }
-  // NOLINTEND(readability-identifier-naming)
-};
-
+/** Decimal fraction without sign and exponent. std::from_chars rounds its
+ *  value correctly, while Spirit's parser of real numbers misses the nearest
+ *  double with many digits, so that Format() gave another text. */
 bool
 ParseFraction(GrammarIterator& aFirst, GrammarIterator aLast, double& aValue)
 {
+  static const auto kDigits = +encoding::char_("0-9");
   static const auto kDefinition =
-    x3::lexeme[x3::real_parser<double, FractionPolicies>{} >> !kNameCharacter];
+    x3::lexeme[kDigits >> -(encoding::char_('.') >> kDigits) >>
+               !kNameCharacter];
   GrammarIterator at = aFirst;
-  if (!Run(kDefinition, at, aLast, aValue) || !(aValue >= 0 && aValue <= 1)) {
+  std::string text;
+  if (!Run(kDefinition, at, aLast, text)) {
+    return false;
+  }
+  const auto result =
+    std::from_chars(text.data(), text.data() + text.size(), aValue);
+  if (result.ec != std::errc() || aValue > 1) {
     return false;
   }
   aFirst = at;
--- a/packages/language/tests/ParserTest.cpp
+++ b/packages/language/tests/ParserTest.cpp
@@ -114,6 +114,16 @@
   REQUIRE(deadline("4294967295 s") == 4294967295s);
 }
 
+// Guards against a value that is not the nearest one to the text, found by
+// statement-fuzz: its canonical form was another fraction.
+TEST_CASE("A fraction with many digits is read exactly", "[language]")
+{
+  const auto search =
+    Parse<SearchStatement>("SEARCH s FOR \"x\" COVERAGE 0.913864353642578835");
+  REQUIRE(search.m_coverage == 0.913864353642578835);
+  REQUIRE(Parse<SearchStatement>(Format(search)) == search);
+}
+
 TEST_CASE("A command is parsed", "[language]")
 {
   SECTION("HOLD")
