Refuse numbers that overflow in JSON input

Cause: configuration-fuzz found that {"revision":1e999} is refused with an exception of the JSON library and not as an invalid configuration. The library reports an overflow as out_of_range, not as parse_error. The same catch clause was in the parsers of caller requests and of settings; there, the answer to a caller was no problem+json.

Change: all three catch the common base. The list of bad requests in the API test has the number; without the change the test fails.

--- a/packages/control/src/Configuration.cpp
+++ b/packages/control/src/Configuration.cpp
@@ -88,7 +88,7 @@
 {
   try {
     return nlohmann::json::parse(aText, nullptr, true, true);
-  } catch (const nlohmann::json::parse_error& error) {
+  } catch (const nlohmann::json::exception& error) {
     throw Error(ErrorKind::InvalidConfiguration, error.what());
   }
 }
--- a/packages/net/src/RequestParsing.cpp
+++ b/packages/net/src/RequestParsing.cpp
@@ -40,7 +40,7 @@
     }
     try {
       m_json = json::parse(aRequest.m_body, LimitDepth);
-    } catch (const json::parse_error&) {
+    } catch (const json::exception&) {
       throw Error(ErrorKind::BadRequest, "body: must be JSON", "body");
     }
     if (!m_json.is_object()) {
--- a/packages/net/src/Settings.cpp
+++ b/packages/net/src/Settings.cpp
@@ -315,7 +315,7 @@
   json document;
   try {
     document = json::parse(aText, nullptr, true, true);
-  } catch (const json::parse_error& error) {
+  } catch (const json::exception& error) {
     throw Error(ErrorKind::InvalidConfiguration,
                 std::string("settings: must be JSON: ") + error.what());
   }
--- a/packages/net/tests/ApiTest.cpp
+++ b/packages/net/tests/ApiTest.cpp
@@ -202,6 +202,9 @@
     "service",
     "" },
   { "POST", "/v1/services/tender/other", "{}", 404, "path", "" },
+  // The JSON library reports this number by another exception than a syntax
+  // error.
+  { "POST", kSearchPath, R"({"query":"a","limit":1e999})", 400, "body", "" },
   { "POST", "/nowhere", "{}", 404, "path", "" },
   { "GET", kSearchPath, "", 405, "", "" },
   { "POST", kCommandPath, R"({"command":"a"})", 400, "Idempotency-Key", "" },
