Add membership, the change commit and the configuration manager

Cause: configuration and membership had no state machines.

Change: MembershipTable (SWIM-like, seeded from the host list, bounded messages), ChangeCommit (one compare-and-swap for change and audit entry, lost replies resolved by reading back the operation id), ConfigurationManager (watch, push tree, digests, start, isolation limit, acceptance) and ControlNode, which connects them. VirtualFleet drives them under a virtual clock with fakes of the store, the network and the host list.

Found by the randomised run: a host that refused connections could start in another part of a partition with an old revision while its refusal still counted. Acceptance now asks every required host a second time after all have confirmed, and a refusal counts only if it is newer than that.

--- a/packages/control/include/goldcrestkeel/Control.h
+++ b/packages/control/include/goldcrestkeel/Control.h
@@ -4,4 +4,10 @@
 #pragma once
 
 #include <goldcrestkeel/control/Configuration.h>
+#include <goldcrestkeel/control/ConfigurationChange.h>
+#include <goldcrestkeel/control/ConfigurationManager.h>
+#include <goldcrestkeel/control/ControlActions.h>
+#include <goldcrestkeel/control/ControlNode.h>
+#include <goldcrestkeel/control/Membership.h>
+#include <goldcrestkeel/control/MembershipTable.h>
 #include <goldcrestkeel/control/Store.h>
--- a/packages/control/src/ConfigurationCheck.cpp
+++ b/packages/control/src/ConfigurationCheck.cpp
@@ -1,6 +1,7 @@
 #include "ConfigurationLimits.h"
+#include "ConfigurationReader.h"
 
-#include <goldcrestkeel/control/Configuration.h>
+#include <goldcrestkeel/control/ConfigurationChange.h>
 
 #include <arpa/inet.h>
 
@@ -267,4 +268,39 @@
   return ServiceChecker().Run(aSpec);
 }
 
+std::vector<ConfigurationFault>
+CheckReplicaIds(const std::map<std::string, ServiceSpec>& aServices)
+{
+  std::vector<ConfigurationFault> faults;
+  std::map<std::string_view, std::string_view> owners;
+  for (const auto& [name, spec] : aServices) {
+    for (const ReplicaSpec& replica : spec.m_replicas) {
+      const auto [owner, added] = owners.emplace(replica.m_id, name);
+      if (!added && owner->second != name) {
+        faults.push_back({ "services",
+                           "the replica id " + replica.m_id + " is used by " +
+                             std::string(owner->second) + " and " + name +
+                             "; it must be unique in the configuration" });
+      }
+    }
+  }
+  return faults;
+}
+
+std::vector<ConfigurationFault>
+CheckServices(const std::map<std::string, ServiceSpec>& aServices)
+{
+  std::vector<ConfigurationFault> faults;
+  for (const auto& [name, spec] : aServices) {
+    for (ConfigurationFault& fault : Check(spec)) {
+      faults.push_back({ "services." + name + "." + fault.m_path,
+                         std::move(fault.m_message) });
+    }
+  }
+  for (ConfigurationFault& fault : CheckReplicaIds(aServices)) {
+    faults.push_back(std::move(fault));
+  }
+  return faults;
+}
+
 } // namespace goldcrestkeel
--- a/packages/control/src/ConfigurationReader.cpp
+++ b/packages/control/src/ConfigurationReader.cpp
@@ -305,26 +305,10 @@
       Fault(Member(path, "name"), "the name " + name + " is used twice");
     }
   }
-  CheckReplicaIds(services);
-  return services;
-}
-
-void
-ConfigurationReader::CheckReplicaIds(
-  const std::map<std::string, ServiceSpec>& aServices)
-{
-  std::map<std::string_view, std::string_view> owners;
-  for (const auto& [name, spec] : aServices) {
-    for (const ReplicaSpec& replica : spec.m_replicas) {
-      const auto [owner, added] = owners.emplace(replica.m_id, name);
-      if (!added && owner->second != name) {
-        Fault("services",
-              "the replica id " + replica.m_id + " is used by " +
-                std::string(owner->second) + " and " + name +
-                "; it must be unique in the configuration");
-      }
-    }
+  for (ConfigurationFault& fault : CheckReplicaIds(services)) {
+    m_faults.push_back(std::move(fault));
   }
+  return services;
 }
 
 std::map<std::string, ServiceSpec>
--- a/packages/control/src/ConfigurationReader.h
+++ b/packages/control/src/ConfigurationReader.h
@@ -11,6 +11,10 @@
 
 namespace goldcrestkeel {
 
+/** Replica ids that several services use. */
+std::vector<ConfigurationFault>
+CheckReplicaIds(const std::map<std::string, ServiceSpec>& aServices);
+
 /** Turns JSON into typed values. A value of the wrong type, a missing field or
  *  an unknown field becomes a fault, and reading goes on, so that one pass
  *  finds all faults. */
@@ -32,7 +36,6 @@
   ReplicaSpec ReadReplica(const Json& aObject, const std::string& aPath);
   ServicePolicy ReadPolicy(const Json& aObject, const std::string& aPath);
   AuditEntry ReadAudit(const Json& aObject, const std::string& aPath);
-  void CheckReplicaIds(const std::map<std::string, ServiceSpec>& aServices);
 
   bool IsObject(const Json& aValue,
                 const std::string& aPath,
--- /dev/null
+++ b/packages/control/tests/ConfigurationManagerTest.cpp
@@ -0,0 +1,397 @@
+#include "VirtualFleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace goldcrestkeel;
+using namespace std::chrono_literals;
+using Catch::Matchers::Contains;
+
+namespace {
+
+/** A fleet on which the service "tender" is accepted as revision 1. */
+class Fixture
+{
+public:
+  Fixture()
+    : m_fleet({})
+  {
+    m_fleet.StartAll();
+    m_fleet.Run(3s);
+    m_fleet.Change(0, "first", "tender", 0.5);
+    REQUIRE(m_fleet.RunUntil([&] { return m_fleet.Accepted() == 1; }, 10s));
+    m_fleet.Run(1s);
+  }
+
+  ChangeResult Answer(const std::string& aOperation)
+  {
+    REQUIRE(m_fleet.RunUntil(
+      [&] { return m_fleet.Answers().contains(aOperation); }, 60s));
+    return m_fleet.Answers().find(aOperation)->second;
+  }
+
+  std::size_t Entries(const std::string& aOperation) const
+  {
+    std::size_t count = 0;
+    for (const AuditEntry& entry : m_fleet.Stored().m_audit) {
+      count += entry.m_operationId == aOperation ? 1 : 0;
+    }
+    return count;
+  }
+
+  VirtualFleet m_fleet;
+};
+
+/** Several faults at once; the invariants are asserted in the manager and after
+ *  each event of the fleet. */
+void
+RunRandomFaults(std::uint64_t aSeed)
+{
+  INFO("seed " << aSeed);
+  VirtualFleet fleet({ .m_loss = 0.02, .m_seed = aSeed });
+  RandomSource& random = fleet.Random();
+  fleet.StartAll();
+  fleet.Run(3s);
+  std::map<std::string, int> operations;
+  for (int step = 0; step < 150; ++step) {
+    const std::size_t host = random.Below(fleet.Size());
+    switch (random.Below(12)) {
+      case 0:
+        fleet.KillHost(host);
+        break;
+      case 1:
+      case 2:
+        if (!fleet.At(host).m_up) {
+          fleet.StartHost(host);
+        }
+        break;
+      case 3:
+        fleet.PauseHost(host);
+        break;
+      case 4:
+        fleet.ResumeHost(host);
+        break;
+      case 5: {
+        std::vector<int> groups(fleet.Size());
+        for (int& group : groups) {
+          group = static_cast<int>(random.Below(2));
+        }
+        fleet.Partition(groups, static_cast<int>(random.Below(3)));
+        break;
+      }
+      case 6:
+        fleet.Heal();
+        break;
+      case 7:
+        fleet.TheStore().m_down = random.Below(2) == 0;
+        break;
+      case 8:
+        fleet.TheStore().m_lostReplies = random.Unit();
+        break;
+      default:
+        if (fleet.At(host).m_up) {
+          const std::string operation = "op" + std::to_string(random.Below(60));
+          ++operations[operation];
+          fleet.Change(host, operation, "s" + operation, 0.5);
+        }
+    }
+    fleet.Run(Duration{ static_cast<Duration::rep>(random.Below(4000000)) });
+  }
+  fleet.Heal();
+  fleet.TheStore().m_down = false;
+  fleet.TheStore().m_lostReplies = 0;
+  for (std::size_t i = 0; i < fleet.Size(); ++i) {
+    fleet.ResumeHost(i);
+    if (!fleet.At(i).m_up) {
+      fleet.StartHost(i);
+    }
+  }
+  const auto settled = [&] {
+    const Configuration stored = fleet.Stored();
+    return stored.m_accepted && fleet.AllHave(stored.m_revision);
+  };
+  REQUIRE(fleet.RunUntil(settled, 120s));
+  // After the faults every operation that was answered as written is in the
+  // trail once, and one that was refused as not run is there only if it was
+  // sent again.
+  std::map<std::string, int> entries;
+  for (const AuditEntry& entry : fleet.Stored().m_audit) {
+    ++entries[entry.m_operationId];
+  }
+  for (const auto& [operation, count] : entries) {
+    REQUIRE(count == 1);
+  }
+  for (const auto& [operation, result] : fleet.Answers()) {
+    if (!result.m_error) {
+      REQUIRE(entries.contains(operation));
+    } else if (InfoOf(*result.m_error).m_ran == Ran::No &&
+               operations[operation] == 1) {
+      REQUIRE_FALSE(entries.contains(operation));
+    }
+  }
+  REQUIRE(fleet.Reverts() == 0);
+  REQUIRE(fleet.LostAccepted() == 0);
+}
+
+} // namespace
+
+TEST_CASE_METHOD(Fixture, "A change reaches every host", "[configuration]")
+{
+  m_fleet.Change(3, "op", "tender", 0.9);
+  const ChangeResult result = Answer("op");
+  REQUIRE(result.m_accepted);
+  REQUIRE(result.m_revision == 2);
+  REQUIRE(m_fleet.AllHave(2));
+  REQUIRE(m_fleet.Stored().m_audit.back().m_outcome == "accepted");
+
+  SECTION("two hosts in each data centre watch the store")
+  {
+    std::map<std::string, int> watchers;
+    for (std::size_t i = 0; i < m_fleet.Size(); ++i) {
+      const ControlNode& node = m_fleet.Node(i);
+      watchers[node.Members().Self().m_dataCentre] +=
+        node.Manager().Watches() ? 1 : 0;
+    }
+    REQUIRE(watchers == std::map<std::string, int>{
+                          { "dc0", 2 }, { "dc1", 2 }, { "dc2", 2 } });
+  }
+  SECTION("the same operation sent again is one change")
+  {
+    m_fleet.Change(5, "op", "tender", 0.9);
+    REQUIRE(m_fleet.RunUntil([&] { return m_fleet.Answers().count("op") == 2; },
+                             10s));
+    REQUIRE(m_fleet.Answers().rbegin()->second.m_revision == 2);
+    REQUIRE(Entries("op") == 1);
+  }
+  SECTION("an operation id that belongs to another change is refused")
+  {
+    m_fleet.Change(5, "op", "tender", 0.1);
+    m_fleet.Run(10s);
+    REQUIRE(m_fleet.Stored().m_revision == 2);
+    REQUIRE(std::any_of(
+      m_fleet.Answers().begin(), m_fleet.Answers().end(), [](const auto& aOne) {
+        return aOne.second.m_error == ErrorKind::IdempotencyKeyReused;
+      }));
+  }
+}
+
+// Guards against a change that silently overwrites that of another operator.
+TEST_CASE_METHOD(Fixture, "Two operators race", "[configuration]")
+{
+  SECTION("on the same service: one of them gets a conflict with a diff")
+  {
+    m_fleet.Change(1, "a", "tender", 0.7);
+    m_fleet.Change(4, "b", "tender", 0.8);
+    const ChangeResult a = Answer("a");
+    const ChangeResult b = Answer("b");
+    REQUIRE(a.m_error.has_value() != b.m_error.has_value());
+    const ChangeResult& lost = a.m_error ? a : b;
+    REQUIRE(lost.m_error == ErrorKind::ConfigurationConflict);
+    REQUIRE_THAT(lost.m_detail,
+                 Contains("tender.policy.min_coverage: 0.5 -> "));
+    REQUIRE(m_fleet.Stored().m_revision == 2);
+  }
+  SECTION("on different services: both are written")
+  {
+    m_fleet.Change(1, "a", "portal", 0.7);
+    m_fleet.Change(4, "b", "bookkeeping", 0.8);
+    REQUIRE_FALSE(Answer("a").m_error);
+    REQUIRE_FALSE(Answer("b").m_error);
+    REQUIRE(m_fleet.Stored().m_services.size() == 3);
+  }
+}
+
+// Guards against an operator who is told "failed" for a change that is written,
+// or the reverse.
+TEST_CASE_METHOD(Fixture, "The reply to a write is lost", "[configuration]")
+{
+  m_fleet.TheStore().m_lostReplies = 1;
+  m_fleet.Change(2, "op", "tender", 0.9);
+  m_fleet.Run(500ms);
+
+  SECTION("the operation id is read back and counts once")
+  {
+    m_fleet.TheStore().m_lostReplies = 0;
+    const ChangeResult result = Answer("op");
+    REQUIRE_FALSE(result.m_error);
+    REQUIRE(Entries("op") == 1);
+    REQUIRE(m_fleet.Stored().m_revision == 2);
+  }
+  SECTION("as long as the outcome is unknown, nothing else is told")
+  {
+    m_fleet.TheStore().m_down = true;
+    m_fleet.Run(kChangeDeadline - 1s);
+    REQUIRE(m_fleet.Answers().count("op") == 0);
+    REQUIRE(Answer("op").m_error == ErrorKind::OutcomeUnknown);
+  }
+}
+
+TEST_CASE_METHOD(Fixture, "The store is down", "[configuration]")
+{
+  m_fleet.TheStore().m_down = true;
+  m_fleet.Run(60s);
+
+  SECTION("every host goes on serving the last revision")
+  {
+    for (std::size_t i = 0; i < m_fleet.Size(); ++i) {
+      REQUIRE(m_fleet.Node(i).Manager().Serving(m_fleet.Now()));
+    }
+  }
+  SECTION("a change is refused as not written")
+  {
+    m_fleet.Change(2, "op", "tender", 0.9);
+    REQUIRE(Answer("op").m_error == ErrorKind::StoreUnavailable);
+    REQUIRE(Entries("op") == 0);
+  }
+  SECTION("a host that restarts gets the newest revision from its peers")
+  {
+    m_fleet.KillHost(6);
+    m_fleet.Run(5s);
+    m_fleet.StartHost(6);
+    REQUIRE_FALSE(m_fleet.Node(6).Manager().Ready());
+    REQUIRE(m_fleet.RunUntil(
+      [&] { return m_fleet.Node(6).Manager().Serving(m_fleet.Now()); }, 3s));
+    REQUIRE(m_fleet.Node(6).Manager().Current()->m_revision == 1);
+  }
+  SECTION("a host that finds neither store nor peers is not ready")
+  {
+    for (std::size_t i = 0; i < m_fleet.Size(); ++i) {
+      m_fleet.KillHost(i);
+    }
+    m_fleet.StartHost(0);
+    m_fleet.Run(30s);
+    REQUIRE_FALSE(m_fleet.Node(0).Manager().Ready());
+    m_fleet.TheStore().m_down = false;
+    m_fleet.Run(5s);
+    REQUIRE(m_fleet.Node(0).Manager().Serving(m_fleet.Now()));
+  }
+}
+
+// Guards against a change that is called accepted while a host that serves has
+// not got it.
+TEST_CASE_METHOD(Fixture, "Some hosts cannot be reached", "[configuration]")
+{
+  SECTION("a data centre cut off leaves a change pending, with its hosts shown")
+  {
+    // Hosts 2 and 5 are those of dc2.
+    m_fleet.Partition({ 0, 0, 1, 0, 0, 1, 0 }, 1);
+    m_fleet.Change(0, "op", "tender", 0.9);
+    const ChangeResult result = Answer("op");
+    REQUIRE_FALSE(result.m_error);
+    REQUIRE_FALSE(result.m_accepted);
+    REQUIRE(result.m_missing == std::vector<std::string>{ "h2", "h5" });
+    m_fleet.Run(60s);
+    REQUIRE(m_fleet.Accepted() == 1);
+    REQUIRE(m_fleet.Node(2).Manager().Serving(m_fleet.Now()));
+
+    m_fleet.Heal();
+    REQUIRE(m_fleet.RunUntil([&] { return m_fleet.Accepted() == 2; }, 20s));
+    REQUIRE(m_fleet.AllHave(2));
+  }
+  SECTION("a host cut off alone stops serving within the isolation limit")
+  {
+    m_fleet.Partition({ 0, 0, 0, 0, 0, 0, 1 }, 1);
+    m_fleet.Run(kIsolationLimit + 10ms);
+    REQUIRE_FALSE(m_fleet.Node(6).Manager().Serving(m_fleet.Now()));
+    m_fleet.Heal();
+    REQUIRE(m_fleet.RunUntil(
+      [&] { return m_fleet.Node(6).Manager().Serving(m_fleet.Now()); }, 10s));
+  }
+  SECTION("a killed host is proven gone by its refused connections")
+  {
+    m_fleet.KillHost(4);
+    m_fleet.Change(0, "op", "tender", 0.9);
+    REQUIRE(Answer("op").m_accepted);
+  }
+  SECTION("a killed proposer leaves the acceptance to another host")
+  {
+    m_fleet.Partition({ 0, 0, 1, 0, 0, 1, 0 }, 1);
+    m_fleet.Change(0, "op", "tender", 0.9);
+    Answer("op");
+    m_fleet.KillHost(0);
+    m_fleet.Heal();
+    REQUIRE(m_fleet.RunUntil([&] { return m_fleet.Accepted() == 2; }, 30s));
+  }
+}
+
+// Guards against a process that wakes up and serves an old revision.
+TEST_CASE_METHOD(Fixture, "A host is paused", "[configuration]")
+{
+  m_fleet.PauseHost(3);
+  m_fleet.Change(0, "op", "tender", 0.9);
+  const ChangeResult result = Answer("op");
+  REQUIRE(result.m_missing == std::vector<std::string>{ "h3" });
+
+  SECTION("a change is accepted after the host is off the list for the grace")
+  {
+    m_fleet.Run(60s);
+    REQUIRE(m_fleet.Accepted() == 1);
+    m_fleet.SetListed(3, false);
+    m_fleet.Run(kRemovalGrace - 1s);
+    REQUIRE(m_fleet.Accepted() == 1);
+    REQUIRE(m_fleet.RunUntil([&] { return m_fleet.Accepted() == 2; }, 5s));
+    // The fleet checks in ResumeHost() that the host does not serve.
+    m_fleet.Run(10s);
+    m_fleet.ResumeHost(3);
+    REQUIRE(m_fleet.RunUntil(
+      [&] { return m_fleet.Node(3).Manager().Serving(m_fleet.Now()); }, 10s));
+    REQUIRE(m_fleet.Node(3).Manager().Current()->m_revision == 2);
+  }
+  SECTION("the change is accepted when the host resumes")
+  {
+    m_fleet.ResumeHost(3);
+    REQUIRE(m_fleet.RunUntil([&] { return m_fleet.Accepted() == 2; }, 10s));
+  }
+  SECTION("a newer process under the same name ends the wait")
+  {
+    m_fleet.StartHost(3);
+    REQUIRE(m_fleet.RunUntil([&] { return m_fleet.Accepted() == 2; }, 10s));
+    REQUIRE(m_fleet.Node(3).Manager().Current()->m_revision == 2);
+  }
+}
+
+// Guards against a host that is started before the host list shows it.
+TEST_CASE_METHOD(Fixture, "The host list lags", "[configuration]")
+{
+  m_fleet.KillHost(5);
+  m_fleet.SetListed(5, false);
+  m_fleet.Run(120s);
+  m_fleet.StartHost(5);
+  m_fleet.Run(5s);
+  REQUIRE(m_fleet.Node(5).Manager().Serving(m_fleet.Now()));
+
+  SECTION("a host that is not listed yet is required as a member")
+  {
+    m_fleet.Partition({ 0, 0, 0, 0, 0, 1, 0 }, 1);
+    m_fleet.Change(0, "op", "tender", 0.9);
+    REQUIRE(Answer("op").m_missing == std::vector<std::string>{ "h5" });
+  }
+}
+
+TEST_CASE_METHOD(Fixture, "The audit trail is bounded", "[configuration]")
+{
+  Configuration full = m_fleet.Stored();
+  AuditEntry entry = full.m_audit.front();
+  entry.m_operationId = "old";
+  full.m_audit.assign(kAuditEntries, entry);
+  m_fleet.TheStore().m_value = SerializeConfiguration(full);
+  m_fleet.Change(0, "op", "tender", 0.9);
+  Answer("op");
+  REQUIRE(m_fleet.Stored().m_audit.size() == kAuditEntries);
+  REQUIRE(m_fleet.Stored().m_audit.back().m_operationId == "op");
+}
+
+TEST_CASE("Randomised faults keep the configuration's promises",
+          "[configuration][random]")
+{
+  for (std::uint64_t seed = 1; seed <= 24; ++seed) {
+    RunRandomFaults(seed);
+  }
+}
+
+// Not part of the usual run: control_test [long] --rng-seed N.
+TEST_CASE("Randomised faults over many seeds", "[.][long]")
+{
+  for (std::uint64_t i = 0; i < 300; ++i) {
+    RunRandomFaults(Catch::rngSeed() * 1000ULL + i);
+  }
+}
--- /dev/null
+++ b/packages/control/tests/VirtualFleet.cpp
@@ -0,0 +1,561 @@
+#include "VirtualFleet.h"
+
+#include <algorithm>
+
+namespace goldcrestkeel {
+
+namespace {
+
+constexpr Duration kSecond = std::chrono::seconds{ 1 };
+/** Latest effect of a write whose reply is lost. */
+constexpr std::uint64_t kLateWriteMicroseconds = 2000000;
+
+} // namespace
+
+VirtualFleet::VirtualFleet(const Options& aOptions)
+  : m_options(aOptions)
+  , m_random(MakeSeededRandom(aOptions.m_seed))
+  , m_hosts(aOptions.m_hosts)
+{
+  for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+    m_hosts[i].m_name = "h" + std::to_string(i);
+    m_listed.insert(i);
+  }
+}
+
+// ---- Hosts ----------------------------------------------------------------
+
+void
+VirtualFleet::StartHost(std::size_t aHost)
+{
+  Host& host = m_hosts[aHost];
+  host.m_process += 1;
+  host.m_up = true;
+  host.m_paused = false;
+  host.m_revision = 0;
+  host.m_held.clear();
+  host.m_wakeAt = TimePoint::max();
+  host.m_random = MakeSeededRandom(m_random->Next());
+  MemberEntry self;
+  self.m_host = host.m_name;
+  self.m_address = host.m_name;
+  self.m_dataCentre = "dc" + std::to_string(aHost % m_options.m_dataCentres);
+  self.m_incarnation =
+    static_cast<std::uint64_t>(m_now.time_since_epoch().count() / 1000);
+  host.m_node = std::make_unique<ControlNode>(self, *host.m_random);
+  const std::uint64_t process = host.m_process;
+  // Each host reads the host list once a second while its process lives.
+  auto read = std::make_shared<std::function<void()>>();
+  *read = [this, aHost, process, weak = std::weak_ptr(read)] {
+    if (m_hosts[aHost].m_process != process) {
+      return;
+    }
+    Deliver(aHost, process, [this](ControlNode& aNode, auto& aActions) {
+      std::vector<ListedHost> list;
+      for (std::size_t listed : m_listed) {
+        list.push_back(
+          { m_hosts[listed].m_name, m_hosts[listed].m_name, false });
+      }
+      aNode.SetHostList(m_now, list, aActions);
+    });
+    After(kSecond, [self = weak.lock()] { (*self)(); });
+  };
+  (*read)();
+}
+
+void
+VirtualFleet::StartAll()
+{
+  for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+    StartHost(i);
+  }
+}
+
+void
+VirtualFleet::KillHost(std::size_t aHost)
+{
+  m_hosts[aHost].m_up = false;
+  ++m_hosts[aHost].m_process;
+}
+
+void
+VirtualFleet::PauseHost(std::size_t aHost)
+{
+  m_hosts[aHost].m_paused = true;
+}
+
+void
+VirtualFleet::ResumeHost(std::size_t aHost)
+{
+  Host& host = m_hosts[aHost];
+  host.m_paused = false;
+  if (!host.m_up) {
+    return;
+  }
+  // The first request after the pause comes before any message is read.
+  CheckServing(host);
+  for (const auto& action : std::exchange(host.m_held, {})) {
+    action();
+  }
+  Wake(aHost);
+}
+
+void
+VirtualFleet::Partition(const std::vector<int>& aGroups, int aCutOff)
+{
+  for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+    m_hosts[i].m_group = aGroups[i];
+  }
+  m_cutOff = aCutOff;
+}
+
+void
+VirtualFleet::Heal()
+{
+  Partition(std::vector<int>(m_hosts.size(), 0));
+}
+
+void
+VirtualFleet::SetListed(std::size_t aHost, bool aListed)
+{
+  if (aListed) {
+    m_listed.insert(aHost);
+  } else {
+    m_listed.erase(aHost);
+  }
+}
+
+const ControlNode&
+VirtualFleet::Node(std::size_t aHost) const
+{
+  return *m_hosts[aHost].m_node;
+}
+
+// ---- Time -----------------------------------------------------------------
+
+void
+VirtualFleet::At(TimePoint aTime, std::function<void()> aAction)
+{
+  m_events.push({ aTime, ++m_lastEvent, std::move(aAction) });
+}
+
+void
+VirtualFleet::After(Duration aDelay, std::function<void()> aAction)
+{
+  At(m_now + aDelay, std::move(aAction));
+}
+
+bool
+VirtualFleet::RunUntil(const std::function<bool()>& aDone, Duration aLimit)
+{
+  const TimePoint end = m_now + aLimit;
+  while (!m_events.empty() && m_events.top().m_at <= end) {
+    if (aDone()) {
+      return true;
+    }
+    auto run = std::move(const_cast<Event&>(m_events.top()).m_run);
+    m_now = m_events.top().m_at;
+    m_events.pop();
+    run();
+  }
+  if (aDone()) {
+    return true;
+  }
+  m_now = end;
+  return false;
+}
+
+void
+VirtualFleet::Run(Duration aTime)
+{
+  RunUntil([] { return false; }, aTime);
+}
+
+void
+VirtualFleet::Wake(std::size_t aHost)
+{
+  Host& host = m_hosts[aHost];
+  const TimePoint next = std::max(host.m_node->NextTimer(), m_now);
+  if (next >= host.m_wakeAt && host.m_wakeAt > m_now) {
+    return;
+  }
+  host.m_wakeAt = next;
+  const std::uint64_t process = host.m_process;
+  At(next, [this, aHost, process, next] {
+    if (m_hosts[aHost].m_process == process &&
+        m_hosts[aHost].m_wakeAt == next) {
+      m_hosts[aHost].m_wakeAt = TimePoint::max();
+      Deliver(aHost, process, [this](ControlNode& aNode, auto& aActions) {
+        aNode.FireTimers(m_now, aActions);
+      });
+    }
+  });
+}
+
+void
+VirtualFleet::Deliver(std::size_t aHost,
+                      std::uint64_t aProcess,
+                      Handler aHandler)
+{
+  Host& host = m_hosts[aHost];
+  if (!host.m_up || host.m_process != aProcess) {
+    return;
+  }
+  if (host.m_paused) {
+    host.m_held.push_back([this, aHost, aProcess, aHandler] {
+      Deliver(aHost, aProcess, aHandler);
+    });
+    return;
+  }
+  ControlActions actions;
+  aHandler(*host.m_node, actions);
+  Carry(aHost, actions);
+  CheckServing(host);
+  Wake(aHost);
+}
+
+// ---- Network --------------------------------------------------------------
+
+Duration
+VirtualFleet::Delay()
+{
+  // Links vary by a half of their delay.
+  const auto base = static_cast<std::uint64_t>(m_options.m_delay.count());
+  return m_options.m_delay +
+         Duration{ static_cast<Duration::rep>(m_random->Below(base / 2 + 1)) };
+}
+
+bool
+VirtualFleet::Reaches(std::size_t aFrom, std::size_t aTo)
+{
+  return m_hosts[aFrom].m_group == m_hosts[aTo].m_group &&
+         m_random->Unit() >= m_options.m_loss;
+}
+
+std::size_t
+VirtualFleet::Find(const std::string& aAddress) const
+{
+  return std::stoul(aAddress.substr(1));
+}
+
+void
+VirtualFleet::Carry(std::size_t aHost, ControlActions& aActions)
+{
+  for (const ControlAction& action : aActions) {
+    if (m_onSend) {
+      m_onSend(aHost, action);
+    }
+    std::visit([&](const auto& aAction) { Carry(aHost, aAction); }, action);
+  }
+}
+
+void
+VirtualFleet::Carry(std::size_t aHost, const SendProbe& aAction)
+{
+  const std::size_t to = Find(aAction.m_address);
+  if (!Reaches(aHost, to)) {
+    return;
+  }
+  const std::uint64_t process = m_hosts[aHost].m_process;
+  After(Delay(), [this, aHost, to, process, aAction] {
+    if (!m_hosts[to].m_up) {
+      After(Delay(), [this, aHost, process, aAction] {
+        Deliver(
+          aHost, process, [this, aAction](ControlNode& aNode, auto& aActions) {
+            aNode.ProbeFailed(
+              m_now, aAction.m_probe, ProbeFailure::Refused, aActions);
+          });
+      });
+      return;
+    }
+    const std::uint64_t request = ++m_lastRequest;
+    m_hosts[to].m_requests[request] = { aHost, aAction.m_probe };
+    Deliver(to,
+            m_hosts[to].m_process,
+            [this, request, aAction](ControlNode& aNode, auto& aActions) {
+              aNode.ProbeReceived(
+                m_now, request, aAction.m_message, aAction.m_target, aActions);
+            });
+  });
+}
+
+void
+VirtualFleet::Carry(std::size_t aHost, const AnswerProbe& aAction)
+{
+  const auto request = m_hosts[aHost].m_requests.extract(aAction.m_request);
+  const std::size_t to = request.mapped().first;
+  const ProbeId probe = request.mapped().second;
+  if (!Reaches(aHost, to)) {
+    return;
+  }
+  const std::uint64_t process = m_hosts[to].m_process;
+  After(Delay(), [this, to, process, probe, aAction] {
+    Deliver(
+      to, process, [this, probe, aAction](ControlNode& aNode, auto& aActions) {
+        aNode.ProbeReplied(
+          m_now, probe, aAction.m_message, aAction.m_targetAlive, aActions);
+      });
+  });
+}
+
+void
+VirtualFleet::Carry(std::size_t aHost, const PushDocument& aAction)
+{
+  const std::size_t to = Find(aAction.m_address);
+  const std::uint64_t process = m_hosts[aHost].m_process;
+  const auto finish = [this, aHost, process, aAction](bool aDone, bool aDown) {
+    After(aDone || aDown ? Delay() : kSecond, [=, this] {
+      Deliver(aHost, process, [=, this](ControlNode& aNode, auto& aActions) {
+        aNode.PushFinished(
+          m_now, aAction.m_host, aAction.m_revision, aDone, aDown, aActions);
+      });
+    });
+  };
+  if (!Reaches(aHost, to)) {
+    finish(false, false);
+    return;
+  }
+  After(Delay(), [this, to, aAction, finish] {
+    if (!m_hosts[to].m_up || m_hosts[to].m_paused) {
+      finish(false, !m_hosts[to].m_up);
+      return;
+    }
+    Deliver(
+      to, m_hosts[to].m_process, [=, this](ControlNode& aNode, auto& aActions) {
+        finish(aNode.PushReceived(
+                 m_now, aAction.m_revision, *aAction.m_document, aActions),
+               false);
+      });
+  });
+}
+
+void
+VirtualFleet::Carry(std::size_t aHost, const FetchDocument& aAction)
+{
+  const std::size_t to = Find(aAction.m_address);
+  const std::uint64_t process = m_hosts[aHost].m_process;
+  std::shared_ptr<const std::string> document;
+  Duration delay = kSecond;
+  if (Reaches(aHost, to) && m_hosts[to].m_up && !m_hosts[to].m_paused) {
+    document = m_hosts[to].m_node->Manager().DocumentFor(m_now, aAction.m_have);
+    delay = Delay() * 2;
+  }
+  After(delay, [=, this] {
+    Deliver(aHost, process, [=, this](ControlNode& aNode, auto& aActions) {
+      aNode.FetchFinished(m_now,
+                          aAction.m_host,
+                          document ? std::optional<std::string>(*document)
+                                   : std::nullopt,
+                          aActions);
+    });
+  });
+}
+
+// ---- Store ----------------------------------------------------------------
+
+StoreResult
+VirtualFleet::RunStoreCall(const StoreCall& aCall)
+{
+  StoreResult result;
+  result.m_status = StoreStatus::Ok;
+  if (aCall.m_operation == StoreOperation::CompareAndSwap) {
+    ++m_store.m_writes;
+    if (aCall.m_index != m_store.m_index) {
+      result.m_status = StoreStatus::Conflict;
+      return result;
+    }
+    m_store.m_value = aCall.m_value;
+    ++m_store.m_index;
+    Written();
+    NotifyWatchers();
+  } else {
+    ++m_store.m_reads;
+    result.m_value = m_store.m_value;
+    if (m_store.m_index == 0) {
+      result.m_status = StoreStatus::NotFound;
+    }
+  }
+  result.m_index = m_store.m_index;
+  return result;
+}
+
+void
+VirtualFleet::Carry(std::size_t aHost, const CallStore& aAction)
+{
+  ++m_store.m_calls;
+  const std::uint64_t process = m_hosts[aHost].m_process;
+  const auto reply = [this, aHost, process, token = aAction.m_token](
+                       const StoreResult& aResult, Duration aDelay) {
+    After(aDelay, [=, this] {
+      Deliver(aHost, process, [=, this](ControlNode& aNode, auto& aActions) {
+        aNode.StoreReplied(m_now, token, aResult, aActions);
+      });
+    });
+  };
+  if (m_store.m_down || m_hosts[aHost].m_group == m_cutOff) {
+    StoreResult failed;
+    failed.m_status = StoreStatus::Failed;
+    reply(failed, m_options.m_delay);
+    return;
+  }
+  if (aAction.m_call.m_operation == StoreOperation::Watch &&
+      aAction.m_call.m_index == m_store.m_index) {
+    CarryWatch(aHost, aAction);
+    return;
+  }
+  const bool write =
+    aAction.m_call.m_operation == StoreOperation::CompareAndSwap;
+  if (write && m_random->Unit() < m_store.m_lostReplies) {
+    if (m_random->Below(2) == 0) {
+      const Duration late{ static_cast<Duration::rep>(
+        m_random->Below(kLateWriteMicroseconds)) };
+      After(late, [this, call = aAction.m_call] { RunStoreCall(call); });
+    }
+    reply(StoreResult{}, kSecond);
+    return;
+  }
+  After(m_store.m_delay / 2, [this, reply, call = aAction.m_call] {
+    reply(RunStoreCall(call), m_store.m_delay / 2);
+  });
+}
+
+void
+VirtualFleet::CarryWatch(std::size_t aHost, const CallStore& aAction)
+{
+  const std::uint64_t process = m_hosts[aHost].m_process;
+  auto done = std::make_shared<bool>(false);
+  const auto finish = [=, this, token = aAction.m_token] {
+    if (std::exchange(*done, true)) {
+      return;
+    }
+    StoreResult result;
+    if (!m_store.m_down && m_hosts[aHost].m_group != m_cutOff) {
+      result = RunStoreCall(StoreCall{});
+    }
+    After(m_store.m_delay, [=, this] {
+      Deliver(aHost, process, [=, this](ControlNode& aNode, auto& aActions) {
+        aNode.StoreReplied(m_now, token, result, aActions);
+      });
+    });
+  };
+  m_watchers.push_back(finish);
+  After(aAction.m_call.m_wait, finish);
+}
+
+void
+VirtualFleet::NotifyWatchers()
+{
+  for (const auto& watcher : std::exchange(m_watchers, {})) {
+    watcher();
+  }
+}
+
+Configuration
+VirtualFleet::Stored() const
+{
+  return m_store.m_index == 0 ? Configuration{}
+                              : ParseConfiguration(m_store.m_value);
+}
+
+// ---- Invariants -----------------------------------------------------------
+
+void
+VirtualFleet::Written()
+{
+  const Configuration stored = Stored();
+  m_writtenAt.emplace(stored.m_revision, m_now);
+  if (!stored.m_accepted) {
+    return;
+  }
+  m_accepted = std::max(m_accepted, stored.m_revision);
+  for (const Host& host : m_hosts) {
+    CheckServing(host);
+  }
+}
+
+void
+VirtualFleet::CheckServing(const Host& aHost)
+{
+  if (!aHost.m_up || aHost.m_paused ||
+      !aHost.m_node->Manager().Serving(m_now)) {
+    return;
+  }
+  const Revision revision = aHost.m_node->Manager().Current()->m_revision;
+  m_lostAccepted += revision < m_accepted ? 1 : 0;
+  GK_INVARIANT(revision >= m_accepted,
+               InvariantId::RevisionMonotonic,
+               aHost.m_name + " serves revision " + std::to_string(revision) +
+                 " after the acceptance of " + std::to_string(m_accepted));
+}
+
+void
+VirtualFleet::Carry(std::size_t aHost, const ConfigurationInForce& aAction)
+{
+  Host& host = m_hosts[aHost];
+  const Revision revision = aAction.m_configuration->m_revision;
+  m_reverts += revision < host.m_revision ? 1 : 0;
+  GK_INVARIANT(revision >= host.m_revision,
+               InvariantId::RevisionMonotonic,
+               host.m_name + " went back");
+  host.m_revision = revision;
+  const auto written = m_writtenAt.find(revision);
+  if (written != m_writtenAt.end()) {
+    m_inForceMax = std::max(m_inForceMax, m_now - written->second);
+  }
+}
+
+bool
+VirtualFleet::AllHave(Revision aRevision) const
+{
+  return std::all_of(m_hosts.begin(), m_hosts.end(), [&](const Host& aHost) {
+    return !aHost.m_up || aHost.m_paused ||
+           aHost.m_node->Manager().Current()->m_revision >= aRevision;
+  });
+}
+
+// ---- Operators ------------------------------------------------------------
+
+ServiceSpec
+VirtualFleet::Service(const std::string& aName, double aCoverage) const
+{
+  ServiceSpec spec;
+  spec.m_name = aName;
+  spec.m_shards = { "s1" };
+  ReplicaSpec replica;
+  replica.m_id = aName + "-1";
+  replica.m_address = "127.0.0.1:7001";
+  replica.m_dataCentre = "dc0";
+  replica.m_region = "r0";
+  replica.m_shard = "s1";
+  spec.m_replicas = { replica };
+  spec.m_policy.m_minCoverage = aCoverage;
+  return spec;
+}
+
+void
+VirtualFleet::Change(std::size_t aHost,
+                     const std::string& aOperation,
+                     const std::string& aService,
+                     double aCoverage)
+{
+  ChangeRequest request;
+  request.m_operationId = aOperation;
+  request.m_who = "ana";
+  request.m_from = "127.0.0.1";
+  request.m_when = m_now.time_since_epoch().count() / 1000;
+  request.m_change = "set " + aService + " to " + std::to_string(aCoverage);
+  request.m_set = { Service(aService, aCoverage) };
+  Deliver(aHost,
+          m_hosts[aHost].m_process,
+          [this, request](ControlNode& aNode, auto& aActions) {
+            aNode.Change(m_now, request, aActions);
+          });
+}
+
+void
+VirtualFleet::Carry(std::size_t /*aHost*/, const ChangeAnswered& aAction)
+{
+  m_answers.emplace(aAction.m_result.m_operationId, aAction.m_result);
+}
+
+} // namespace goldcrestkeel
