--- a/packages/control/include/goldcrestkeel/control/ControlActions.h
+++ b/packages/control/include/goldcrestkeel/control/ControlActions.h
@@ -61,7 +61,7 @@
 };
 
 /** Calls the store; StoreReplied with the same token follows. */
-struct CallStore
+struct ControlStoreCall
 {
   StoreToken m_token = 0;
   StoreCall m_call;
@@ -102,7 +102,7 @@
                                    LiveHostsChanged,
                                    SuspectsLearned,
                                    DrainsLearned,
-                                   CallStore,
+                                   ControlStoreCall,
                                    PushDocument,
                                    FetchDocument,
                                    ConfigurationInForce,
--- a/packages/control/src/ConfigurationManager.cpp
+++ b/packages/control/src/ConfigurationManager.cpp
@@ -148,7 +148,7 @@
                                aNow + aCall.m_wait + kStoreCallGrace,
                                aChange,
                                std::move(aDocument) });
-  aActions.push_back(CallStore{ token, aCall });
+  aActions.push_back(ControlStoreCall{ token, aCall });
 }
 
 void
--- a/packages/control/tests/VirtualFleet.cpp
+++ b/packages/control/tests/VirtualFleet.cpp
@@ -380,7 +380,7 @@
 }
 
 void
-VirtualFleet::Carry(std::size_t aHost, const CallStore& aAction)
+VirtualFleet::Carry(std::size_t aHost, const ControlStoreCall& aAction)
 {
   ++m_store.m_calls;
   const std::uint64_t process = m_hosts[aHost].m_process;
@@ -420,7 +420,7 @@
 }
 
 void
-VirtualFleet::CarryWatch(std::size_t aHost, const CallStore& aAction)
+VirtualFleet::CarryWatch(std::size_t aHost, const ControlStoreCall& aAction)
 {
   const std::uint64_t process = m_hosts[aHost].m_process;
   auto done = std::make_shared<bool>(false);
--- a/packages/control/tests/VirtualFleet.h
+++ b/packages/control/tests/VirtualFleet.h
@@ -128,7 +128,7 @@
   void Carry(std::size_t aHost, ControlActions& aActions);
   void Carry(std::size_t aHost, const SendProbe& aAction);
   void Carry(std::size_t aHost, const AnswerProbe& aAction);
-  void Carry(std::size_t aHost, const CallStore& aAction);
+  void Carry(std::size_t aHost, const ControlStoreCall& aAction);
   void Carry(std::size_t aHost, const PushDocument& aAction);
   void Carry(std::size_t aHost, const FetchDocument& aAction);
   void Carry(std::size_t aHost, const ConfigurationInForce& aAction);
@@ -137,7 +137,7 @@
   void Carry(std::size_t, const Other&)
   {
   }
-  void CarryWatch(std::size_t aHost, const CallStore& aAction);
+  void CarryWatch(std::size_t aHost, const ControlStoreCall& aAction);
   StoreResult RunStoreCall(const StoreCall& aCall);
   void NotifyWatchers();
   void Written();
