--- a/packages/control/include/goldcrestkeel/control/CommandGuard.h
+++ b/packages/control/include/goldcrestkeel/control/CommandGuard.h
@@ -200,7 +200,11 @@
   std::vector<std::string> m_exclude;
   /** The backend server must not start the command later than this. */
   WallTime m_startBefore = 0;
+  /** The backend server receives the time left until then. */
   TimePoint m_deadline;
+  /** The reply is awaited until then, later than the deadline: a late reply
+   *  still tells further requests with the key what happened. */
+  TimePoint m_replyBy;
 };
 
 /** Ends one request of SubmitCommand, exactly once for each. For a forwarded
