--- /dev/null
+++ b/benchmark/CommandFleet.cpp
@@ -0,0 +1,753 @@
+#include "CommandFleet.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace goldcrestkeel::benchmark {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr WallTime kEpoch = 1800000000000;
+/** Time after which a store client or a peer gives a call up. */
+constexpr Duration kStoreTimeout{ 1000000 };
+constexpr Duration kPeerTimeout{ 1500000 };
+constexpr Duration kRefusal{ 1000 };
+/** A late request arrives up to this long after the time-out. */
+constexpr std::uint64_t kLateUs = 6000000;
+/** Gap between the reads of the two halves of a list. */
+constexpr Duration kListGap{ 1000 };
+constexpr std::uint64_t kServiceUs = 20000;
+/** A session outlives its time to live by up to this share. */
+constexpr double kSessionSlack = 0.2;
+
+WallTime
+ToWall(Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
+    .count();
+}
+
+StoreResult
+StatusOnly(StoreStatus aStatus)
+{
+  StoreResult result;
+  result.m_status = aStatus;
+  return result;
+}
+
+std::string
+ResultOf(const Command& aCommand)
+{
+  return "done " + aCommand.m_key + " " + aCommand.m_body;
+}
+
+} // namespace
+
+CommandFleet::CommandFleet(const FleetOptions& aOptions)
+  : m_options(aOptions)
+  , m_random(MakeSeededRandom(aOptions.m_seed))
+  , m_now(Duration{ 1000000 })
+{
+  for (std::size_t i = 0; i < aOptions.m_hosts; ++i) {
+    m_hosts.push_back(std::make_unique<Host>());
+    m_hosts.back()->m_id = "host-" + std::to_string(i);
+    Restart(i);
+  }
+  PublishMembers(Duration{ 0 });
+}
+
+// ---- Time -----------------------------------------------------------------
+
+WallTime
+CommandFleet::TrueWall() const
+{
+  return kEpoch + ToWall(m_now.time_since_epoch());
+}
+
+WallTime
+CommandFleet::Wall(const Host& aHost) const
+{
+  return TrueWall() + aHost.m_clockError;
+}
+
+void
+CommandFleet::After(Duration aDelay, std::function<void()> aWork)
+{
+  m_queue.emplace(m_now + aDelay, std::move(aWork));
+}
+
+void
+CommandFleet::RunFor(Duration aTime)
+{
+  const TimePoint end = m_now + aTime;
+  while (!m_queue.empty() && m_queue.begin()->first <= end) {
+    const auto first = m_queue.begin();
+    m_now = std::max(m_now, first->first);
+    const std::function<void()> work = std::move(first->second);
+    m_queue.erase(first);
+    ++m_events;
+    work();
+  }
+  m_now = end;
+}
+
+// ---- Hosts ----------------------------------------------------------------
+
+void
+CommandFleet::Post(std::size_t aHost,
+                   std::uint64_t aIncarnation,
+                   Duration aDelay,
+                   std::function<void(Host&)> aWork)
+{
+  After(aDelay, [this, aHost, aIncarnation, work = std::move(aWork)] {
+    Host& host = *m_hosts[aHost];
+    if (!host.m_running || host.m_incarnation != aIncarnation) {
+      return;
+    }
+    if (host.m_pausedUntil > m_now) {
+      Post(aHost, aIncarnation, host.m_pausedUntil - m_now, work);
+      return;
+    }
+    work(host);
+  });
+}
+
+template<typename Event>
+void
+CommandFleet::Deliver(std::size_t aHost, const Event& aEvent)
+{
+  Host& host = *m_hosts[aHost];
+  GuardActions actions;
+  host.m_guard->Handle(m_now, Wall(host), aEvent, actions);
+  Execute(aHost, host.m_incarnation, std::move(actions));
+}
+
+void
+CommandFleet::FireTimers(std::size_t aHost)
+{
+  Host& host = *m_hosts[aHost];
+  GuardActions actions;
+  host.m_guard->FireTimers(m_now, Wall(host), actions);
+  Execute(aHost, host.m_incarnation, std::move(actions));
+}
+
+void
+CommandFleet::Arm(std::size_t aHost)
+{
+  Host& host = *m_hosts[aHost];
+  const auto next = host.m_guard->NextTimer();
+  if (!next || *next >= host.m_timerAt) {
+    return;
+  }
+  const TimePoint due = std::max(*next, m_now + Duration{ 1 });
+  host.m_timerAt = due;
+  Post(aHost, host.m_incarnation, due - m_now, [this, aHost, due](Host& aAt) {
+    if (aAt.m_timerAt == due) {
+      aAt.m_timerAt = TimePoint::max();
+      FireTimers(aHost);
+    }
+  });
+}
+
+void
+CommandFleet::Execute(std::size_t aHost,
+                      std::uint64_t aIncarnation,
+                      GuardActions aActions)
+{
+  Host& host = *m_hosts[aHost];
+  if (host.m_pauseAfterDecision.count() != 0 && !aActions.empty()) {
+    const Duration pause = host.m_pauseAfterDecision;
+    host.m_pauseAfterDecision = Duration{ 0 };
+    Pause(aHost, pause);
+    Post(aHost, aIncarnation, Duration{ 0 }, [=, this](Host&) {
+      Execute(aHost, aIncarnation, aActions);
+    });
+    return;
+  }
+  for (const GuardAction& action : aActions) {
+    std::visit([&](const auto& aAction) { Do(aHost, aAction); }, action);
+  }
+  if (host.m_running && host.m_incarnation == aIncarnation) {
+    Arm(aHost);
+  }
+}
+
+bool
+CommandFleet::Running(std::size_t aHost) const
+{
+  return m_hosts[aHost]->m_running;
+}
+
+void
+CommandFleet::Crash(std::size_t aHost)
+{
+  Host& host = *m_hosts[aHost];
+  host.m_running = false;
+  host.m_requests.clear();
+  host.m_handovers.clear();
+  host.m_calls.clear();
+  host.m_attempts.clear();
+}
+
+void
+CommandFleet::Restart(std::size_t aHost)
+{
+  Host& host = *m_hosts[aHost];
+  Crash(aHost);
+  CommandGuardOptions options = m_options.m_guard;
+  options.m_host = host.m_id;
+  host.m_random = MakeSeededRandom(m_random->Next());
+  host.m_guard =
+    MakeCommandGuard(m_options.m_strategy, options, *host.m_random);
+  host.m_incarnation = m_nextIncarnation++;
+  host.m_running = true;
+  host.m_draining = false;
+  host.m_pausedUntil = m_now;
+  host.m_pauseAfterDecision = Duration{ 0 };
+  host.m_timerAt = TimePoint::max();
+  Post(aHost, host.m_incarnation, Duration{ 0 }, [this, aHost](Host&) {
+    FireTimers(aHost);
+  });
+}
+
+void
+CommandFleet::Pause(std::size_t aHost, Duration aTime)
+{
+  Host& host = *m_hosts[aHost];
+  host.m_pausedUntil = std::max(host.m_pausedUntil, m_now + aTime);
+}
+
+void
+CommandFleet::PauseAfterDecision(std::size_t aHost, Duration aTime)
+{
+  m_hosts[aHost]->m_pauseAfterDecision = aTime;
+}
+
+void
+CommandFleet::Shutdown(std::size_t aHost)
+{
+  Host& host = *m_hosts[aHost];
+  host.m_draining = true;
+  Post(aHost, host.m_incarnation, Duration{ 0 }, [this, aHost](Host&) {
+    Deliver(aHost, BeginShutdown{});
+  });
+}
+
+void
+CommandFleet::SetClockError(std::size_t aHost, WallTime aError)
+{
+  m_hosts[aHost]->m_clockError = aError;
+}
+
+const CommandGuard&
+CommandFleet::Guard(std::size_t aHost) const
+{
+  return *m_hosts[aHost]->m_guard;
+}
+
+void
+CommandFleet::PublishMembers(Duration aLag)
+{
+  MemberListChanged event;
+  for (const auto& host : m_hosts) {
+    if (host->m_running && !host->m_draining) {
+      event.m_alive.push_back(host->m_id);
+    }
+  }
+  for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+    const Duration lag{ aLag.count() == 0
+                          ? 0
+                          : m_random->Below(
+                              static_cast<std::uint64_t>(aLag.count())) };
+    Post(i, m_hosts[i]->m_incarnation, lag, [this, i, event](Host&) {
+      Deliver(i, event);
+    });
+  }
+}
+
+std::size_t
+CommandFleet::OwnerOf(const std::string& aKey) const
+{
+  const std::string key = m_options.m_guard.m_storePrefix + "ranges/" +
+                          std::to_string(RangeOfKey(aKey));
+  const auto item = m_items.find(key);
+  if (item == m_items.end()) {
+    return m_hosts.size();
+  }
+  return IndexOf(Json::parse(item->second.m_value).at("owner"));
+}
+
+std::size_t
+CommandFleet::IndexOf(const std::string& aId) const
+{
+  const auto host = std::find_if(
+    m_hosts.begin(), m_hosts.end(), [&](const std::unique_ptr<Host>& aHost) {
+      return aHost->m_id == aId;
+    });
+  return static_cast<std::size_t>(host - m_hosts.begin());
+}
+
+// ---- Callers --------------------------------------------------------------
+
+std::string
+CommandFleet::NewKey(WallTime aError)
+{
+  return std::to_string(TrueWall() + aError) + "-" +
+         std::to_string(m_nextKey++);
+}
+
+bool
+CommandFleet::Submit(std::size_t aHost,
+                     const Command& aCommand,
+                     Duration aDeadline,
+                     Done aDone)
+{
+  Host& host = *m_hosts[aHost];
+  if (!host.m_running) {
+    return false;
+  }
+  const SubmitCommand event{ m_nextRequest++, aCommand, aDeadline, false };
+  Post(aHost,
+       host.m_incarnation,
+       Duration{ 0 },
+       [this, aHost, event, done = std::move(aDone)](Host& aAt) {
+         const std::string key = event.m_command.m_key;
+         aAt.m_requests[event.m_request] =
+           [this, key, done, start = m_now](const AnswerCommand& aAnswer) {
+             const CommandOutcome& outcome = aAnswer.m_outcome;
+             if (outcome.m_ran == Ran::No) {
+               m_toldNotRun.insert(key);
+               if (Runs(key) != 0) {
+                 ++m_falseNotRun;
+               }
+               GK_INVARIANT(!m_options.m_assert || Runs(key) == 0,
+                            InvariantId::NotRunIsTrue,
+                            key + " was told not run, but has run");
+             }
+             if (outcome.m_ran == Ran::Yes) {
+               GK_INVARIANT(Runs(key) != 0,
+                            InvariantId::OwnAnswer,
+                            key + " was told run, but has not run");
+               const Duration added = m_now - start - m_attemptTime[key];
+               m_addedMs.push_back(
+                 std::max(0.0, static_cast<double>(added.count()) / 1000));
+             }
+             done(outcome);
+           };
+         Deliver(aHost, event);
+       });
+  return true;
+}
+
+std::optional<CommandOutcome>
+CommandFleet::Ask(std::size_t aHost,
+                  const Command& aCommand,
+                  Duration aDeadline)
+{
+  auto answer = std::make_shared<std::optional<CommandOutcome>>();
+  Submit(aHost, aCommand, aDeadline, [answer](const CommandOutcome& aOutcome) {
+    *answer = aOutcome;
+  });
+  const TimePoint end = m_now + aDeadline + Duration{ 100000 };
+  while (!*answer && m_now < end) {
+    RunFor(Duration{ 1000 });
+  }
+  return *answer;
+}
+
+void
+CommandFleet::Do(std::size_t aHost, const AnswerCommand& aAction)
+{
+  Host& host = *m_hosts[aHost];
+  const auto request = host.m_requests.extract(aAction.m_request);
+  GK_INVARIANT(
+    !request.empty(), InvariantId::OwnAnswer, "a request was answered twice");
+  request.mapped()(aAction);
+}
+
+// ---- Peers ----------------------------------------------------------------
+
+Fate
+CommandFleet::PeerFate(std::size_t aFrom, std::size_t aTo)
+{
+  if (aTo >= m_hosts.size() || !m_hosts[aTo]->m_running) {
+    return Fate::Refused;
+  }
+  return m_peerFate ? m_peerFate(aFrom, aTo) : Fate::Delivered;
+}
+
+template<typename Event>
+void
+CommandFleet::CompleteCall(const Call& aCall,
+                           Duration aDelay,
+                           const Event& aEvent)
+{
+  Post(aCall.m_host,
+       aCall.m_incarnation,
+       aDelay,
+       [this, aCall, aEvent](Host& aAt) {
+         if (aAt.m_calls.erase(aCall.m_call) != 0) {
+           Deliver(aCall.m_host, aEvent);
+         }
+       });
+}
+
+void
+CommandFleet::FailPeer(const Call& aCall, Duration aDelay, bool aNeverSent)
+{
+  CompleteCall(aCall, aDelay, PeerFailure{ aCall.m_call, aNeverSent });
+}
+
+void
+CommandFleet::Do(std::size_t aHost, const ForwardCommand& aAction)
+{
+  Host& host = *m_hosts[aHost];
+  const Call call{ aHost, host.m_incarnation, aAction.m_call };
+  host.m_calls.insert(aAction.m_call);
+  const std::size_t to = IndexOf(aAction.m_host);
+  const Fate fate = PeerFate(aHost, to);
+  if (fate == Fate::Refused) {
+    FailPeer(call, m_options.m_peerDelay, true);
+    return;
+  }
+  FailPeer(call, kPeerTimeout, false);
+  if (fate == Fate::RequestLost) {
+    return;
+  }
+  const Duration delay = fate == Fate::Late
+                           ? kPeerTimeout + Duration{ m_random->Below(kLateUs) }
+                           : m_options.m_peerDelay;
+  SubmitCommand event{
+    m_nextRequest++, aAction.m_command, aAction.m_deadline - m_now, true
+  };
+  Post(to, m_hosts[to]->m_incarnation, delay, [=, this](Host& aAt) {
+    aAt.m_requests[event.m_request] = [=, this](const AnswerCommand& aAnswer) {
+      if (fate != Fate::ReplyLost) {
+        CompleteCall(call,
+                     m_options.m_peerDelay,
+                     ForwardReply{ call.m_call,
+                                   aAnswer.m_notOwner,
+                                   aAnswer.m_owner,
+                                   aAnswer.m_outcome });
+      }
+    };
+    Deliver(to, event);
+  });
+}
+
+void
+CommandFleet::Do(std::size_t aHost, const SendHandover& aAction)
+{
+  Host& host = *m_hosts[aHost];
+  const Call call{ aHost, host.m_incarnation, aAction.m_call };
+  host.m_calls.insert(aAction.m_call);
+  const std::size_t to = IndexOf(aAction.m_host);
+  const Fate fate = PeerFate(aHost, to);
+  if (fate == Fate::Refused) {
+    FailPeer(call, m_options.m_peerDelay, true);
+    return;
+  }
+  FailPeer(call, kPeerTimeout, false);
+  if (fate == Fate::RequestLost) {
+    return;
+  }
+  const Duration delay = fate == Fate::Late
+                           ? kPeerTimeout + Duration{ m_random->Below(kLateUs) }
+                           : m_options.m_peerDelay;
+  const ReceiveHandover event{ m_nextRequest++,      host.m_id,
+                               aAction.m_range,      aAction.m_storeIndex,
+                               aAction.m_knownSince, aAction.m_records };
+  Post(to, m_hosts[to]->m_incarnation, delay, [=, this](Host& aAt) {
+    aAt.m_handovers[event.m_request] = [=, this](bool aAccepted) {
+      if (fate != Fate::ReplyLost) {
+        CompleteCall(
+          call, m_options.m_peerDelay, HandoverReply{ call.m_call, aAccepted });
+      }
+    };
+    Deliver(to, event);
+  });
+}
+
+void
+CommandFleet::Do(std::size_t aHost, const AnswerHandover& aAction)
+{
+  Host& host = *m_hosts[aHost];
+  const auto request = host.m_handovers.extract(aAction.m_request);
+  GK_INVARIANT(
+    !request.empty(), InvariantId::OwnAnswer, "a handover was answered twice");
+  request.mapped()(aAction.m_accepted);
+}
+
+// ---- Store ----------------------------------------------------------------
+
+std::string
+CommandFleet::LiveSession(const std::string& aSession) const
+{
+  const auto session = m_sessions.find(aSession);
+  const bool alive =
+    session != m_sessions.end() && session->second.m_end > m_now;
+  return alive ? aSession : std::string();
+}
+
+void
+CommandFleet::Do(std::size_t aHost, const CallStore& aAction)
+{
+  Host& host = *m_hosts[aHost];
+  const Call call{ aHost, host.m_incarnation, aAction.m_call };
+  host.m_calls.insert(aAction.m_call);
+  const StoreCall store = aAction.m_store;
+  const bool read = store.m_operation == StoreOperation::Get ||
+                    store.m_operation == StoreOperation::List;
+  ++(read ? m_storeReads : m_storeWrites);
+  Fate fate = m_storeFate ? m_storeFate(aHost, store) : Fate::Delivered;
+  if (StoreIsDown()) {
+    fate = m_random->Below(2) == 0 ? Fate::Refused : Fate::RequestLost;
+  }
+  if (fate == Fate::Refused) {
+    CompleteCall(call,
+                 kRefusal,
+                 StoreReply{ call.m_call, StatusOnly(StoreStatus::Failed) });
+    return;
+  }
+  CompleteCall(call,
+               kStoreTimeout,
+               StoreReply{ call.m_call, StatusOnly(StoreStatus::Unknown) });
+  if (fate == Fate::RequestLost) {
+    return;
+  }
+  const Duration delay =
+    fate == Fate::Late ? kStoreTimeout + Duration{ m_random->Below(kLateUs) }
+                       : m_options.m_storeDelay;
+  After(delay, [=, this] {
+    const auto answer = [=, this](const StoreResult& aResult) {
+      if (fate != Fate::ReplyLost) {
+        CompleteCall(
+          call, m_options.m_storeDelay, StoreReply{ call.m_call, aResult });
+      }
+    };
+    if (store.m_operation != StoreOperation::List) {
+      answer(Apply(store));
+      return;
+    }
+    // The sessions' keys are read first, the ranges' keys later.
+    Json list = Json::parse(ListJson(store.m_key + "hosts/"));
+    After(kListGap, [=, this]() mutable {
+      for (Json& item : Json::parse(ListJson(store.m_key + "ranges/"))) {
+        list.push_back(std::move(item));
+      }
+      answer(StoreResult{ StoreStatus::Ok, list.dump(), 0, {} });
+    });
+  });
+}
+
+std::string
+CommandFleet::ListJson(const std::string& aPrefix) const
+{
+  Json list = Json::array();
+  for (auto item = m_items.lower_bound(aPrefix);
+       item != m_items.end() && item->first.starts_with(aPrefix);
+       ++item) {
+    list.push_back({ { "key", item->first },
+                     { "value", item->second.m_value },
+                     { "index", item->second.m_index },
+                     { "session", LiveSession(item->second.m_session) } });
+  }
+  return list.dump();
+}
+
+StoreResult
+CommandFleet::Apply(const StoreCall& aCall)
+{
+  const auto item = m_items.find(aCall.m_key);
+  switch (aCall.m_operation) {
+    case StoreOperation::Get:
+      if (item == m_items.end()) {
+        return StatusOnly(StoreStatus::NotFound);
+      }
+      return { StoreStatus::Ok,
+               item->second.m_value,
+               item->second.m_index,
+               LiveSession(item->second.m_session) };
+    case StoreOperation::CompareAndSwap: {
+      const std::uint64_t index =
+        item == m_items.end() ? 0 : item->second.m_index;
+      if (index != aCall.m_index) {
+        return StatusOnly(StoreStatus::Conflict);
+      }
+      Item& target = m_items[aCall.m_key];
+      target.m_value = aCall.m_value;
+      target.m_index = ++m_index;
+      // Some stores report the new index, others do not.
+      return { StoreStatus::Ok, {}, m_index % 4 == 0 ? 0 : m_index, {} };
+    }
+    case StoreOperation::Acquire: {
+      if (LiveSession(aCall.m_session).empty()) {
+        return StatusOnly(StoreStatus::NotFound);
+      }
+      Item& target = m_items[aCall.m_key];
+      const std::string holder = LiveSession(target.m_session);
+      if (!holder.empty() && holder != aCall.m_session) {
+        return StatusOnly(StoreStatus::Conflict);
+      }
+      target = Item{ aCall.m_value, ++m_index, aCall.m_session };
+      return { StoreStatus::Ok, {}, m_index, aCall.m_session };
+    }
+    case StoreOperation::CreateSession: {
+      const std::string id = "session-" + std::to_string(m_nextSession++);
+      m_sessions[id] = Session{ aCall.m_ttl, m_now + aCall.m_ttl };
+      return { StoreStatus::Ok, {}, 0, id };
+    }
+    case StoreOperation::RenewSession: {
+      if (LiveSession(aCall.m_session).empty()) {
+        return StatusOnly(StoreStatus::NotFound);
+      }
+      Session& session = m_sessions[aCall.m_session];
+      const auto slack = static_cast<std::uint64_t>(
+        kSessionSlack * static_cast<double>(session.m_ttl.count()));
+      session.m_end =
+        m_now + session.m_ttl + Duration{ m_random->Below(slack + 1) };
+      return StatusOnly(StoreStatus::Ok);
+    }
+    case StoreOperation::DestroySession:
+      m_sessions.erase(aCall.m_session);
+      return StatusOnly(StoreStatus::Ok);
+    case StoreOperation::Watch:
+    case StoreOperation::Release:
+    case StoreOperation::List:
+      break;
+  }
+  return StatusOnly(StoreStatus::Failed);
+}
+
+// ---- Backend servers ------------------------------------------------------
+
+template<typename Event>
+void
+CommandFleet::CompleteAttempt(std::size_t aHost,
+                              std::uint64_t aIncarnation,
+                              CommandAttemptId aAttempt,
+                              Duration aDelay,
+                              const Event& aEvent)
+{
+  Post(aHost, aIncarnation, aDelay, [=, this](Host& aAt) {
+    if (aAt.m_attempts.erase(aAttempt) != 0) {
+      Deliver(aHost, aEvent);
+    }
+  });
+}
+
+void
+CommandFleet::Do(std::size_t aHost, const SendCommand& aAction)
+{
+  Host& host = *m_hosts[aHost];
+  const std::uint64_t incarnation = host.m_incarnation;
+  const CommandAttemptId attempt = aAction.m_attempt;
+  host.m_attempts.insert(attempt);
+  std::vector<std::string> replicas;
+  for (std::size_t i = 0; i < m_options.m_replicas; ++i) {
+    const std::string replica = "replica-" + std::to_string(i);
+    if (std::find(aAction.m_exclude.begin(),
+                  aAction.m_exclude.end(),
+                  replica) == aAction.m_exclude.end()) {
+      replicas.push_back(replica);
+    }
+  }
+  if (replicas.empty()) {
+    CompleteAttempt(aHost,
+                    incarnation,
+                    attempt,
+                    Duration{ 0 },
+                    NoReplicaForCommand{ attempt });
+    return;
+  }
+  const std::string replica = replicas[m_random->Below(replicas.size())];
+  const Fate fate =
+    m_backendFate ? m_backendFate(aHost, aAction) : Fate::Delivered;
+  const Duration delay = m_options.m_backendDelay;
+  const auto fail = [&](Duration aDelay, SubFailureKind aKind) {
+    CompleteAttempt(aHost,
+                    incarnation,
+                    attempt,
+                    aDelay,
+                    BackendFailure{ attempt, replica, aKind });
+  };
+  switch (fate) {
+    case Fate::Refused:
+      fail(delay, SubFailureKind::ConnectFailed);
+      return;
+    case Fate::Shed:
+      fail(2 * delay, SubFailureKind::Shed);
+      return;
+    case Fate::RequestLost:
+      fail(2 * delay, SubFailureKind::Reset);
+      return;
+    case Fate::ReplyLost:
+    case Fate::Late:
+      fail(3 * delay, SubFailureKind::Reset);
+      break;
+    case Fate::Delivered:
+    case Fate::Crossed:
+      fail(aAction.m_replyBy - m_now, SubFailureKind::TimedOut);
+      break;
+  }
+  const Duration queued = m_queueTime ? m_queueTime() : Duration{ 0 };
+  After(delay + queued, [=, this, sentAt = m_now] {
+    const WallTime error = m_backendClockError ? m_backendClockError() : 0;
+    if (TrueWall() + error > aAction.m_startBefore ||
+        m_now > aAction.m_deadline) {
+      CompleteAttempt(
+        aHost,
+        incarnation,
+        attempt,
+        m_options.m_backendDelay,
+        BackendFailure{ attempt, replica, SubFailureKind::DeadlinePassed });
+      return;
+    }
+    Start(aHost, incarnation, aAction, sentAt, fate);
+  });
+}
+
+void
+CommandFleet::Start(std::size_t aHost,
+                    std::uint64_t aIncarnation,
+                    const SendCommand& aAction,
+                    TimePoint aSentAt,
+                    Fate aFate)
+{
+  const std::string& key = aAction.m_command.m_key;
+  const std::uint32_t runs = ++m_runs[key];
+  if (runs > 1) {
+    ++m_duplicates;
+  }
+  GK_INVARIANT(!m_options.m_assert || runs == 1,
+               InvariantId::AtMostOnce,
+               key + " ran twice");
+  if (m_toldNotRun.contains(key)) {
+    ++m_falseNotRun;
+    GK_INVARIANT(!m_options.m_assert,
+                 InvariantId::NotRunIsTrue,
+                 key + " ran after the answer that it has not run");
+  }
+  const Duration service{ 1000 + m_random->Below(kServiceUs) };
+  const Duration delay = service + m_options.m_backendDelay;
+  m_attemptTime[key] = m_now + delay - aSentAt;
+  BackendReply reply{
+    aAction.m_attempt, aAction.m_attempt, key, ResultOf(aAction.m_command)
+  };
+  if (aFate == Fate::Crossed) {
+    reply.m_echoKey = "1-other";
+  }
+  CompleteAttempt(aHost, aIncarnation, aAction.m_attempt, delay, reply);
+}
+
+std::uint32_t
+CommandFleet::Runs(const std::string& aKey) const
+{
+  const auto runs = m_runs.find(aKey);
+  return runs == m_runs.end() ? 0 : runs->second;
+}
+
+} // namespace goldcrestkeel::benchmark
