Hedge by deviations above the replica's average

Cause: a multiple of the average waits too long for replicas in other data centres, whose latency is mostly constant network delay. Change: replicas keep a mean deviation; the policy learns the quantile of the distance from the average in deviations.

--- a/packages/core/src/Engine.cpp
+++ b/packages/core/src/Engine.cpp
@@ -664,7 +664,8 @@
 {
   const Attempt attempt = *m_attempts.Find(aId);
   m_attempts.Remove(aId);
-  const Duration expected = ExpectedLatency(m_replicas[attempt.m_replica]);
+  const LatencyEstimate expected =
+    ExpectedLatency(m_replicas[attempt.m_replica]);
   --m_replicas[attempt.m_replica].m_inFlight;
   m_freed.push_back(attempt.m_replica);
   RecordEnd(aNow, attempt.m_replica, aEnd, aNow - attempt.m_sentAt);
--- a/packages/core/src/HedgePolicy.cpp
+++ b/packages/core/src/HedgePolicy.cpp
@@ -29,16 +29,18 @@
 class NoHedge : public HedgePolicy
 {
 public:
-  void Observe(Duration, Duration) override {}
-  std::optional<Duration> Delay(Duration) const override
+  void Observe(Duration, const LatencyEstimate&) override {}
+  std::optional<Duration> Delay(const LatencyEstimate&) const override
   {
     return std::nullopt;
   }
 };
 
-/** Learns how much longer than the average of its replica a sub-request takes.
- *  A quantile of the latencies themselves would hedge nearly all sub-requests
- *  of a shard whose replicas are all far away. */
+/** Learns by how many deviations a sub-request exceeds the average of its
+ *  replica. A quantile of the latencies themselves would hedge nearly all
+ *  sub-requests of a shard whose replicas are all far away, and a multiple of
+ *  the average would wait too long on them, since the network's part of the
+ *  latency hardly varies. */
 class QuantileHedge : public HedgePolicy
 {
 public:
@@ -48,13 +50,13 @@
   {
   }
 
-  void Observe(Duration aLatency, Duration aExpected) override
+  void Observe(Duration aLatency, const LatencyEstimate& aExpected) override
   {
-    if (aExpected <= Duration{ 0 }) {
+    if (aExpected.m_deviation <= 0) {
       return;
     }
-    m_tail(static_cast<double>(aLatency.count()) /
-           static_cast<double>(aExpected.count()));
+    m_tail((static_cast<double>(aLatency.count()) - aExpected.m_mean) /
+           aExpected.m_deviation);
     const std::size_t count = accumulators::count(m_tail);
     if (count == kWindow || (!m_factor && count == kFirstWindow)) {
       m_factor = accumulators::quantile(
@@ -65,13 +67,13 @@
     }
   }
 
-  std::optional<Duration> Delay(Duration aExpected) const override
+  std::optional<Duration> Delay(const LatencyEstimate& aExpected) const override
   {
-    if (!m_factor || aExpected <= Duration{ 0 }) {
+    if (!m_factor || aExpected.m_deviation <= 0) {
       return std::nullopt;
     }
     return Duration{ static_cast<Duration::rep>(
-      *m_factor * static_cast<double>(aExpected.count())) };
+      aExpected.m_mean + *m_factor * aExpected.m_deviation) };
   }
 
 private:
--- a/packages/core/src/ReplicaHealth.cpp
+++ b/packages/core/src/ReplicaHealth.cpp
@@ -1,6 +1,7 @@
 #include "ReplicaHealth.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace goldcrestkeel {
 
@@ -12,6 +13,9 @@
 /** A single sample counts at most this multiple of the average. */
 constexpr double kSampleLimit = 4;
 
+/** Deviation assumed after one sample, as a share of the average. */
+constexpr double kFirstDeviation = 0.5;
+
 constexpr std::uint32_t kOutlierFailures = 5;
 constexpr Duration kFirstEjection{ 1000000 };
 /** Below the 5 s in which normal latency must be back after an outage. */
@@ -26,8 +30,12 @@
   auto sample = static_cast<double>(aElapsed.count());
   if (aReplica.m_latency == 0) {
     aReplica.m_latency = std::max(sample, 1.0);
+    aReplica.m_deviation = aReplica.m_latency * kFirstDeviation;
   } else {
     sample = std::min(sample, kSampleLimit * aReplica.m_latency);
+    aReplica.m_deviation +=
+      kSampleWeight *
+      (std::abs(sample - aReplica.m_latency) - aReplica.m_deviation);
     aReplica.m_latency += kSampleWeight * (sample - aReplica.m_latency);
   }
   aReplica.m_latencyAt = aNow;
@@ -70,10 +78,10 @@
   }
 }
 
-Duration
+LatencyEstimate
 ExpectedLatency(const ReplicaState& aReplica)
 {
-  return Duration{ static_cast<Duration::rep>(aReplica.m_latency) };
+  return { aReplica.m_latency, aReplica.m_deviation };
 }
 
 bool
--- a/packages/core/src/ReplicaHealth.h
+++ b/packages/core/src/ReplicaHealth.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "HedgePolicy.h"
 #include "ReplicaTable.h"
 
 #include <goldcrestkeel/core/Random.h>
@@ -32,8 +33,7 @@
           AttemptEnd aEnd,
           Duration aElapsed);
 
-/** Average latency, 0 before the first sample. */
-Duration
+LatencyEstimate
 ExpectedLatency(const ReplicaState& aReplica);
 
 /** True if the replica has failed so often that it should be ejected. */
--- a/packages/core/src/ReplicaTable.h
+++ b/packages/core/src/ReplicaTable.h
@@ -42,6 +42,8 @@
 
   /** Moving average in microseconds; 0 before the first sample. */
   double m_latency = 0;
+  /** Moving average of the distance from m_latency. */
+  double m_deviation = 0;
   TimePoint m_latencyAt;
   /** Requests of all hosts by the replica's own report, less this host's. */
   std::uint32_t m_reportedLoad = 0;
--- a/packages/core/tests/HedgeTest.cpp
+++ b/packages/core/tests/HedgeTest.cpp
@@ -10,7 +10,7 @@
 TEST_CASE("The hedge delay is a quantile of the observed latencies", "[hedge]")
 {
   const auto policy = MakeHedgePolicy("quantile", 0.05);
-  const Duration expected{ 500 };
+  const LatencyEstimate expected{ 500, 100 };
   REQUIRE_FALSE(policy->Delay(expected));
   for (int i = 1; i <= 1000; ++i) {
     policy->Observe(Duration{ i }, expected);
@@ -18,9 +18,10 @@
   REQUIRE(policy->Delay(expected)->count() == Approx(955).margin(5));
   REQUIRE_FALSE(MakeHedgePolicy("none", 0.05)->Delay(expected));
 
-  SECTION("relative to the average latency of the replica")
+  SECTION("relative to what is known of the replica")
   {
-    REQUIRE(policy->Delay(2 * expected)->count() == Approx(1910).margin(10));
+    REQUIRE(policy->Delay({ 5000, 100 })->count() == Approx(5455).margin(5));
+    REQUIRE(policy->Delay({ 500, 200 })->count() == Approx(1410).margin(10));
   }
 }
 
