Limit a latency sample by deviations

Cause: a straggler counted up to four averages and delayed the hedges of the next samples of its replica. Change: a sample counts at most four deviations above the average.

--- a/packages/core/src/ReplicaHealth.cpp
+++ b/packages/core/src/ReplicaHealth.cpp
@@ -10,7 +10,8 @@
 /** Weight of a new latency sample: a lasting change shows after some 20
  *  samples, a single straggler hardly. */
 constexpr double kSampleWeight = 0.1;
-/** A single sample counts at most this multiple of the average. */
+/** A single sample counts at most this many deviations above the average; a
+ *  straggler would otherwise delay the hedges of the next samples. */
 constexpr double kSampleLimit = 4;
 
 /** Deviation assumed after one sample, as a share of the average. */
@@ -32,7 +33,8 @@
     aReplica.m_latency = std::max(sample, 1.0);
     aReplica.m_deviation = aReplica.m_latency * kFirstDeviation;
   } else {
-    sample = std::min(sample, kSampleLimit * aReplica.m_latency);
+    sample = std::min(
+      sample, aReplica.m_latency + kSampleLimit * aReplica.m_deviation);
     aReplica.m_deviation +=
       kSampleWeight *
       (std::abs(sample - aReplica.m_latency) - aReplica.m_deviation);
