Predict waiting only when all slots of a replica are taken

Cause: least_loaded counted each request in flight as a third of a service time, so that a slow replica nearby looked better than a busy one that still had free slots; traces of the searches above 50 ms showed it. Change: the predicted latency grows only from the number of slots on.

--- a/packages/core/src/ReplicaSelector.cpp
+++ b/packages/core/src/ReplicaSelector.cpp
@@ -86,8 +86,9 @@
         : aReplica.m_reportedLoad *
             std::exp(-Age(aNow, aReplica.m_reportedAt) / kReportMemory);
     const double load = aReplica.m_inFlight + others;
-    const double score =
-      latency * (1 + load / std::max<std::uint32_t>(aReplica.m_slots, 1));
+    // Requests wait only when all slots are taken.
+    const double slots = std::max<std::uint32_t>(aReplica.m_slots, 1);
+    const double score = latency * std::max(1.0, (load + 1) / slots);
     return aReplica.m_nearDataCentre ? score / kNearPreference : score;
   }
 };
