--- a/packages/core/src/ReplicaSelector.cpp
+++ b/packages/core/src/ReplicaSelector.cpp
@@ -77,8 +77,13 @@
   {
     double latency = kUnknownLatency;
     if (aReplica.m_latency > 0) {
-      latency = aReplica.m_latency *
-                std::exp(-Age(aNow, aReplica.m_latencyAt) / kLatencyMemory);
+      // While one request tries a replica that was slow, the others must not
+      // follow it.
+      const bool fades = aReplica.m_inFlight == 0;
+      latency =
+        fades ? aReplica.m_latency *
+                  std::exp(-Age(aNow, aReplica.m_latencyAt) / kLatencyMemory)
+              : aReplica.m_latency;
     }
     const double others =
       aReplica.m_reportedLoad == 0
