--- a/packages/core/src/Engine.cpp
+++ b/packages/core/src/Engine.cpp
@@ -3,6 +3,8 @@
 #include <goldcrestkeel/core/Invariant.h>
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace goldcrestkeel {
 
@@ -11,6 +13,14 @@
 /** A query that has met this many retired versions answers with what it has.
  */
 constexpr std::uint32_t kMaxRestarts = 3;
+/** A shard whose connection was reset is not tried again before resets of other
+ *  shards of the same fan-out could have arrived: a round trip between regions
+ *  takes up to 46 ms with both client legs, half of which is common. */
+constexpr Duration kResetPause{ 25000 };
+/** Shortest time between two looks at the stragglers of one query. */
+constexpr Duration kHedgeStep{ 2000 };
+/** Shortest time between two looks at a queue of waiting searches. */
+constexpr Duration kShortestTimer{ 100 };
 /** Replicas of one shard that are compared. */
 constexpr std::size_t kMaxEligible = 16;
 
@@ -35,6 +45,9 @@
 AttemptEnd
 EndOf(SubFailureKind aKind)
 {
+  if (aKind == SubFailureKind::Reset) {
+    return AttemptEnd::Reset;
+  }
   const bool refused =
     CertainlyNotRun(aKind) && aKind != SubFailureKind::ConnectFailed;
   return refused ? AttemptEnd::Refused : AttemptEnd::Failed;
@@ -99,6 +112,7 @@
   : m_options(aOptions)
   , m_random(aRandom)
   , m_snapshots(MakeBestCoverageSelector())
+  , m_shares(aOptions.m_joinedAt)
 {
 }
 
@@ -115,7 +129,8 @@
       previous->m_history->m_extraLoad == aSpec.m_policy.m_extraLoad) {
     service->m_history = previous->m_history;
   } else {
-    service->m_history = std::make_shared<ServiceHistory>(aSpec);
+    service->m_history =
+      std::make_shared<ServiceHistory>(aSpec, m_options.m_maxQueuedQueries);
   }
   for (const ReplicaSpec& spec : aSpec.m_replicas) {
     const ReplicaIndex index = m_replicas.Intern(spec.m_id);
@@ -203,9 +218,41 @@
     return;
   }
   replica.m_held = aEvent.m_versions;
-  if (const auto service = FindService(m_owners[*index])) {
-    service->m_views =
-      UpdateViews(m_replicas, service->m_replicas, service->m_views);
+  RefreshViews(aNow, m_owners[*index]);
+}
+
+void
+Engine::RefreshViews(TimePoint aNow, const std::string& aService)
+{
+  const auto service = FindService(aService);
+  if (!service) {
+    return;
+  }
+  const auto previous = std::exchange(
+    service->m_views,
+    UpdateViews(m_replicas, service->m_replicas, service->m_views));
+  for (const auto& view : previous) {
+    const auto& views = service->m_views;
+    if (view->m_waiting == 0 ||
+        std::find(views.begin(), views.end(), view) != views.end()) {
+      continue;
+    }
+    for (ShardGroup& group : view->m_groups) {
+      for (const WaitingShard& waiting : std::exchange(group.m_waiting, {})) {
+        Query* query = FindQuery(waiting.m_query);
+        if (query != nullptr && query->m_epoch == waiting.m_epoch) {
+          query->m_shards[waiting.m_shard].m_waiting = false;
+          query->m_shards[waiting.m_shard].m_retryDue = true;
+          m_timers.Add({ aNow,
+                         TimerKind::Retry,
+                         waiting.m_query,
+                         waiting.m_shard,
+                         waiting.m_epoch });
+        }
+      }
+    }
+    view->m_waiting = 0;
+    view->m_saturated = 0;
   }
 }
 
@@ -234,8 +281,35 @@
 }
 
 void
-Engine::SetLiveHosts(TimePoint, std::uint32_t)
+Engine::SetLiveHosts(TimePoint aNow, std::uint32_t aLiveHosts)
+{
+  m_shares.SetLiveHosts(aNow, aLiveHosts);
+}
+
+std::uint32_t
+Engine::ConnectionShare(TimePoint aNow, const std::string& aReplica)
+{
+  const auto index = m_replicas.Find(aReplica);
+  if (!index) {
+    return 0;
+  }
+  return m_shares.Connections(aNow, m_replicas[*index].m_connections);
+}
+
+void
+Engine::BeginShutdown(TimePoint)
 {
+  m_shuttingDown = true;
+}
+
+bool
+Engine::Idle() const
+{
+  return m_queries.empty() && m_commandsOut == 0 &&
+         std::all_of(
+           m_services.begin(), m_services.end(), [](const auto& aItem) {
+             return aItem.second->m_history->m_admission.empty();
+           });
 }
 
 // ---- Start ----------------------------------------------------------------
@@ -259,6 +333,13 @@
 Engine::Handle(TimePoint aNow, const StartSearch& aEvent, Actions& aActions)
 {
   ++m_counters.m_queries;
+  if (m_shuttingDown) {
+    Refuse(aEvent.m_query,
+           ErrorKind::ShuttingDown,
+           "this entry host is shutting down",
+           aActions);
+    return;
+  }
   const auto service = FindService(aEvent.m_service);
   if (!service) {
     Refuse(aEvent.m_query,
@@ -274,19 +355,76 @@
            aActions);
     return;
   }
-  if (m_queries.size() >= m_options.m_maxRunningQueries) {
-    Refuse(aEvent.m_query,
+  const Duration deadline = aEvent.m_deadline > Duration{ 0 }
+                              ? aEvent.m_deadline
+                              : service->m_spec.m_policy.m_deadline;
+  QueuedSearch search{ aEvent, aNow, aNow + deadline };
+  AdmissionQueue& queue = service->m_history->m_admission;
+  if (queue.empty() && CanStart(*service)) {
+    Begin(aNow, search, aActions);
+    return;
+  }
+  if (const auto refused = queue.Push(std::move(search))) {
+    Refuse(refused->m_request.m_query,
            ErrorKind::Overloaded,
-           "too many queries are running",
+           "too many searches are waiting",
            aActions);
+  }
+  Admit(aNow, *service, aActions);
+}
+
+bool
+Engine::CanStart(const Service& aService) const
+{
+  return m_queries.size() < m_options.m_maxRunningQueries &&
+         std::all_of(aService.m_views.begin(),
+                     aService.m_views.end(),
+                     [](const auto& aView) { return aView->m_saturated == 0; });
+}
+
+void
+Engine::Admit(TimePoint aNow, Service& aService, Actions& aActions)
+{
+  AdmissionQueue& queue = aService.m_history->m_admission;
+  if (queue.empty()) {
     return;
   }
-  Begin(aNow, aEvent, aActions);
+  for (const QueuedSearch& search :
+       queue.TakeExpired(aNow, queue.ExpectedRun())) {
+    Refuse(search.m_request.m_query,
+           ErrorKind::DeadlineTooShort,
+           "the search could not start in time",
+           aActions);
+  }
+  while (!queue.empty() && CanStart(aService)) {
+    Begin(aNow, *queue.Pop(), aActions);
+  }
+  if (const auto earliest = queue.EarliestDeadline()) {
+    const TimePoint next =
+      std::max(*earliest - queue.ExpectedRun(), aNow + kShortestTimer);
+    TimePoint& armed = aService.m_history->m_admissionTimer;
+    if (armed <= aNow || next < armed) {
+      armed = next;
+      m_timers.Add({ next, TimerKind::Admission, 0, 0, 0 });
+    }
+  }
 }
 
 void
-Engine::Begin(TimePoint aNow, const StartSearch& aEvent, Actions& aActions)
+Engine::AdmitAll(TimePoint aNow, Actions& aActions)
 {
+  for (const auto& [name, service] : m_services) {
+    Admit(aNow, *service, aActions);
+  }
+}
+
+void
+Engine::Begin(TimePoint aNow, const QueuedSearch& aSearch, Actions& aActions)
+{
+  const StartSearch& aEvent = aSearch.m_request;
+  if (!PassGuard(aNow, aSearch, aActions)) {
+    return;
+  }
   const auto service = FindService(aEvent.m_service);
   std::shared_ptr<SnapshotView> view;
   if (aEvent.m_snapshot) {
@@ -319,17 +457,21 @@
   auto owned = std::make_unique<Query>(aEvent, service, view);
   Query& query = *owned;
   const ServicePolicy& policy = service->m_spec.m_policy;
-  query.m_arrivedAt = aNow;
+  query.m_fingerprint = Fingerprint(aEvent.m_statement);
+  if (m_guard.Judge(query.m_fingerprint) == Verdict::Suspect) {
+    query.m_guarded = true;
+    m_guardedRuns.insert(query.m_fingerprint);
+  }
+  query.m_arrivedAt = aSearch.m_arrivedAt;
   query.m_startedAt = aNow;
-  query.m_deadline =
-    aNow +
-    (aEvent.m_deadline > Duration{ 0 } ? aEvent.m_deadline : policy.m_deadline);
-  query.m_responseTarget = aNow + policy.m_responseTarget;
+  query.m_deadline = aSearch.m_deadline;
+  query.m_responseTarget = aSearch.m_arrivedAt + policy.m_responseTarget;
   query.m_minCoverage = aEvent.m_minCoverage.value_or(policy.m_minCoverage);
   m_queries[aEvent.m_query] = std::move(owned);
   m_timers.Add({ query.m_deadline, TimerKind::Deadline, aEvent.m_query, 0, 0 });
   if (policy.m_preference == CoveragePreference::AnswerOnTime &&
-      query.m_responseTarget < query.m_deadline) {
+      query.m_responseTarget < query.m_deadline &&
+      query.m_responseTarget > aNow) {
     m_timers.Add({ query.m_responseTarget,
                    TimerKind::ResponseTarget,
                    aEvent.m_query,
@@ -350,13 +492,7 @@
   for (std::uint32_t shard = 0; shard < shards; ++shard) {
     Dispatch(aNow, aQuery, shard, aActions);
   }
-  if (const auto delay = aQuery.m_service->m_history->m_hedge->Delay()) {
-    m_timers.Add({ aNow + *delay,
-                   TimerKind::Hedge,
-                   aQuery.m_request.m_query,
-                   0,
-                   aQuery.m_epoch });
-  }
+  PlanHedges(aNow, aQuery);
   FinishIfDone(aNow, aQuery, aActions);
 }
 
@@ -384,12 +520,18 @@
       eligible[aTier][counts[aTier]++] = aIndex;
     }
   };
+  bool busy = false;
   for (const ReplicaIndex index : aGroup.m_replicas) {
     const ReplicaState& replica = m_replicas[index];
     if (replica.m_draining ||
         std::find(aExclude.begin(), aExclude.end(), index) != aExclude.end()) {
       continue;
     }
+    if (replica.m_inFlight >=
+        m_shares.Slots(aNow, replica.m_slots, replica.m_connections)) {
+      busy = true;
+      continue;
+    }
     if (IsEjected(aNow, replica) || !ReportsStatus(replica)) {
       add(Usable, index);
     } else if (const double share = SlowStartShare(aNow, replica);
@@ -402,7 +544,7 @@
   const auto tier = std::find_if(
     counts.begin(), counts.end(), [](std::size_t aCount) { return aCount; });
   if (tier == counts.end()) {
-    return Pick::None;
+    return busy ? Pick::Busy : Pick::None;
   }
   const std::span<const ReplicaIndex> best(
     eligible[static_cast<std::size_t>(tier - counts.begin())].data(), *tier);
@@ -422,11 +564,34 @@
     aNow, *aQuery.m_service, aQuery.m_view->m_groups[aShard], {}, replica);
   if (pick == Pick::Chosen) {
     Send(aNow, aQuery, aShard, replica, SendKind::Primary, aActions);
+  } else if (pick == Pick::Busy) {
+    Wait(aQuery, aShard);
   } else {
     ScheduleRetry(aNow, aQuery, aShard);
   }
 }
 
+void
+Engine::Wait(Query& aQuery, std::uint32_t aShard)
+{
+  SnapshotView& view = *aQuery.m_view;
+  ShardGroup& group = view.m_groups[aShard];
+  const bool answers = std::any_of(
+    group.m_replicas.begin(), group.m_replicas.end(), [&](ReplicaIndex aIndex) {
+      return m_replicas[aIndex].m_consecutiveFailures == 0;
+    });
+  if (!answers) {
+    // The slots of a shard that does not answer must not hold up the others.
+    Close(aQuery, aShard);
+    return;
+  }
+  group.m_waiting.push_back(
+    { aQuery.m_request.m_query, aShard, aQuery.m_epoch });
+  aQuery.m_shards[aShard].m_waiting = true;
+  ++view.m_waiting;
+  view.m_saturated += group.m_waiting.size() == group.SaturatedAt();
+}
+
 ExtraLoadBudget&
 Engine::BudgetOf(Query& aQuery, std::uint32_t aShard)
 {
@@ -450,6 +615,10 @@
                InvariantId::NoWorkAfterDrain,
                replica.m_id + " is draining");
   ++replica.m_inFlight;
+  GK_INVARIANT(replica.m_inFlight <= replica.m_connections,
+               InvariantId::WithinCaps,
+               std::to_string(replica.m_inFlight) + " requests on " +
+                 replica.m_id);
   const AttemptId id = m_attempts.Add({ aQuery.m_request.m_query,
                                         aShard,
                                         aReplica,
@@ -495,14 +664,17 @@
 {
   const Attempt attempt = *m_attempts.Find(aId);
   m_attempts.Remove(aId);
+  const Duration expected = ExpectedLatency(m_replicas[attempt.m_replica]);
   --m_replicas[attempt.m_replica].m_inFlight;
+  m_freed.push_back(attempt.m_replica);
   RecordEnd(aNow, attempt.m_replica, aEnd, aNow - attempt.m_sentAt);
   Query* query = FindQuery(attempt.m_query);
   if (query == nullptr) {
     return;
   }
   if (!attempt.m_hedge && aEnd != AttemptEnd::Refused) {
-    query->m_service->m_history->m_hedge->Observe(aNow - attempt.m_sentAt);
+    query->m_service->m_history->m_hedge->Observe(aNow - attempt.m_sentAt,
+                                                  expected);
   }
   for (AttemptId& id : query->m_shards[attempt.m_shard].m_attempts) {
     if (id == aId) {
@@ -685,7 +857,10 @@
   }
   RemoveAttempt(aNow, aEvent.m_attempt, EndOf(aEvent.m_kind));
   if (aEvent.m_kind == SubFailureKind::VersionGone) {
-    DropVersion(attempt.m_replica, query.m_view->m_version);
+    DropVersion(aNow, attempt.m_replica, query.m_view->m_version);
+  }
+  if (aEvent.m_kind == SubFailureKind::Reset) {
+    ConnectionReset(aNow, query, attempt);
   }
   AttemptFailed(aNow, query, attempt.m_shard, aActions);
   DispatchWaiting(aNow, aActions);
@@ -697,6 +872,13 @@
                       std::uint32_t aShard,
                       Actions& aActions)
 {
+  if (aQuery.m_guarded && aQuery.m_resets > 0) {
+    if (!aQuery.m_shards[aShard].InFlight()) {
+      Close(aQuery, aShard);
+      FinishIfDone(aNow, aQuery, aActions);
+    }
+    return;
+  }
   const bool lost = aQuery.m_view->m_groups[aShard].m_replicas.empty();
   if (lost && Restart(aNow, aQuery, aActions)) {
     return;
@@ -707,6 +889,70 @@
   }
 }
 
+void
+Engine::ConnectionReset(TimePoint aNow, Query& aQuery, const Attempt& aAttempt)
+{
+  const std::uint32_t shard = aAttempt.m_shard;
+  if (!m_options.m_crashGuard) {
+    return;
+  }
+  const SnapshotView& view = *aQuery.m_view;
+  ShardRun& run = aQuery.m_shards[shard];
+  // A second reset on the same shard is a second crash of the statement.
+  const bool newRun = aQuery.m_resets == 0 || run.m_reset;
+  run.m_reset = true;
+  if (aQuery.m_resets++ == 0) {
+    aQuery.m_firstReset = aNow;
+  } else {
+    aQuery.m_guarded = true;
+  }
+  m_guard.Crashed(aQuery.m_fingerprint,
+                  aQuery.m_request.m_statement,
+                  view.m_groups[shard].m_shard,
+                  aAttempt.m_replica,
+                  aAttempt.m_incarnation,
+                  newRun);
+}
+
+bool
+Engine::PassGuard(TimePoint aNow,
+                  const QueuedSearch& aSearch,
+                  Actions& aActions)
+{
+  const std::uint64_t fingerprint = Fingerprint(aSearch.m_request.m_statement);
+  const Verdict verdict = m_guard.Judge(fingerprint);
+  if (verdict == Verdict::Quarantined) {
+    Refuse(aSearch.m_request.m_query,
+           ErrorKind::Quarantined,
+           "replicas died while this statement ran; fingerprint " +
+             std::to_string(fingerprint),
+           aActions);
+    return false;
+  }
+  if (aNow >= aSearch.m_deadline) {
+    Refuse(aSearch.m_request.m_query,
+           ErrorKind::DeadlineTooShort,
+           "the search could not start in time",
+           aActions);
+    return false;
+  }
+  if (verdict == Verdict::Suspect && m_guardedRuns.contains(fingerprint)) {
+    m_suspects.push_back(aSearch);
+    m_timers.Add({ aSearch.m_deadline, TimerKind::Hold, 0, 0, 0 });
+    return false;
+  }
+  return true;
+}
+
+void
+Engine::ResumeSuspects(TimePoint aNow, Actions& aActions)
+{
+  m_resumeSuspects = false;
+  for (const QueuedSearch& search : std::exchange(m_suspects, {})) {
+    Begin(aNow, search, aActions);
+  }
+}
+
 // ---- Hedges and retries ---------------------------------------------------
 
 bool
@@ -725,13 +971,15 @@
 void
 Engine::Hedge(TimePoint aNow, Query& aQuery, Actions& aActions)
 {
+  if (aQuery.m_guarded || aQuery.m_resets > 0) {
+    return;
+  }
   for (std::uint32_t shard = 0; shard < aQuery.m_shards.size(); ++shard) {
     ShardRun& run = aQuery.m_shards[shard];
-    if (run.m_attempts[0] == 0 || run.m_attempts[1] != 0) {
-      continue;
-    }
+    const auto due = HedgeTime(run, aQuery);
     ReplicaIndex replica = 0;
-    if (PickReplica(aNow,
+    if (due && *due <= aNow &&
+        PickReplica(aNow,
                     *aQuery.m_service,
                     aQuery.m_view->m_groups[shard],
                     { run.m_tried.data(), run.m_triedCount },
@@ -740,19 +988,55 @@
       Send(aNow, aQuery, shard, replica, SendKind::Hedge, aActions);
     }
   }
+  PlanHedges(aNow, aQuery);
+}
+
+std::optional<TimePoint>
+Engine::HedgeTime(const ShardRun& aRun, const Query& aQuery)
+{
+  if (aRun.m_attempts[0] == 0 || aRun.m_attempts[1] != 0) {
+    return std::nullopt;
+  }
+  const Attempt& attempt = *m_attempts.Find(aRun.m_attempts[0]);
+  const auto delay = aQuery.m_service->m_history->m_hedge->Delay(
+    ExpectedLatency(m_replicas[attempt.m_replica]));
+  if (!delay) {
+    return std::nullopt;
+  }
+  return attempt.m_sentAt + *delay;
+}
+
+void
+Engine::PlanHedges(TimePoint aNow, Query& aQuery)
+{
+  if (aQuery.m_guarded) {
+    return;
+  }
+  std::optional<TimePoint> next;
+  for (const ShardRun& run : aQuery.m_shards) {
+    const auto due = HedgeTime(run, aQuery);
+    if (due && (!next || *due < *next)) {
+      next = due;
+    }
+  }
+  if (next) {
+    // A hedge that had no budget or no free slot is tried again.
+    m_timers.Add({ std::max(*next, aNow + kHedgeStep),
+                   TimerKind::Hedge,
+                   aQuery.m_request.m_query,
+                   0,
+                   aQuery.m_epoch });
+  }
 }
 
 void
-Engine::DropVersion(ReplicaIndex aReplica, VersionId aVersion)
+Engine::DropVersion(TimePoint aNow, ReplicaIndex aReplica, VersionId aVersion)
 {
   std::vector<HeldVersion>& held = m_replicas[aReplica].m_held;
   std::erase_if(held, [&](const HeldVersion& aHeld) {
     return aHeld.m_map.m_version == aVersion;
   });
-  if (const auto service = FindService(m_owners[aReplica])) {
-    service->m_views =
-      UpdateViews(m_replicas, service->m_replicas, service->m_views);
-  }
+  RefreshViews(aNow, m_owners[aReplica]);
 }
 
 bool
@@ -797,6 +1081,10 @@
 Engine::ScheduleRetry(TimePoint aNow, Query& aQuery, std::uint32_t aShard)
 {
   ShardRun& run = aQuery.m_shards[aShard];
+  if (aQuery.m_guarded && run.m_triedCount > 0) {
+    Close(aQuery, aShard);
+    return;
+  }
   const bool held = !aQuery.m_view->m_groups[aShard].m_replicas.empty();
   const std::optional<Duration> delay =
     held ? RetryDelay(aNow, aQuery.m_deadline, run.m_retries, m_random)
@@ -807,7 +1095,8 @@
   }
   ++run.m_retries;
   run.m_retryDue = true;
-  m_timers.Add({ aNow + *delay,
+  const Duration pause = run.m_reset ? kResetPause : Duration{ 0 };
+  m_timers.Add({ aNow + *delay + pause,
                  TimerKind::Retry,
                  aQuery.m_request.m_query,
                  aShard,
@@ -825,6 +1114,11 @@
     return;
   }
   run.m_retryDue = false;
+  if (aQuery.m_guarded && run.m_triedCount > 0) {
+    Close(aQuery, aShard);
+    FinishIfDone(aNow, aQuery, aActions);
+    return;
+  }
   if (aQuery.m_view->m_groups[aShard].m_replicas.empty() &&
       Restart(aNow, aQuery, aActions)) {
     return;
@@ -868,10 +1162,29 @@
 {
   if (aQuery.m_openShards == 0 || aNow >= aQuery.m_deadline ||
       Satisfied(aNow, aQuery)) {
+    if (HoldBack(aNow, aQuery)) {
+      return;
+    }
     Finish(aNow, aQuery, aActions);
   }
 }
 
+bool
+Engine::HoldBack(TimePoint aNow, Query& aQuery)
+{
+  const TimePoint end =
+    std::min(aQuery.m_firstReset + kSuspectHold, aQuery.m_deadline);
+  if (aQuery.m_resets == 0 || aNow >= end ||
+      m_guard.Judge(aQuery.m_fingerprint) == Verdict::Harmless ||
+      aQuery.m_coverage.Fraction() == 1) {
+    return false;
+  }
+  if (!std::exchange(aQuery.m_held, true)) {
+    m_timers.Add({ end, TimerKind::Hold, aQuery.m_request.m_query, 0, 0 });
+  }
+  return true;
+}
+
 void
 Engine::Finish(TimePoint aNow, Query& aQuery, Actions& aActions)
 {
@@ -879,6 +1192,9 @@
   finish.m_query = aQuery.m_request.m_query;
   finish.m_snapshot = aQuery.m_view->m_version;
   finish.m_coverage = aQuery.m_coverage.Report();
+  m_guard.Completed(aQuery.m_fingerprint,
+                    finish.m_coverage.m_missingShards,
+                    finish.m_coverage.m_fraction);
   finish.m_hedges = aQuery.m_hedges;
   finish.m_retries = aQuery.m_retries;
   for (auto& [shard, partial] : aQuery.m_partials) {
@@ -919,6 +1235,11 @@
   for (std::uint32_t shard = 0; shard < aQuery.m_shards.size(); ++shard) {
     CancelAttempts(aNow, aQuery, shard, aEnd, aActions);
   }
+  aQuery.m_service->m_history->m_admission.ObserveRun(aNow -
+                                                      aQuery.m_startedAt);
+  if (m_guardedRuns.erase(aQuery.m_fingerprint) > 0) {
+    m_resumeSuspects = !m_suspects.empty();
+  }
   const QueryId id = aQuery.m_request.m_query;
   m_queries.erase(id);
 }
@@ -929,12 +1250,70 @@
   if (Query* query = FindQuery(aEvent.m_query)) {
     Release(aNow, *query, AttemptEnd::Cancelled, aActions);
     DispatchWaiting(aNow, aActions);
+    AdmitAll(aNow, aActions);
+    return;
+  }
+  std::erase_if(m_suspects, [&](const QueuedSearch& aSearch) {
+    return aSearch.m_request.m_query == aEvent.m_query;
+  });
+  for (const auto& [name, service] : m_services) {
+    service->m_history->m_admission.Remove(aEvent.m_query);
+  }
+}
+
+void
+Engine::DispatchGroup(TimePoint aNow,
+                      SnapshotView& aView,
+                      ShardGroup& aGroup,
+                      Actions& aActions)
+{
+  while (!aGroup.m_waiting.empty()) {
+    const WaitingShard waiting = aGroup.m_waiting.front();
+    Query* query = FindQuery(waiting.m_query);
+    const bool valid = query != nullptr && query->m_epoch == waiting.m_epoch &&
+                       query->m_shards[waiting.m_shard].m_waiting;
+    ReplicaIndex replica = 0;
+    if (valid && PickReplica(aNow, *query->m_service, aGroup, {}, replica) !=
+                   Pick::Chosen) {
+      return;
+    }
+    aView.m_saturated -= aGroup.m_waiting.size() == aGroup.SaturatedAt();
+    aGroup.m_waiting.pop_front();
+    --aView.m_waiting;
+    if (valid) {
+      query->m_shards[waiting.m_shard].m_waiting = false;
+      Send(aNow, *query, waiting.m_shard, replica, SendKind::Primary, aActions);
+    }
   }
 }
 
 void
-Engine::DispatchWaiting(TimePoint, Actions&)
+Engine::DispatchWaiting(TimePoint aNow, Actions& aActions)
 {
+  if (m_resumeSuspects) {
+    ResumeSuspects(aNow, aActions);
+  }
+  while (!m_freed.empty()) {
+    const ReplicaIndex replica = m_freed.back();
+    m_freed.pop_back();
+    const auto service = FindService(m_owners[replica]);
+    if (!service) {
+      continue;
+    }
+    for (const auto& view : service->m_views) {
+      if (view->m_waiting == 0) {
+        continue;
+      }
+      for (const HeldVersion& held : m_replicas[replica].m_held) {
+        if (held.m_map.m_version == view->m_version) {
+          if (ShardGroup* group = FindGroup(*view, held.m_shard)) {
+            DispatchGroup(aNow, *view, *group, aActions);
+          }
+        }
+      }
+    }
+    Admit(aNow, *service, aActions);
+  }
 }
 
 // ---- Timers ---------------------------------------------------------------
@@ -957,6 +1336,14 @@
 void
 Engine::Fire(TimePoint aNow, const Timer& aTimer, Actions& aActions)
 {
+  if (aTimer.m_kind == TimerKind::Admission) {
+    AdmitAll(aNow, aActions);
+    return;
+  }
+  if (aTimer.m_kind == TimerKind::Hold && aTimer.m_query == 0) {
+    ResumeSuspects(aNow, aActions);
+    return;
+  }
   Query* query = FindQuery(aTimer.m_query);
   if (query == nullptr) {
     return;
@@ -964,6 +1351,7 @@
   switch (aTimer.m_kind) {
     case TimerKind::Deadline:
     case TimerKind::ResponseTarget:
+    case TimerKind::Hold:
       FinishIfDone(aNow, *query, aActions);
       break;
     case TimerKind::Hedge:
@@ -1004,6 +1392,7 @@
     return std::nullopt;
   }
   ++m_replicas[replica].m_inFlight;
+  ++m_commandsOut;
   return m_replicas[replica].m_id;
 }
 
@@ -1018,6 +1407,7 @@
     return;
   }
   --m_replicas[*index].m_inFlight;
+  --m_commandsOut;
   if (aFailure == SubFailureKind::Draining) {
     SetDraining(aNow, m_replicas[*index]);
   }
@@ -1030,18 +1420,40 @@
 std::vector<SuspectReport>
 Engine::Suspects() const
 {
-  return {};
+  return m_guard.List();
+}
+
+std::uint64_t
+Engine::SuspectsVersion() const
+{
+  return m_guard.Version();
 }
 
 void
-Engine::MergeSuspects(TimePoint, const std::vector<SuspectReport>&, Actions&)
+Engine::MergeSuspects(TimePoint,
+                      const std::vector<SuspectReport>& aReports,
+                      Actions&)
 {
+  m_guard.Merge(aReports);
+  for (const auto& [id, query] : m_queries) {
+    if (m_guard.Judge(query->m_fingerprint) != Verdict::Harmless) {
+      query->m_guarded = true;
+    }
+  }
 }
 
 bool
-Engine::LiftQuarantine(TimePoint, std::uint64_t)
+Engine::LiftQuarantine(TimePoint, std::uint64_t aFingerprint)
 {
-  return false;
+  return m_guard.Lift(aFingerprint);
+}
+
+EngineCounters
+Engine::Counters() const
+{
+  EngineCounters counters = m_counters;
+  counters.m_quarantined = m_guard.Quarantined();
+  return counters;
 }
 
 } // namespace goldcrestkeel
