--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -154,7 +154,8 @@
         deadline = time.monotonic() + seconds
         while True:
             try:
-                status, body = self.client.call(address, "GET", path)
+                # A kept connection would count against the replica's cap.
+                status, body = Client().call(address, "GET", path)
                 if status == 200:
                     return
             except (OSError, http.client.HTTPException) as error:
--- a/testing/standins/backend/src/Backend.cpp
+++ b/testing/standins/backend/src/Backend.cpp
@@ -239,6 +239,8 @@
   aJob->m_queued = true;
   m_waiting.push_back(aJob);
   StartWaiting();
+  m_counters.m_maxWaiting =
+    std::max<std::uint64_t>(m_counters.m_maxWaiting, m_waiting.size());
 }
 
 void
@@ -628,6 +630,7 @@
            { "max_connections", m_counters.m_maxConnections },
            { "over_connection_cap", m_counters.m_overConnectionCap },
            { "max_in_flight", m_counters.m_maxInFlight },
+           { "max_waiting", m_counters.m_maxWaiting },
            { "requests", m_counters.m_requests },
            { "searches", m_counters.m_searches },
            { "commands", m_counters.m_commands },
--- a/testing/standins/backend/src/Backend.h
+++ b/testing/standins/backend/src/Backend.h
@@ -67,6 +67,8 @@
     std::uint64_t m_overConnectionCap = 0;
     std::uint64_t m_maxConnections = 0;
     std::uint64_t m_maxInFlight = 0;
+    /** Most requests that waited for a slot at once. */
+    std::uint64_t m_maxWaiting = 0;
     /** New work that arrived after the drain grace. */
     std::uint64_t m_workAfterDrain = 0;
     std::map<std::string, std::uint64_t> m_refused;
