Add the peer transport

Two keys are accepted, the first one signs. Frames outside 10 s, from before the start of the receiver, repeated or malformed are dropped and counted.

The server has one thread for each connection, because a forwarded command occupies its connection until it has finished; with a pool of workers such commands would delay probes and make a healthy host a suspect.

A refusal is not authenticated and therefore counts as no reply, never as proof that the call was not carried out.

--- a/packages/net/include/goldcrestkeel/Net.h
+++ b/packages/net/include/goldcrestkeel/Net.h
@@ -12,6 +12,9 @@
 #include <goldcrestkeel/net/Lifecycle.h>
 #include <goldcrestkeel/net/Log.h>
 #include <goldcrestkeel/net/Metrics.h>
+#include <goldcrestkeel/net/PeerClient.h>
+#include <goldcrestkeel/net/PeerEnvelope.h>
+#include <goldcrestkeel/net/PeerServer.h>
 #include <goldcrestkeel/net/SearchDriver.h>
 #include <goldcrestkeel/net/Settings.h>
 #include <goldcrestkeel/net/StoreClient.h>
--- /dev/null
+++ b/packages/net/src/PeerEnvelope.cpp
@@ -0,0 +1,197 @@
+#include <goldcrestkeel/net/PeerEnvelope.h>
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+#include <algorithm>
+#include <array>
+
+namespace goldcrestkeel {
+
+namespace {
+
+constexpr std::size_t kMacBytes = 32;
+
+void
+AppendNumber(std::string& aText, std::uint64_t aNumber)
+{
+  constexpr int kBits = 64;
+  constexpr int kByte = 8;
+  for (int shift = kBits - kByte; shift >= 0; shift -= kByte) {
+    aText.push_back(static_cast<char>(aNumber >> shift));
+  }
+}
+
+// The length in front keeps two different lists of fields from yielding the
+// same bytes.
+void
+AppendField(std::string& aText, const std::string& aField)
+{
+  AppendNumber(aText, aField.size());
+  aText += aField;
+}
+
+std::string
+MacOf(const std::string& aSecret,
+      const std::string& aContext,
+      const peer::Envelope& aEnvelope)
+{
+  std::string text;
+  AppendField(text, aContext);
+  AppendField(text, aEnvelope.keyId);
+  AppendField(text, aEnvelope.sender);
+  AppendNumber(text, static_cast<std::uint64_t>(aEnvelope.sentAtMs));
+  AppendNumber(text, static_cast<std::uint64_t>(aEnvelope.nonce));
+  AppendField(text, aEnvelope.payload);
+  std::array<unsigned char, kMacBytes> mac{};
+  unsigned int length = 0;
+  if (HMAC(EVP_sha256(),
+           aSecret.data(),
+           static_cast<int>(aSecret.size()),
+           reinterpret_cast<const unsigned char*>(text.data()),
+           text.size(),
+           mac.data(),
+           &length) == nullptr) {
+    throw std::runtime_error("HMAC failed");
+  }
+  return { mac.begin(), mac.end() };
+}
+
+std::string
+RequestContext(const std::string& aReceiver)
+{
+  return "request to " + aReceiver;
+}
+
+std::string
+ReplyContext(const peer::Envelope& aRequest)
+{
+  return "reply to " + aRequest.sender;
+}
+
+} // namespace
+
+EnvelopeSealer::EnvelopeSealer(std::string aHost,
+                               std::vector<PeerKey> aKeys,
+                               const Clock& aClock)
+  : m_host(std::move(aHost))
+  , m_clock(aClock)
+  , m_started(aClock.WallNow())
+  , m_keys(std::move(aKeys))
+  , m_random(MakeSystemRandom())
+{
+}
+
+void
+EnvelopeSealer::SetKeys(std::vector<PeerKey> aKeys)
+{
+  std::lock_guard lock(m_mutex);
+  m_keys = std::move(aKeys);
+}
+
+peer::Envelope
+EnvelopeSealer::Seal(const std::string& aContext,
+                     std::int64_t aNonce,
+                     std::string aPayload)
+{
+  peer::Envelope envelope;
+  envelope.keyId = m_keys.front().m_id;
+  envelope.sender = m_host;
+  envelope.sentAtMs = m_clock.WallNow();
+  envelope.nonce = aNonce;
+  envelope.payload = std::move(aPayload);
+  envelope.mac = MacOf(m_keys.front().m_secret, aContext, envelope);
+  return envelope;
+}
+
+peer::Envelope
+EnvelopeSealer::SealRequest(const std::string& aReceiver, std::string aPayload)
+{
+  std::lock_guard lock(m_mutex);
+  return Seal(RequestContext(aReceiver),
+              static_cast<std::int64_t>(m_random->Next()),
+              std::move(aPayload));
+}
+
+void
+EnvelopeSealer::OpenRequest(const std::string& aOwnAddress,
+                            const peer::Envelope& aEnvelope)
+{
+  std::lock_guard lock(m_mutex);
+  CheckMac(RequestContext(aOwnAddress), aEnvelope);
+  CheckTime(aEnvelope);
+  CheckReplay(aEnvelope);
+}
+
+peer::Envelope
+EnvelopeSealer::SealReply(const peer::Envelope& aRequest, std::string aPayload)
+{
+  std::lock_guard lock(m_mutex);
+  return Seal(ReplyContext(aRequest), aRequest.nonce, std::move(aPayload));
+}
+
+void
+EnvelopeSealer::OpenReply(const peer::Envelope& aRequest,
+                          const peer::Envelope& aReply)
+{
+  std::lock_guard lock(m_mutex);
+  CheckMac(ReplyContext(aRequest), aReply);
+  if (aReply.nonce != aRequest.nonce) {
+    throw FrameRefused("crossed");
+  }
+}
+
+void
+EnvelopeSealer::CheckMac(const std::string& aContext,
+                         const peer::Envelope& aEnvelope) const
+{
+  const auto key =
+    std::find_if(m_keys.begin(), m_keys.end(), [&](const PeerKey& aKey) {
+      return aKey.m_id == aEnvelope.keyId;
+    });
+  if (key == m_keys.end()) {
+    throw FrameRefused("unknown_key");
+  }
+  const std::string mac = MacOf(key->m_secret, aContext, aEnvelope);
+  if (aEnvelope.mac.size() != mac.size() ||
+      CRYPTO_memcmp(mac.data(), aEnvelope.mac.data(), mac.size()) != 0) {
+    throw FrameRefused("unauthenticated");
+  }
+}
+
+// A frame from before the start of this process could be a replay of one that
+// an earlier process has accepted.
+void
+EnvelopeSealer::CheckTime(const peer::Envelope& aEnvelope) const
+{
+  const WallTime now = m_clock.WallNow();
+  if (aEnvelope.sentAtMs < now - kFrameWindow ||
+      aEnvelope.sentAtMs > now + kFrameWindow ||
+      aEnvelope.sentAtMs < m_started) {
+    throw FrameRefused("time");
+  }
+}
+
+void
+EnvelopeSealer::CheckReplay(const peer::Envelope& aEnvelope)
+{
+  const WallTime now = m_clock.WallNow();
+  // A frame may be up to one window ahead of this clock, and is valid for one
+  // window after its time.
+  while (!m_seenOrder.empty() &&
+         m_seenOrder.front().first < now - 2 * kFrameWindow) {
+    m_seen.erase(m_seenOrder.front().second);
+    m_seenOrder.pop_front();
+  }
+  if (m_seen.size() >= kReplayMemory) {
+    throw FrameRefused("replay_memory_full");
+  }
+  FrameId id(aEnvelope.sender, aEnvelope.nonce);
+  if (!m_seen.insert(id).second) {
+    throw FrameRefused("replay");
+  }
+  m_seenOrder.emplace_back(now, std::move(id));
+}
+
+} // namespace goldcrestkeel
--- /dev/null
+++ b/packages/net/src/PeerServer.cpp
@@ -0,0 +1,271 @@
+#include "PeerCodec.h"
+
+#include <goldcrestkeel/net/Log.h>
+#include <goldcrestkeel/net/PeerServer.h>
+
+#include <Peer.h>
+#include <thrift/TOutput.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/server/TThreadedServer.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <thrift/transport/TServerSocket.h>
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+namespace goldcrestkeel {
+
+namespace {
+
+using namespace apache::thrift;
+
+// An idle connection is closed after this time.
+constexpr int kIdleTimeoutMs = 60000;
+constexpr int kSendTimeoutMs = 5000;
+// Connections from other hosts; each has a thread.
+constexpr std::int64_t kMaxConnections = 1024;
+// Longest time for which a request may wait for its answer.
+constexpr std::chrono::seconds kLongestAnswer{ 120 };
+// Interval at which a waiting thread looks whether the server stops.
+constexpr std::chrono::milliseconds kStopCheck{ 50 };
+
+class Handler : public peer::PeerIf
+{
+public:
+  Handler(EventLoop& aLoop,
+          EnvelopeSealer& aSealer,
+          Metrics& aMetrics,
+          PeerRequestHandler& aHandler,
+          std::shared_ptr<std::atomic<bool>> aStopping,
+          std::function<std::string()> aAddress)
+    : m_loop(aLoop)
+    , m_sealer(aSealer)
+    , m_metrics(aMetrics)
+    , m_handler(aHandler)
+    , m_stopping(std::move(aStopping))
+    , m_address(std::move(aAddress))
+  {
+  }
+
+  void exchange(peer::Envelope& aReply, const peer::Envelope& aRequest) override
+  {
+    try {
+      m_sealer.OpenRequest(m_address(), aRequest);
+      auto request = DecodeMessage<peer::PeerRequest>(aRequest.payload);
+      aReply = m_sealer.SealReply(
+        aRequest, EncodeMessage(AnswerOf(aRequest.sender, std::move(request))));
+    } catch (const FrameRefused& refused) {
+      Refuse(refused.what());
+    } catch (const TException&) {
+      Refuse("malformed_payload");
+    }
+  }
+
+private:
+  peer::PeerReply AnswerOf(const std::string& aSender,
+                           peer::PeerRequest aRequest)
+  {
+    // Shared with the loop: this thread may stop waiting first.
+    auto promise = std::make_shared<std::promise<peer::PeerReply>>();
+    std::future<peer::PeerReply> future = promise->get_future();
+    m_loop.Post([this, promise, aSender, request = std::move(aRequest)] {
+      m_handler.Handle(aSender, request, [promise](peer::PeerReply&& aReply) {
+        promise->set_value(std::move(aReply));
+      });
+    });
+    promise.reset();
+    const auto limit = std::chrono::steady_clock::now() + kLongestAnswer;
+    while (future.wait_for(kStopCheck) != std::future_status::ready) {
+      if (m_stopping->load() || std::chrono::steady_clock::now() > limit) {
+        throw TApplicationException("no answer");
+      }
+    }
+    return future.get();
+  }
+
+  [[noreturn]] void Refuse(const char* aReason)
+  {
+    m_metrics.CountDroppedFrame(aReason);
+    peer::Refused refused;
+    refused.reason = aReason;
+    throw refused;
+  }
+
+  EventLoop& m_loop;
+  EnvelopeSealer& m_sealer;
+  Metrics& m_metrics;
+  PeerRequestHandler& m_handler;
+  std::shared_ptr<std::atomic<bool>> m_stopping;
+  std::function<std::string()> m_address;
+};
+
+// Tells when the server listens.
+struct ListeningEvent : server::TServerEventHandler
+{
+  void preServe() override { m_promise.set_value(); }
+  std::promise<void> m_promise;
+};
+
+// Counts the frames that do not reach the handler.
+class CountingProcessor : public TProcessor
+{
+public:
+  CountingProcessor(std::shared_ptr<TProcessor> aInner, Metrics& aMetrics)
+    : m_inner(std::move(aInner))
+    , m_metrics(aMetrics)
+  {
+  }
+
+  bool process(std::shared_ptr<protocol::TProtocol> aIn,
+               std::shared_ptr<protocol::TProtocol> aOut,
+               void* aContext) override
+  {
+    using transport::TTransportException;
+    try {
+      return m_inner->process(aIn, aOut, aContext);
+    } catch (const TTransportException& error) {
+      // The end of a connection and an idle one are no faults.
+      if (error.getType() == TTransportException::CORRUPTED_DATA) {
+        m_metrics.CountDroppedFrame("malformed_frame");
+      }
+      throw;
+    } catch (const TException&) {
+      m_metrics.CountDroppedFrame("malformed_frame");
+      throw;
+    }
+  }
+
+private:
+  std::shared_ptr<TProcessor> m_inner;
+  Metrics& m_metrics;
+};
+
+// Writes every frame with the size limit of peers.
+class FrameFactory : public transport::TTransportFactory
+{
+public:
+  std::shared_ptr<transport::TTransport> getTransport(
+    std::shared_ptr<transport::TTransport> aTransport) override
+  {
+    return std::make_shared<transport::TFramedTransport>(std::move(aTransport),
+                                                         PeerConfiguration());
+  }
+};
+
+void
+LogThriftMessage(const char* aText)
+{
+  Log(Severity::Debug, "thrift", { { "detail", aText } });
+}
+
+} // namespace
+
+class PeerServer::Impl
+{
+public:
+  Impl(const std::string& aAddress,
+       EventLoop& aLoop,
+       EnvelopeSealer& aSealer,
+       Metrics& aMetrics,
+       PeerRequestHandler& aHandler)
+    : m_ip(aAddress.substr(0, aAddress.rfind(':')))
+    , m_socket(std::make_shared<transport::TServerSocket>(
+        m_ip,
+        std::stoi(aAddress.substr(aAddress.rfind(':') + 1))))
+  {
+    GlobalOutput.setOutputFunction(LogThriftMessage);
+    m_socket->setRecvTimeout(kIdleTimeoutMs);
+    m_socket->setSendTimeout(kSendTimeoutMs);
+    auto handler = std::make_shared<Handler>(
+      aLoop, aSealer, aMetrics, aHandler, m_stopping, [this] {
+        return Address();
+      });
+    m_server = std::make_unique<server::TThreadedServer>(
+      std::make_shared<CountingProcessor>(
+        std::make_shared<peer::PeerProcessor>(std::move(handler)), aMetrics),
+      m_socket,
+      std::make_shared<FrameFactory>(),
+      std::make_shared<protocol::TCompactProtocolFactory>());
+    m_server->setConcurrentClientLimit(kMaxConnections);
+  }
+
+  void Start()
+  {
+    auto listening = std::make_shared<ListeningEvent>();
+    std::future<void> future = listening->m_promise.get_future();
+    m_server->setServerEventHandler(listening);
+    m_thread = std::thread([this, listening] {
+      try {
+        m_server->serve();
+      } catch (const TException&) {
+        // Only the start can fail this way.
+        listening->m_promise.set_exception(std::current_exception());
+      }
+    });
+    try {
+      future.get();
+    } catch (...) {
+      m_thread.join();
+      throw;
+    }
+    m_port.store(m_socket->getPort());
+  }
+
+  void Stop()
+  {
+    m_stopping->store(true);
+    if (m_thread.joinable()) {
+      m_server->stop();
+      m_thread.join();
+    }
+  }
+
+  std::string Address() const
+  {
+    return m_ip + ":" + std::to_string(m_port.load());
+  }
+
+private:
+  std::string m_ip;
+  std::atomic<int> m_port{ 0 };
+  std::shared_ptr<std::atomic<bool>> m_stopping =
+    std::make_shared<std::atomic<bool>>(false);
+  std::shared_ptr<transport::TServerSocket> m_socket;
+  std::unique_ptr<server::TThreadedServer> m_server;
+  std::thread m_thread;
+};
+
+PeerServer::PeerServer(const std::string& aAddress,
+                       EventLoop& aLoop,
+                       EnvelopeSealer& aSealer,
+                       Metrics& aMetrics,
+                       PeerRequestHandler& aHandler)
+  : m_impl(std::make_unique<Impl>(aAddress, aLoop, aSealer, aMetrics, aHandler))
+{
+}
+
+PeerServer::~PeerServer()
+{
+  Stop();
+}
+
+void
+PeerServer::Start()
+{
+  m_impl->Start();
+}
+
+void
+PeerServer::Stop()
+{
+  m_impl->Stop();
+}
+
+std::string
+PeerServer::Address() const
+{
+  return m_impl->Address();
+}
+
+} // namespace goldcrestkeel
