--- a/packages/core/src/ReplicaHealth.h
+++ b/packages/core/src/ReplicaHealth.h
@@ -15,6 +15,8 @@
   Answered,
   /** No usable reply: lost, broken or malformed. */
   Failed,
+  /** The connection broke: the replica has probably died. */
+  Reset,
   /** The replica refused without running the request. */
   Refused,
   /** The result was no longer needed. */
@@ -30,6 +32,10 @@
           AttemptEnd aEnd,
           Duration aElapsed);
 
+/** Average latency, 0 before the first sample. */
+Duration
+ExpectedLatency(const ReplicaState& aReplica);
+
 /** True if the replica has failed so often that it should be ejected. */
 bool
 IsOutlier(const ReplicaState& aReplica);
