--- a/packages/core/src/ReplicaHealth.cpp
+++ b/packages/core/src/ReplicaHealth.cpp
@@ -33,8 +33,8 @@
     aReplica.m_latency = std::max(sample, 1.0);
     aReplica.m_deviation = aReplica.m_latency * kFirstDeviation;
   } else {
-    sample = std::min(
-      sample, aReplica.m_latency + kSampleLimit * aReplica.m_deviation);
+    sample = std::min(sample,
+                      aReplica.m_latency + kSampleLimit * aReplica.m_deviation);
     aReplica.m_deviation +=
       kSampleWeight *
       (std::abs(sample - aReplica.m_latency) - aReplica.m_deviation);
--- a/packages/net/include/goldcrestkeel/net/PeerClient.h
+++ b/packages/net/include/goldcrestkeel/net/PeerClient.h
@@ -42,7 +42,7 @@
 
   /** aDone is called once on the loop thread, never from within the call. */
   void Call(const std::string& aAddress,
-            peer::PeerRequest aRequest,
+            const peer::PeerRequest& aRequest,
             Duration aTimeout,
             Done aDone);
 
--- a/packages/net/src/PeerClient.cpp
+++ b/packages/net/src/PeerClient.cpp
@@ -282,14 +282,12 @@
 
 void
 PeerClient::Call(const std::string& aAddress,
-                 peer::PeerRequest aRequest,
+                 const peer::PeerRequest& aRequest,
                  Duration aTimeout,
                  Done aDone)
 {
-  m_impl->Add({ aAddress,
-                std::move(aRequest),
-                m_impl->m_loop.Now() + aTimeout,
-                std::move(aDone) });
+  m_impl->Add(
+    { aAddress, aRequest, m_impl->m_loop.Now() + aTimeout, std::move(aDone) });
 }
 
 void
--- a/packages/net/src/PeerServer.cpp
+++ b/packages/net/src/PeerServer.cpp
@@ -52,9 +52,9 @@
   {
     try {
       m_sealer.OpenRequest(m_address(), aRequest);
-      auto request = DecodeMessage<peer::PeerRequest>(aRequest.payload);
+      const auto request = DecodeMessage<peer::PeerRequest>(aRequest.payload);
       aReply = m_sealer.SealReply(
-        aRequest, EncodeMessage(AnswerOf(aRequest.sender, std::move(request))));
+        aRequest, EncodeMessage(AnswerOf(aRequest.sender, request)));
     } catch (const FrameRefused& refused) {
       Refuse(refused.what());
     } catch (const TException&) {
@@ -64,13 +64,13 @@
 
 private:
   peer::PeerReply AnswerOf(const std::string& aSender,
-                           peer::PeerRequest aRequest)
+                           const peer::PeerRequest& aRequest)
   {
     // Shared with the loop: this thread may stop waiting first.
     auto promise = std::make_shared<std::promise<peer::PeerReply>>();
     std::future<peer::PeerReply> future = promise->get_future();
-    m_loop.Post([this, promise, aSender, request = std::move(aRequest)] {
-      m_handler.Handle(aSender, request, [promise](peer::PeerReply&& aReply) {
+    m_loop.Post([this, promise, aSender, aRequest] {
+      m_handler.Handle(aSender, aRequest, [promise](peer::PeerReply&& aReply) {
         promise->set_value(std::move(aReply));
       });
     });
--- a/packages/net/tests/PeerTest.cpp
+++ b/packages/net/tests/PeerTest.cpp
@@ -66,12 +66,12 @@
   }
 
   PeerClient::Result Call(const std::string& aAddress,
-                          peer::PeerRequest aRequest,
+                          const peer::PeerRequest& aRequest,
                           Duration aTimeout = kLongTimeout)
   {
     std::optional<PeerClient::Result> result;
     m_client.Call(aAddress,
-                  std::move(aRequest),
+                  aRequest,
                   aTimeout,
                   [&](PeerClient::Result&& aResult) { result = aResult; });
     while (!result) {
