--- a/packages/core/src/ReplicaHealth.cpp
+++ b/packages/core/src/ReplicaHealth.cpp
@@ -1,6 +1,7 @@
 #include "ReplicaHealth.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace goldcrestkeel {
 
@@ -9,9 +10,13 @@
 /** Weight of a new latency sample: a lasting change shows after some 20
  *  samples, a single straggler hardly. */
 constexpr double kSampleWeight = 0.1;
-/** A single sample counts at most this multiple of the average. */
+/** A single sample counts at most this many deviations above the average; a
+ *  straggler would otherwise delay the hedges of the next samples. */
 constexpr double kSampleLimit = 4;
 
+/** Deviation assumed after one sample, as a share of the average. */
+constexpr double kFirstDeviation = 0.5;
+
 constexpr std::uint32_t kOutlierFailures = 5;
 constexpr Duration kFirstEjection{ 1000000 };
 /** Below the 5 s in which normal latency must be back after an outage. */
@@ -26,8 +31,13 @@
   auto sample = static_cast<double>(aElapsed.count());
   if (aReplica.m_latency == 0) {
     aReplica.m_latency = std::max(sample, 1.0);
+    aReplica.m_deviation = aReplica.m_latency * kFirstDeviation;
   } else {
-    sample = std::min(sample, kSampleLimit * aReplica.m_latency);
+    sample = std::min(sample,
+                      aReplica.m_latency + kSampleLimit * aReplica.m_deviation);
+    aReplica.m_deviation +=
+      kSampleWeight *
+      (std::abs(sample - aReplica.m_latency) - aReplica.m_deviation);
     aReplica.m_latency += kSampleWeight * (sample - aReplica.m_latency);
   }
   aReplica.m_latencyAt = aNow;
@@ -70,10 +80,10 @@
   }
 }
 
-Duration
+LatencyEstimate
 ExpectedLatency(const ReplicaState& aReplica)
 {
-  return Duration{ static_cast<Duration::rep>(aReplica.m_latency) };
+  return { aReplica.m_latency, aReplica.m_deviation };
 }
 
 bool
--- a/packages/core/src/ReplicaSelector.cpp
+++ b/packages/core/src/ReplicaSelector.cpp
@@ -77,8 +77,13 @@
   {
     double latency = kUnknownLatency;
     if (aReplica.m_latency > 0) {
-      latency = aReplica.m_latency *
-                std::exp(-Age(aNow, aReplica.m_latencyAt) / kLatencyMemory);
+      // While one request tries a replica that was slow, the others must not
+      // follow it.
+      const bool fades = aReplica.m_inFlight == 0;
+      latency =
+        fades ? aReplica.m_latency *
+                  std::exp(-Age(aNow, aReplica.m_latencyAt) / kLatencyMemory)
+              : aReplica.m_latency;
     }
     const double others =
       aReplica.m_reportedLoad == 0
@@ -86,8 +91,9 @@
         : aReplica.m_reportedLoad *
             std::exp(-Age(aNow, aReplica.m_reportedAt) / kReportMemory);
     const double load = aReplica.m_inFlight + others;
-    const double score =
-      latency * (1 + load / std::max<std::uint32_t>(aReplica.m_slots, 1));
+    // Requests wait only when all slots are taken.
+    const double slots = std::max<std::uint32_t>(aReplica.m_slots, 1);
+    const double score = latency * std::max(1.0, (load + 1) / slots);
     return aReplica.m_nearDataCentre ? score / kNearPreference : score;
   }
 };
