--- a/packages/gkctl/src/Answer.cpp
+++ b/packages/gkctl/src/Answer.cpp
@@ -1,8 +1,8 @@
 #include "Answer.h"
 
 #include <algorithm>
-#include <map>
 #include <set>
+#include <vector>
 
 namespace goldcrestkeel::gkctl {
 
@@ -47,31 +47,53 @@
          });
 }
 
-std::string
-Table(const json& aRows)
+/** Names of the columns: those that identify a row first, then by name. */
+std::vector<std::string>
+Columns(const json& aRows)
 {
-  std::map<std::string, std::size_t> widths;
+  std::set<std::string> names;
   for (const json& row : aRows) {
     for (const auto& [name, value] : row.items()) {
-      std::size_t& width = widths[name];
-      width = std::max({ width, name.size(), Line(value).size() });
+      names.insert(name);
     }
   }
-  const auto format = [&](const auto& aCell) {
-    std::string line;
-    for (const auto& [name, width] : widths) {
-      std::string cell = aCell(name);
-      cell.resize(std::max(cell.size(), width), ' ');
-      line += "  " + cell;
+  std::vector<std::string> columns;
+  for (const char* name : { "host", "id", "name", "revision", "state" }) {
+    if (names.erase(name) > 0) {
+      columns.emplace_back(name);
     }
-    line.erase(line.find_last_not_of(' ') + 1);
-    return line + "\n";
-  };
-  std::string text = format([](const std::string& aName) { return aName; });
+  }
+  columns.insert(columns.end(), names.begin(), names.end());
+  return columns;
+}
+
+std::string
+Table(const json& aRows)
+{
+  const std::vector<std::string> columns = Columns(aRows);
+  std::vector<std::vector<std::string>> lines{ columns };
   for (const json& row : aRows) {
-    text += format([&](const std::string& aName) {
-      return row.contains(aName) ? Line(row.at(aName)) : std::string();
-    });
+    std::vector<std::string> line;
+    for (const std::string& name : columns) {
+      line.push_back(row.contains(name) ? Line(row.at(name)) : "");
+    }
+    lines.push_back(std::move(line));
+  }
+  std::vector<std::size_t> widths(columns.size());
+  for (const auto& line : lines) {
+    for (std::size_t i = 0; i < line.size(); ++i) {
+      widths[i] = std::max(widths[i], line[i].size());
+    }
+  }
+  std::string text;
+  for (auto& line : lines) {
+    std::string joined;
+    for (std::size_t i = 0; i < line.size(); ++i) {
+      line[i].resize(widths[i], ' ');
+      joined += "  " + line[i];
+    }
+    joined.erase(joined.find_last_not_of(' ') + 1);
+    text += joined + "\n";
   }
   return text;
 }
--- a/packages/gkctl/src/LoadRunner.cpp
+++ b/packages/gkctl/src/LoadRunner.cpp
@@ -187,7 +187,9 @@
       aProgress({ Now(), m_started, m_flights.size() });
       nextProgress += kProgressInterval;
     }
-    Poll();
+    if (m_started < m_plan.m_count || !m_flights.empty()) {
+      Poll();
+    }
   }
   return Now();
 }
