--- a/packages/gkctl/src/Session.cpp
+++ b/packages/gkctl/src/Session.cpp
@@ -183,7 +183,12 @@
 Session::Print(const Answer& aAnswer)
 {
   if (m_options.m_json) {
-    m_environment.m_out << Dump(aAnswer.m_body) << "\n";
+    nlohmann::json body = aAnswer.m_body;
+    if (!aAnswer.Succeeded() && body.is_object()) {
+      // Counts all hosts that were tried, not only the one that answered.
+      body["ran"] = NameOf(aAnswer.m_ran);
+    }
+    m_environment.m_out << Dump(body) << "\n";
   } else if (aAnswer.Succeeded()) {
     m_environment.m_out << DescribeBody(aAnswer.m_body);
   } else {
--- a/packages/gkctl/src/StatusCommand.cpp
+++ b/packages/gkctl/src/StatusCommand.cpp
@@ -35,7 +35,7 @@
     state["detail"] = "no configuration: " + configuration.ErrorName();
     return state;
   }
-  for (const char* name : { "revision", "accepted" }) {
+  for (const char* name : { "revision", "accepted", "missing_hosts" }) {
     state[name] = Member(configuration.m_body, name);
   }
   return state;
--- a/packages/gkctl/tests/RequestTest.cpp
+++ b/packages/gkctl/tests/RequestTest.cpp
@@ -103,6 +103,19 @@
     REQUIRE_THAT(gkctl.m_err.str(), Contains("after 2 attempts"));
   }
 
+  SECTION("and says so in JSON too")
+  {
+    gkctl.m_transport.m_responses.push_back(
+      { Delivery::Lost, 0, "", "connection reset" });
+    gkctl.m_transport.Prepare(503, kNotReady);
+    auto json = arguments;
+    json.emplace_back("--json");
+    REQUIRE(gkctl.Run(json) == ExitCode::Unknown);
+    const auto body = nlohmann::json::parse(gkctl.m_out.str());
+    REQUIRE(body.at("error") == "not_ready");
+    REQUIRE(body.at("ran") == "unknown");
+  }
+
   SECTION("and a key in the statement is kept")
   {
     gkctl.m_transport.Prepare(502, kUnknown);
@@ -207,11 +220,13 @@
 {
   GkctlRun gkctl;
   gkctl.m_transport.Prepare(200, R"({"ready":true})");
-  gkctl.m_transport.Prepare(200, R"({"revision":12,"accepted":true})");
+  gkctl.m_transport.Prepare(
+    200, R"({"revision":12,"accepted":false,"missing_hosts":["e3"]})");
   gkctl.m_transport.Prepare(503, kNotReady);
   REQUIRE(gkctl.Run({ "status", "--host", "a:1", "--host", "b:1" }) ==
           ExitCode::NotRun);
-  REQUIRE_THAT(gkctl.m_out.str(), Contains("a:1") && Contains("12"));
+  REQUIRE_THAT(gkctl.m_out.str(),
+               Contains("a:1") && Contains("12") && Contains("[\"e3\"]"));
   REQUIRE_THAT(gkctl.m_out.str(), Contains("b:1") && Contains("draining"));
 }
 
