Add the user documentation

Cause: the README named only scripts/test, and there were no pages for operators.

Change: README with the promises, a picture of the parts and pointers; pages for gkctl, the service file and daemon settings, and a glossary. gkctl cuts long table cells, because audit entries hold whole statements. A test parses the service file of the configuration page.

--- a/packages/gkctl/src/Answer.cpp
+++ b/packages/gkctl/src/Answer.cpp
@@ -47,6 +47,21 @@
          });
 }
 
+/** Value as text of one cell of a table; long ones, such as the statement of a
+ *  change, are cut. */
+std::string
+Cell(const json& aValue)
+{
+  constexpr std::size_t kWidest = 60;
+  constexpr std::string_view kCut = "...";
+  std::string text = Line(aValue);
+  if (text.size() > kWidest) {
+    text.resize(kWidest - kCut.size());
+    text += kCut;
+  }
+  return text;
+}
+
 /** Names of the columns: those that identify a row first, then by name. */
 std::vector<std::string>
 Columns(const json& aRows)
@@ -75,7 +90,7 @@
   for (const json& row : aRows) {
     std::vector<std::string> line;
     for (const std::string& name : columns) {
-      line.push_back(row.contains(name) ? Line(row.at(name)) : "");
+      line.push_back(row.contains(name) ? Cell(row.at(name)) : "");
     }
     lines.push_back(std::move(line));
   }
--- a/packages/gkctl/tests/RequestTest.cpp
+++ b/packages/gkctl/tests/RequestTest.cpp
@@ -230,6 +230,14 @@
   REQUIRE_THAT(gkctl.m_out.str(), Contains("b:1") && Contains("draining"));
 }
 
+TEST_CASE("A table cuts long cells and puts ids first", "[gkctl]")
+{
+  const nlohmann::json rows =
+    nlohmann::json::array({ { { "a", std::string(70, 'x') }, { "id", 7 } } });
+  REQUIRE(DescribeBody({ { "rows", rows } }) ==
+          "rows:\n  id  a\n  7   " + std::string(57, 'x') + "...\n");
+}
+
 TEST_CASE("An answer cannot control the terminal", "[gkctl]")
 {
   REQUIRE(DescribeBody({ { "a", "x\x1b[2J\ny" } }) == "a: x [2J y\n");
--- a/packages/gkctl/tests/ServicePlanTest.cpp
+++ b/packages/gkctl/tests/ServicePlanTest.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <fstream>
 
 using namespace goldcrestkeel;
 using namespace goldcrestkeel::gkctl;
@@ -104,6 +105,23 @@
   }
 }
 
+// Guards against a page that shows a service file with faults.
+TEST_CASE("The service file of the configuration page is valid", "[gkctl]")
+{
+  std::ifstream page(GK_DOCS_DIR "/configuration.md");
+  REQUIRE(page);
+  std::string file;
+  bool inside = false;
+  for (std::string line; std::getline(page, line);) {
+    if (line.starts_with("```")) {
+      inside = line == "```jsonc";
+    } else if (inside) {
+      file += line + "\n";
+    }
+  }
+  REQUIRE(ParseServices(file).contains("spares"));
+}
+
 TEST_CASE("A service file is compared and applied", "[gkctl]")
 {
   GkctlRun gkctl;
