End the sessions of hosts that own no range

Cause: before the first member list, every host takes itself for a candidate and creates a session, which it then renewed for ever. Change: no session in the first second; a session that is not needed for 30 s is destroyed.

--- a/packages/control/src/HostLease.cpp
+++ b/packages/control/src/HostLease.cpp
@@ -8,6 +8,9 @@
 
 /** Wait before a failed create, lock or renewal is tried again. */
 constexpr Duration kRetry{ 500000 };
+/** A session that is not needed is kept for this time: the member list that
+ *  makes it unnecessary may be about to change back. */
+constexpr Duration kIdleSession{ 30000000 };
 /** A renewal is due after this part of the session's time to live. */
 constexpr int kRenewParts = 3;
 /** A renewal without a reply after this part is made again. */
@@ -39,6 +42,9 @@
   if (aWanted && !m_wanted) {
     m_createAt = std::max(m_createAt, aNow);
   }
+  if (!aWanted && m_wanted) {
+    m_unwantedSince = aNow;
+  }
   m_wanted = aWanted;
 }
 
@@ -195,7 +201,9 @@
 HostLease::FireTimers(TimePoint aNow, WallTime aWall, GuardActions& aActions)
 {
   if (m_step == Step::Locking || m_step == Step::Held) {
-    if (aNow >= m_end || aWall >= m_endWall) {
+    if (!m_wanted && aNow >= m_unwantedSince + kIdleSession) {
+      Destroy(aActions);
+    } else if (aNow >= m_end || aWall >= m_endWall) {
       Lose(aNow, aActions);
     } else if (aNow >= m_renewAt) {
       Renew(aNow, aWall, aActions);
--- a/packages/control/src/HostLease.h
+++ b/packages/control/src/HostLease.h
@@ -72,6 +72,7 @@
   StoreCalls& m_calls;
 
   bool m_wanted = false;
+  TimePoint m_unwantedSince;
   Step m_step = Step::Idle;
   std::string m_session;
   TimePoint m_end;
--- a/packages/control/src/RangeOwnership.cpp
+++ b/packages/control/src/RangeOwnership.cpp
@@ -20,6 +20,9 @@
 /** Time after the start in which no free range is claimed: the other hosts
  *  that start at the same time are not known yet. */
 constexpr Duration kSettle{ 2000000 };
+/** Time after the start in which no session is created: until the first member
+ *  list arrives, every host takes itself for a candidate. */
+constexpr Duration kLeaseDelay{ 1000000 };
 /** Time after a member change before ranges move to their preferred host. */
 constexpr Duration kRebalanceDelay{ 5000000 };
 /** A range whose keys never stop running is frozen after this time. */
@@ -442,7 +445,9 @@
 LeasedRangeGuard::Review(TimePoint aNow, WallTime aWall, GuardActions& aActions)
 {
   m_reviewAt = aNow + kReviewInterval;
-  m_lease.Want(aNow, (IsCandidate() && !m_shutdown) || !OwnsNothing());
+  const bool candidate =
+    IsCandidate() && !m_shutdown && aNow >= *m_startedAt + kLeaseDelay;
+  m_lease.Want(aNow, candidate || !OwnsNothing());
   CheckLease(aNow, aWall, aActions);
   m_claims = CountIn(State::Claiming);
   for (Range& range : m_ranges) {
