Drop old keys even if no command arrives

Cause: the memory of a range was trimmed only when a command arrived for it, so that a quiet range kept its keys beyond the retention. Change: each review trims the ranges that this host owns.

--- a/packages/control/src/LeasedRangeGuard.cpp
+++ b/packages/control/src/LeasedRangeGuard.cpp
@@ -145,10 +145,7 @@
     m_ledger.Join(aNow, aEvent, aActions);
     return;
   }
-  // The floor only rises, so that a forgotten key stays refused even if the
-  // wall clock is set back.
-  aRange.m_floor = std::max(aRange.m_floor, aWall - Retention());
-  m_ledger.ForgetUntil(aRange.m_number, aRange.m_floor);
+  ForgetOld(aWall, aRange);
   if (AnswerBadKey(aWall, aEvent, aActions)) {
     return;
   }
@@ -171,6 +168,15 @@
   m_ledger.Admit(aNow, aWall, aEvent, aActions);
 }
 
+void
+LeasedRangeGuard::ForgetOld(WallTime aWall, Range& aRange)
+{
+  // The floor only rises, so that a forgotten key stays refused even if the
+  // wall clock is set back.
+  aRange.m_floor = std::max(aRange.m_floor, aWall - Retention());
+  m_ledger.ForgetUntil(aRange.m_number, aRange.m_floor);
+}
+
 void
 LeasedRangeGuard::Redirect(const Range& aRange,
                            CommandRequestId aRequest,
--- a/packages/control/src/LeasedRangeGuard.h
+++ b/packages/control/src/LeasedRangeGuard.h
@@ -188,6 +188,8 @@
               Range& aRange,
               const SubmitCommand& aEvent,
               GuardActions& aActions);
+  /** Drops the keys that are older than the retention. */
+  void ForgetOld(WallTime aWall, Range& aRange);
   void Redirect(const Range& aRange,
                 CommandRequestId aRequest,
                 GuardActions& aActions);
--- a/packages/control/src/RangeOwnership.cpp
+++ b/packages/control/src/RangeOwnership.cpp
@@ -467,6 +467,7 @@
         break;
       case State::Active:
       case State::Freezing:
+        ForgetOld(aWall, range);
         ReviewActive(aNow, aWall, range, aActions);
         break;
       case State::Offered:
