Test the command guards

Cause: each failure that the design lists needs a test that produces it. Change: tests over the small fakes: commands sent through two hosts, refusing and failing backend servers, keys too new and too old, lost and replaced owners, owners paused beyond the lease with the clocks apart by the full error, store outages, lost, late and repeated store replies, lost forwards, shutdown, and randomised runs with fixed seeds.

--- /dev/null
+++ b/packages/control/tests/CommandGuardTest.cpp
@@ -0,0 +1,433 @@
+#include "CommandFleet.h"
+#include "CommandRun.h"
+
+#include <goldcrestkeel/Control.h>
+
+#include <catch2/catch.hpp>
+
+using namespace goldcrestkeel;
+using namespace goldcrestkeel::benchmark;
+
+namespace {
+
+constexpr Duration kSecond{ 1000000 };
+
+Command
+Hold(const std::string& aKey, const std::string& aBody = "hold 7 buffers")
+{
+  return Command{ "reservations", aKey, aBody, CallerClass::Interactive };
+}
+
+FleetOptions
+ThreeHosts(const std::string& aStrategy = "leased_range")
+{
+  FleetOptions options;
+  options.m_hosts = 3;
+  options.m_strategy = aStrategy;
+  return options;
+}
+
+/** Fleet whose ranges are all owned. */
+struct SettledFleet : CommandFleet
+{
+  explicit SettledFleet(const FleetOptions& aOptions = ThreeHosts())
+    : CommandFleet(aOptions)
+  {
+    RunFor(15 * kSecond);
+  }
+
+  std::size_t OtherThan(std::size_t aHost) const
+  {
+    return (aHost + 1) % Hosts();
+  }
+
+  /** Key whose range aHost owns. */
+  std::string KeyOwnedBy(std::size_t aHost)
+  {
+    std::string key = NewKey();
+    while (OwnerOf(key) != aHost) {
+      key = NewKey();
+    }
+    return key;
+  }
+};
+
+} // namespace
+
+// Guards against a malformed key that one host takes and another refuses.
+TEST_CASE("A key states its time", "[commands]")
+{
+  REQUIRE(TimeOfKey("1800000000000-a_B-9") == 1800000000000);
+  for (const char* bad :
+       { "", "-a", "12", "12-", "x2-a", "1234567890123456-a", "12-a b" }) {
+    REQUIRE_FALSE(TimeOfKey(bad));
+  }
+}
+
+// Guards against two hosts that assign ranges differently, and against a
+// member change that moves ranges between hosts that stay.
+TEST_CASE("Ranges are assigned by rendezvous hashing", "[commands]")
+{
+  const std::vector<std::string> hosts{ "a", "b", "c", "d" };
+  std::map<std::string, int> owned;
+  for (std::uint32_t range = 0; range < kCommandRanges; ++range) {
+    const auto ranked = RankHosts(range, hosts);
+    REQUIRE(RankHosts(range, { "d", "b", "a", "c" }) == ranked);
+    ++owned[ranked.front()];
+    if (ranked.front() != "d") {
+      REQUIRE(RankHosts(range, { "a", "b", "c" }).front() == ranked.front());
+    }
+  }
+  for (const auto& [host, count] : owned) {
+    REQUIRE(count > 40);
+  }
+}
+
+TEST_CASE("An unknown strategy is refused by name", "[commands]")
+{
+  const auto random = MakeSeededRandom(1);
+  REQUIRE_THROWS_AS(MakeCommandGuard("hope", {}, *random), Error);
+  for (const std::string_view name : CommandGuardNames()) {
+    REQUIRE(MakeCommandGuard(name, {}, *random)->Name() == name);
+  }
+}
+
+TEST_CASE("A command sent through two hosts", "[commands]")
+{
+  SECTION("runs twice with the baseline")
+  {
+    FleetOptions options = ThreeHosts("host_memory");
+    options.m_assert = false;
+    SettledFleet fleet(options);
+    const std::string key = fleet.NewKey();
+    REQUIRE(fleet.Ask(0, Hold(key))->m_ran == Ran::Yes);
+    REQUIRE(fleet.Ask(1, Hold(key))->m_ran == Ran::Yes);
+    REQUIRE(fleet.Runs(key) == 2);
+  }
+  const std::string strategy = GENERATE("store_claim", "leased_range");
+  SECTION("runs once with " + strategy)
+  {
+    SettledFleet fleet(ThreeHosts(strategy));
+    const std::string key = fleet.NewKey();
+    const auto first = fleet.Ask(0, Hold(key));
+    const auto second = fleet.Ask(1, Hold(key));
+    REQUIRE(first->m_ran == Ran::Yes);
+    REQUIRE(*second == *first);
+    REQUIRE(fleet.Runs(key) == 1);
+
+    SECTION("and another body with the same key is refused")
+    {
+      const auto other = fleet.Ask(2, Hold(key, "hold 8 buffers"));
+      REQUIRE(other->m_error == ErrorKind::IdempotencyKeyReused);
+      REQUIRE(fleet.Runs(key) == 1);
+    }
+  }
+  SECTION("at the same time runs once, and both get its result, with " +
+          strategy)
+  {
+    SettledFleet fleet(ThreeHosts(strategy));
+    const std::string key = fleet.NewKey();
+    std::vector<CommandOutcome> outcomes;
+    for (std::size_t host = 0; host < 3; ++host) {
+      fleet.Submit(host, Hold(key), kSecond, [&](const CommandOutcome& aOne) {
+        outcomes.push_back(aOne);
+      });
+    }
+    fleet.RunFor(2 * kSecond);
+    REQUIRE(outcomes.size() == 3);
+    for (const CommandOutcome& outcome : outcomes) {
+      REQUIRE(outcome.m_ran == Ran::Yes);
+    }
+    REQUIRE(fleet.Runs(key) == 1);
+  }
+}
+
+TEST_CASE("A backend server that refuses or fails", "[commands]")
+{
+  SettledFleet fleet;
+  const std::string key = fleet.NewKey();
+  std::vector<Fate> fates;
+  fleet.m_backendFate = [&](std::size_t, const SendCommand&) {
+    const Fate fate = fates.empty() ? Fate::Delivered : fates.back();
+    if (!fates.empty()) {
+      fates.pop_back();
+    }
+    return fate;
+  };
+
+  SECTION("is replaced by another replica after proof of not run")
+  {
+    fates = { Fate::Refused, Fate::Shed };
+    REQUIRE(fleet.Ask(0, Hold(key))->m_ran == Ran::Yes);
+    REQUIRE(fleet.Runs(key) == 1);
+  }
+  SECTION("leads to \"no\" for good if all refuse")
+  {
+    fates = std::vector<Fate>(100, Fate::Shed);
+    REQUIRE(fleet.Ask(0, Hold(key))->m_ran == Ran::No);
+    fates.clear();
+    const auto again = fleet.Ask(1, Hold(key));
+    REQUIRE(again->m_error == ErrorKind::CommandRefused);
+    REQUIRE(again->m_ran == Ran::No);
+    REQUIRE(fleet.Runs(key) == 0);
+  }
+  SECTION("leads to \"unknown\" if the reply is lost, also when sent again")
+  {
+    fates = { Fate::ReplyLost };
+    REQUIRE(fleet.Ask(0, Hold(key))->m_ran == Ran::Unknown);
+    REQUIRE(fleet.Ask(1, Hold(key))->m_ran == Ran::Unknown);
+    REQUIRE(fleet.Runs(key) == 1);
+  }
+  SECTION("leads to \"unknown\" if the reply is crossed")
+  {
+    fates = { Fate::Crossed };
+    REQUIRE(fleet.Ask(0, Hold(key))->m_ran == Ran::Unknown);
+  }
+}
+
+TEST_CASE("The time in a key", "[commands]")
+{
+  SettledFleet fleet;
+  SECTION("may be ahead by the clock error")
+  {
+    REQUIRE(fleet.Ask(0, Hold(fleet.NewKey(kClockError)))->m_ran == Ran::Yes);
+  }
+  SECTION("is refused beyond, without the claim that it has not run")
+  {
+    const auto answer = fleet.Ask(0, Hold(fleet.NewKey(kClockError + 1)));
+    REQUIRE(answer->m_error == ErrorKind::BadIdempotencyKey);
+    REQUIRE(answer->m_ran == Ran::Unknown);
+  }
+  SECTION("older than the memory gets \"unknown\"")
+  {
+    const auto answer = fleet.Ask(0, Hold(fleet.NewKey(-3600000)));
+    REQUIRE(answer->m_ran == Ran::Unknown);
+  }
+  SECTION("ages out of the memory, and the key is not run again")
+  {
+    const std::string key = fleet.NewKey();
+    REQUIRE(fleet.Ask(0, Hold(key))->m_ran == Ran::Yes);
+    fleet.RunFor(601 * kSecond);
+    REQUIRE(fleet.Ask(0, Hold(key))->m_ran == Ran::Unknown);
+    REQUIRE(fleet.Runs(key) == 1);
+  }
+}
+
+TEST_CASE("An owner that is lost", "[commands]")
+{
+  SettledFleet fleet;
+  const std::string key = fleet.KeyOwnedBy(0);
+  REQUIRE(fleet.Ask(1, Hold(key))->m_ran == Ran::Yes);
+  fleet.Crash(0);
+  fleet.PublishMembers(kSecond);
+
+  SECTION("answers nothing while its lease runs")
+  {
+    const auto answer = fleet.Ask(1, Hold(key), kSecond);
+    REQUIRE(answer->m_ran == Ran::Unknown);
+  }
+  SECTION("is succeeded by a host that refuses the older key")
+  {
+    fleet.RunFor(20 * kSecond);
+    REQUIRE(fleet.OwnerOf(key) != 0);
+    REQUIRE(fleet.Ask(1, Hold(key))->m_ran == Ran::Unknown);
+    REQUIRE(fleet.Runs(key) == 1);
+
+    SECTION("and takes new keys on")
+    {
+      REQUIRE(fleet.Ask(2, Hold(fleet.NewKey()))->m_ran == Ran::Yes);
+    }
+  }
+  SECTION("and replaced by a host with the same id does not run it again")
+  {
+    fleet.Restart(0);
+    fleet.PublishMembers(kSecond);
+    fleet.RunFor(20 * kSecond);
+    for (std::size_t host = 0; host < 3; ++host) {
+      REQUIRE(fleet.Ask(host, Hold(key))->m_ran == Ran::Unknown);
+    }
+    REQUIRE(fleet.Runs(key) == 1);
+  }
+}
+
+TEST_CASE("An owner that is paused beyond its lease", "[commands]")
+{
+  SettledFleet fleet;
+  // The clocks differ by kClockError, the old owner's is ahead.
+  fleet.SetClockError(0, kClockError / 2);
+  fleet.SetClockError(1, -kClockError / 2);
+  fleet.SetClockError(2, -kClockError / 2);
+  const std::string key = fleet.KeyOwnedBy(0);
+  std::optional<CommandOutcome> late;
+
+  SECTION("after its decision to send")
+  {
+    fleet.m_backendClockError = [] { return -kClockError / 2; };
+    fleet.PauseAfterDecision(0, 25 * kSecond);
+    fleet.Submit(0, Hold(key), 30 * kSecond, [&](const CommandOutcome& aOne) {
+      late = aOne;
+    });
+    fleet.RunFor(20 * kSecond);
+    const auto again = fleet.Ask(1, Hold(key));
+    REQUIRE(again->m_ran == Ran::Unknown);
+    fleet.RunFor(40 * kSecond);
+    REQUIRE(fleet.Runs(key) == 0);
+    REQUIRE(late.has_value());
+  }
+  SECTION("takes nothing on afterwards without its range")
+  {
+    fleet.Pause(0, 25 * kSecond);
+    fleet.RunFor(20 * kSecond);
+    const std::size_t owner = fleet.OwnerOf(key);
+    REQUIRE(owner != 0);
+    const std::string fresh = fleet.KeyOwnedBy(owner);
+    REQUIRE(fleet.Ask(1, Hold(fresh))->m_ran == Ran::Yes);
+    fleet.RunFor(6 * kSecond);
+    REQUIRE(fleet.Ask(0, Hold(fresh))->m_ran == Ran::Yes);
+    REQUIRE(fleet.Runs(fresh) == 1);
+  }
+}
+
+TEST_CASE("A store outage", "[commands]")
+{
+  SettledFleet fleet;
+  const std::string key = fleet.KeyOwnedBy(0);
+  REQUIRE(fleet.Ask(1, Hold(key))->m_ran == Ran::Yes);
+
+  SECTION("shorter than the leases refuses nothing")
+  {
+    fleet.StoreDown(6 * kSecond);
+    fleet.RunFor(3 * kSecond);
+    REQUIRE(fleet.Ask(1, Hold(fleet.NewKey()))->m_ran == Ran::Yes);
+  }
+  SECTION("longer than the leases stops the owners")
+  {
+    fleet.StoreDown(30 * kSecond);
+    fleet.RunFor(20 * kSecond);
+    const std::string during = fleet.NewKey();
+    REQUIRE(fleet.Ask(1, Hold(during), kSecond)->m_ran == Ran::Unknown);
+    REQUIRE(fleet.Runs(during) == 0);
+
+    SECTION("and they resume with their memory if nobody came in between")
+    {
+      fleet.RunFor(20 * kSecond);
+      REQUIRE(fleet.OwnerOf(key) == 0);
+      const auto again = fleet.Ask(2, Hold(key));
+      REQUIRE(again->m_ran == Ran::Yes);
+      REQUIRE(fleet.Runs(key) == 1);
+    }
+  }
+}
+
+TEST_CASE("A lost store reply", "[commands]")
+{
+  const Fate fate = GENERATE(Fate::ReplyLost, Fate::RequestLost, Fate::Late);
+  const bool claims = GENERATE(true, false);
+  FleetOptions options = ThreeHosts();
+  CommandFleet fleet(options);
+  int left = 40;
+  fleet.m_storeFate = [&](std::size_t, const StoreCall& aCall) {
+    const bool claim = aCall.m_operation == StoreOperation::CompareAndSwap;
+    return claim == claims && left-- > 0 ? fate : Fate::Delivered;
+  };
+
+  SECTION("leaves each range with one owner")
+  {
+    fleet.RunFor(60 * kSecond);
+    std::uint64_t owned = 0;
+    for (std::size_t host = 0; host < fleet.Hosts(); ++host) {
+      owned += fleet.Guard(host).Counters().m_ownedRanges;
+    }
+    REQUIRE(owned == kCommandRanges);
+    const std::string key = fleet.NewKey();
+    REQUIRE(fleet.Ask(0, Hold(key))->m_ran == Ran::Yes);
+    REQUIRE(fleet.Ask(1, Hold(key))->m_ran == Ran::Yes);
+    REQUIRE(fleet.Runs(key) == 1);
+  }
+}
+
+TEST_CASE("A forward that is lost", "[commands]")
+{
+  SettledFleet fleet;
+  const std::string key = fleet.KeyOwnedBy(0);
+  const Fate fate = GENERATE(Fate::ReplyLost, Fate::RequestLost, Fate::Refused);
+  int left = 1;
+  fleet.m_peerFate = [&](std::size_t, std::size_t) {
+    return left-- > 0 ? fate : Fate::Delivered;
+  };
+  SECTION("is sent again within the deadline and runs once")
+  {
+    const auto answer = fleet.Ask(1, Hold(key), 4 * kSecond);
+    REQUIRE(answer->m_ran == Ran::Yes);
+    REQUIRE(fleet.Runs(key) == 1);
+  }
+}
+
+TEST_CASE("A planned shutdown", "[commands]")
+{
+  SettledFleet fleet;
+  const std::string key = fleet.KeyOwnedBy(0);
+  REQUIRE(fleet.Ask(1, Hold(key))->m_ran == Ran::Yes);
+
+  SECTION("passes the memory on")
+  {
+    fleet.Shutdown(0);
+    fleet.PublishMembers(kSecond);
+    fleet.RunFor(5 * kSecond);
+    REQUIRE(fleet.Guard(0).Drained());
+    fleet.Crash(0);
+    REQUIRE(fleet.OwnerOf(key) != 0);
+    REQUIRE(fleet.Ask(1, Hold(key))->m_ran == Ran::Yes);
+    REQUIRE(fleet.Runs(key) == 1);
+    REQUIRE(fleet.Ask(2, Hold(fleet.NewKey()))->m_ran == Ran::Yes);
+  }
+  SECTION("refuses no command that arrives meanwhile")
+  {
+    int answered = 0;
+    fleet.Shutdown(0);
+    fleet.PublishMembers(kSecond);
+    for (int i = 0; i < 100; ++i) {
+      fleet.Submit(i % 3,
+                   Hold(fleet.NewKey()),
+                   2 * kSecond,
+                   [&](const CommandOutcome& aOutcome) {
+                     answered += aOutcome.m_ran == Ran::Yes ? 1 : 0;
+                   });
+      fleet.RunFor(Duration{ 20000 });
+    }
+    fleet.RunFor(3 * kSecond);
+    REQUIRE(answered == 100);
+  }
+  SECTION("keeps one owner if a handover's reply is lost or late")
+  {
+    const Fate fate = GENERATE(Fate::ReplyLost, Fate::Late);
+    int left = 20;
+    fleet.m_peerFate = [&](std::size_t, std::size_t) {
+      return left-- > 0 ? fate : Fate::Delivered;
+    };
+    fleet.Shutdown(0);
+    fleet.PublishMembers(kSecond);
+    fleet.RunFor(15 * kSecond);
+    REQUIRE(fleet.Ask(1, Hold(key))->m_ran != Ran::No);
+    REQUIRE(fleet.Runs(key) == 1);
+  }
+}
+
+// Every fault at once, with fixed seeds. The fleet asserts AtMostOnce,
+// NotRunIsTrue and OwnAnswer at each run and each answer.
+TEST_CASE("No command runs twice with every fault at once", "[commands]")
+{
+  const std::uint64_t seed = GENERATE(11, 12, 13);
+  const std::string strategy = GENERATE("store_claim", "leased_range");
+  SECTION(strategy + " with seed " + std::to_string(seed))
+  {
+    CommandRunOptions options;
+    options.m_fleet.m_seed = seed;
+    options.m_fleet.m_strategy = strategy;
+    options.m_commands = 3000;
+    const CommandRunResult result = RunCommands(options);
+    REQUIRE(result.m_duplicates == 0);
+    REQUIRE(result.m_falseNotRun == 0);
+    REQUIRE(result.m_executed > result.m_commands / 2);
+  }
+}
