--- a/scripts/lib/catalogue.py
+++ b/scripts/lib/catalogue.py
@@ -122,7 +122,7 @@
     return None
 
 
-def check_answer(answer, statement, limit, snapshots):
+def check_answer(answer, statement, limit, snapshots, offset=0):
     """Compares a search answer with the scan of its own snapshot. Returns what is
     wrong, or None. Hits are compared exactly if each shard that answered was
     searched whole."""
@@ -135,8 +135,8 @@
     matches = snapshot.scan(statement, missing)
     whole = snapshot.total - sum(snapshot.sizes[s] for s in missing)
     if answer["coverage"]["documents_searched"] == whole:
-        if hits != matches[:limit]:
-            return f"hits {hits[:3]} instead of {matches[:3]}"
+        if hits != matches[offset:offset + limit]:
+            return f"hits {hits[:3]} instead of {matches[offset:offset + 3]}"
     elif not set(hits) <= set(matches):
         return f"hits that the scan does not find: {set(hits) - set(matches)}"
     elif hits != sorted(set(hits), key=lambda h: (-h[2], h[0])):
