--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -103,6 +103,10 @@
             os.kill(process.pid, number)
 
     def start_platform(self, *options):
+        ip, port = PLATFORM.split(":")
+        with socket.socket() as probe:
+            if probe.connect_ex((ip, int(port))) == 0:
+                raise SystemExit(f"another run uses {PLATFORM} and the other addresses")
         self.start("platform", [f"{self.binaries}/gk-standin-platform",
                                 "--listen", PLATFORM, *options])
 
