Apply the example configurations with gkctl in the demo

Cause: the services file bypassed the store, the acceptance of changes and gkctl.

Change: the demo applies both examples with gkctl and waits until all hosts report the same revision.

--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -14,6 +14,8 @@
 ADMIN_PORT_OFFSET = 10000
 HTTP_PORT = 8080
 PEER_PORT = 8081
+# Exit code of gkctl for a change that some hosts have not confirmed yet.
+GKCTL_PENDING = 5
 
 
 def read_services(path):
@@ -153,6 +155,30 @@
     def platform(self, command):
         return self.client.call(admin_of(PLATFORM), "POST", "/admin", command)[1]
 
+    def apply(self, path):
+        """Puts the services of a file in force with gkctl; returns its output."""
+        hosts = [option for a in self.hosts.values() for option in ("--host", a)]
+        done = subprocess.run([f"{self.binaries}/gkctl", "apply", *hosts, path],
+                              capture_output=True, text=True, check=False)
+        if done.returncode not in (0, GKCTL_PENDING):
+            raise RuntimeError(f"gkctl apply {path}: exit code {done.returncode}\n"
+                               f"{done.stdout}{done.stderr}")
+        return done.stdout.strip().splitlines()[-1]
+
+    def revisions(self):
+        """Revision in force on each host."""
+        return {host: int(self.metric(host, "goldcrestkeel_configuration_revision"))
+                for host in self.hosts}
+
+    def wait_for_revision(self, seconds=30):
+        """Waits until all hosts have the same revision; returns it."""
+        deadline = time.monotonic() + seconds
+        while len(set(self.revisions().values())) > 1:
+            if time.monotonic() > deadline:
+                raise RuntimeError(f"revisions differ: {self.revisions()}")
+            time.sleep(0.05)
+        return max(self.revisions().values())
+
     def wait_for(self, address, path, seconds=60):
         """Waits until a GET replies 200."""
         deadline = time.monotonic() + seconds
@@ -172,9 +198,9 @@
         for spec in self.replicas.values():
             self.wait_for(spec["address"], "/status")
 
-    def wait_for_hosts(self):
+    def wait_for_hosts(self, path="/readyz"):
         for address in self.hosts.values():
-            self.wait_for(address, "/readyz")
+            self.wait_for(address, path)
 
     def runs(self):
         """Runs by command key, over all replicas and their restarts."""
