Run statements and wire commands, membership and configuration

The API runs every statement of the language: searches, commands, changes, inspections. Before each request the loop thread asks whether the host may still serve, so that a paused host notices its pause before it answers. A shutdown finishes the requests of callers first and then hands the key ranges over.

--- a/packages/goldcrestkeeld/src/Daemon.cpp
+++ b/packages/goldcrestkeeld/src/Daemon.cpp
@@ -2,6 +2,7 @@
 
 #include <goldcrestkeel/Control.h>
 
+#include <algorithm>
 #include <string>
 
 namespace goldcrestkeel {
@@ -10,6 +11,15 @@
 
 // Interval at which a shutdown looks whether the last requests have finished.
 constexpr Duration kDrainCheck{ 20000 };
+// Longest time for the handover of the key ranges. Ranges that are left are
+// free when the session lapses.
+constexpr Duration kHandoverLimit{ 10000000 };
+// Interval at which readiness and members are looked at.
+constexpr Duration kStateCheck{ 100000 };
+// Calls to other hosts that run at once. Commands have threads of their own,
+// because they wait for their owner and must not delay probes.
+constexpr std::uint32_t kControlCalls = 8;
+constexpr std::uint32_t kCommandCalls = 32;
 
 EngineOptions
 EngineOptionsOf(const Settings& aSettings)
@@ -22,6 +32,25 @@
   return options;
 }
 
+MemberEntry
+SelfOf(const Settings& aSettings, const Clock& aClock)
+{
+  MemberEntry self;
+  self.m_host = aSettings.m_hostId;
+  self.m_address = aSettings.m_peerAddress;
+  self.m_dataCentre = aSettings.m_dataCentre;
+  self.m_incarnation = static_cast<std::uint64_t>(aClock.WallNow());
+  return self;
+}
+
+CommandGuardOptions
+GuardOptionsOf(const Settings& aSettings)
+{
+  CommandGuardOptions options;
+  options.m_host = aSettings.m_hostId;
+  return options;
+}
+
 HttpFrontOptions
 FrontOptionsOf(const Settings& aSettings)
 {
@@ -36,36 +65,70 @@
 } // namespace
 
 class Daemon::Impl
+  : public ControlListener
+  , public SearchObserver
 {
 public:
   explicit Impl(Settings aSettings)
     : m_settings(std::move(aSettings))
     , m_invariants(m_metrics)
     , m_loop(m_clock, m_client)
+    , m_sealer(m_settings.m_hostId, m_settings.m_peerKeys, m_clock)
+    , m_controlPeers(m_loop, m_sealer, kControlCalls)
+    , m_commandPeers(m_loop, m_sealer, kCommandCalls)
+    , m_store(m_client, m_settings.m_storeAddress, m_settings.m_storeTimeout)
     , m_backend(m_client,
                 m_settings.m_hostId + "-" + std::to_string(m_clock.WallNow()))
     , m_engine(MakeQueryEngine(EngineOptionsOf(m_settings), *m_random))
     , m_searches(m_loop, *m_engine, m_backend)
+    , m_node(SelfOf(m_settings, m_clock), *m_random)
+    , m_control(m_loop, m_node, m_store, m_controlPeers, *this)
+    , m_guard(MakeCommandGuard(m_settings.m_commandGuard,
+                               GuardOptionsOf(m_settings),
+                               *m_random))
+    , m_forwards(
+        m_loop,
+        m_commandPeers,
+        [this](const std::string& aHost) { return m_control.AddressOf(aHost); })
+    , m_commands(m_loop, *m_guard, m_searches, m_backend, m_store, m_forwards)
+    , m_dispatch(m_control, m_commands, m_metrics)
+    , m_peerServer(m_settings.m_peerAddress,
+                   m_loop,
+                   m_sealer,
+                   m_metrics,
+                   m_dispatch)
+    , m_hostList(m_loop,
+                 m_settings.m_hostListAddress,
+                 m_settings.m_hostListInterval,
+                 [this](const auto& aHosts) { HostListRead(aHosts); })
     , m_api(PartsOfApi())
     , m_front(FrontOptionsOf(m_settings), m_api)
   {
     SetInvariantHandler(&m_invariants);
+    m_searches.SetObserver(this);
   }
 
-  ~Impl() { SetInvariantHandler(nullptr); }
+  ~Impl() override { SetInvariantHandler(nullptr); }
 
   void Run()
   {
     LoadServices();
     m_searches.StartPolling(m_settings.m_statusInterval);
+    m_peerServer.Start();
     m_front.Start();
+    m_hostList.Start();
+    CheckState();
     Log(Severity::Info,
         "listening",
         { { "host", m_settings.m_hostId },
           { "address", m_settings.m_httpAddress },
-          { "port", m_front.Port() } });
+          { "port", m_front.Port() },
+          { "peer_address", m_peerServer.Address() } });
     m_loop.Run();
     m_front.Stop();
+    m_peerServer.Stop();
+    m_controlPeers.Stop();
+    m_commandPeers.Stop();
     Log(Severity::Info, "stopped", { { "host", m_settings.m_hostId } });
   }
 
@@ -85,31 +148,126 @@
       m_settings.m_logSeverity = settings.m_logSeverity;
       m_settings.m_drainWait = settings.m_drainWait;
       SetLogSeverity(settings.m_logSeverity);
+      m_sealer.SetKeys(settings.m_peerKeys);
       Log(Severity::Info, "settings read again");
     });
   }
 
+  // ControlListener
+  void InForce(const Configuration& aConfiguration) override
+  {
+    // The empty configuration of a new installation leaves the services file
+    // in force.
+    if (aConfiguration.m_revision > 0 || m_settings.m_servicesFile.empty()) {
+      m_searches.SetServices(aConfiguration.m_services);
+      m_controlled = true;
+    }
+    CheckServing();
+  }
+
+  void LiveHosts(std::uint32_t aCount) override
+  {
+    m_engine->SetLiveHosts(m_loop.Now(), std::max(aCount, 1U));
+  }
+
+  void SuspectsLearnt(const std::vector<SuspectReport>& aReports) override
+  {
+    m_searches.LearnSuspects(aReports);
+  }
+
+  void DrainsLearnt(const std::vector<DrainNotice>& aNotices) override
+  {
+    for (const DrainNotice& notice : aNotices) {
+      m_searches.LearnDrain(notice.m_replica, notice.m_incarnation);
+    }
+  }
+
+  // SearchObserver
+  void SuspectsChanged(const std::vector<SuspectReport>& aReports) override
+  {
+    for (const SuspectReport& report : aReports) {
+      Log(Severity::Warning,
+          "suspect statement",
+          { { "fingerprint", report.m_fingerprint },
+            { "crashes", report.m_crashes },
+            { "quarantined", report.m_quarantined },
+            { "lifted", report.m_lifted } });
+    }
+    m_control.ReportSuspects(aReports);
+  }
+
+  void DrainSeen(const std::string& aReplica,
+                 std::uint64_t aIncarnation) override
+  {
+    Log(Severity::Info, "replica drains", { { "replica", aReplica } });
+    m_control.ReportDrain({ aReplica, aIncarnation });
+  }
+
 private:
   ApiParts PartsOfApi()
   {
-    ApiParts parts{ m_loop, m_searches, nullptr, m_lifecycle, m_metrics, {} };
-    parts.m_updateMetrics = [this] {
-      m_metrics.SetEngine(m_engine->Counters(), m_engine->RunningQueries());
-    };
+    ApiParts parts{ m_loop,      m_searches, &m_commands, &m_control,
+                    m_lifecycle, m_metrics,  {},          {} };
+    parts.m_updateMetrics = [this] { UpdateMetrics(); };
+    parts.m_serving = [this] { return CheckServing(); };
     parts.m_maxBodyBytes = m_settings.m_maxBodyBytes;
     parts.m_maxDeadline = m_settings.m_maxDeadline;
     return parts;
   }
 
+  void UpdateMetrics()
+  {
+    m_metrics.SetEngine(m_engine->Counters(), m_engine->RunningQueries());
+    m_metrics.SetCommands(m_guard->Counters());
+    m_metrics.SetGauge(
+      "configuration_revision",
+      "Revision in force",
+      static_cast<double>(m_node.Manager().Current()->m_revision));
+    m_metrics.SetGauge("live_hosts",
+                       "Entry hosts not known to be dead",
+                       m_node.Members().LiveHosts());
+    m_metrics.SetGauge(
+      "ready", "Whether the host is ready", m_lifecycle.Ready() ? 1 : 0);
+  }
+
+  // Services of the file serve only until a configuration is in force.
   void LoadServices()
   {
     if (!m_settings.m_servicesFile.empty()) {
       m_searches.SetServices(
         ParseServices(ReadFile(m_settings.m_servicesFile)));
-      m_lifecycle.SetServing(true);
     }
   }
 
+  void HostListRead(const std::vector<ListedHost>& aHosts)
+  {
+    m_control.SetHostList(aHosts);
+    CheckState();
+  }
+
+  // Membership and readiness change with time alone, so they are looked at
+  // regularly.
+  void CheckState()
+  {
+    CheckServing();
+    std::vector<std::string> alive = m_control.AliveHosts();
+    if (alive != m_alive) {
+      m_alive = std::move(alive);
+      m_commands.SetMembers(m_alive);
+    }
+    m_loop.Cancel(m_stateTimer);
+    m_stateTimer = m_loop.After(kStateCheck, [this] { CheckState(); });
+  }
+
+  bool CheckServing()
+  {
+    const bool byFile = !m_controlled && !m_settings.m_servicesFile.empty();
+    const bool serving = byFile || (m_node.Manager().Ready() &&
+                                    m_node.Manager().Serving(m_loop.Now()));
+    m_lifecycle.SetServing(serving);
+    return serving;
+  }
+
   void StartDraining()
   {
     if (m_lifecycle.Draining()) {
@@ -117,20 +275,41 @@
     }
     Log(Severity::Info, "draining");
     m_lifecycle.StartDraining();
-    m_front.CloseConnections();
+    m_control.StartDraining();
+    CheckState();
     m_loop.After(m_settings.m_drainWait, [this] {
       m_lifecycle.StartRefusing();
-      FinishDraining();
+      m_front.CloseConnections();
+      m_drainLimit = m_loop.Now() + kHandoverLimit;
+      FinishRequests();
     });
   }
 
-  void FinishDraining()
+  // The ranges are handed over when no request of a caller is left.
+  void FinishRequests()
   {
-    if (m_front.Open() == 0) {
-      m_loop.Stop();
+    if (m_front.Open() != 0) {
+      m_loop.After(kDrainCheck, [this] { FinishRequests(); });
       return;
     }
-    m_loop.After(kDrainCheck, [this] { FinishDraining(); });
+    m_commands.BeginShutdown();
+    m_drainLimit = m_loop.Now() + kHandoverLimit;
+    FinishHandover();
+  }
+
+  void FinishHandover()
+  {
+    const bool drained = m_guard->Drained() && m_front.Open() == 0;
+    if (!drained && m_loop.Now() < m_drainLimit) {
+      m_loop.After(kDrainCheck, [this] { FinishHandover(); });
+      return;
+    }
+    if (!drained) {
+      Log(Severity::Warning,
+          "not all ranges were handed over; they are free when the session "
+          "lapses");
+    }
+    m_loop.Stop();
   }
 
   Settings m_settings;
@@ -141,11 +320,27 @@
   std::unique_ptr<RandomSource> m_random = MakeSystemRandom();
   HttpClient m_client;
   EventLoop m_loop;
+  EnvelopeSealer m_sealer;
+  PeerClient m_controlPeers;
+  PeerClient m_commandPeers;
+  StoreClient m_store;
   HttpBackendClient m_backend;
   std::unique_ptr<QueryEngine> m_engine;
   SearchDriver m_searches;
+  ControlNode m_node;
+  ControlDriver m_control;
+  std::unique_ptr<CommandGuard> m_guard;
+  PeerCommands m_forwards;
+  CommandDriver m_commands;
+  PeerDispatch m_dispatch;
+  PeerServer m_peerServer;
+  HostListPoller m_hostList;
   Api m_api;
   HttpFront m_front;
+  bool m_controlled = false;
+  std::vector<std::string> m_alive;
+  TimerId m_stateTimer = 0;
+  TimePoint m_drainLimit;
 };
 
 Daemon::Daemon(Settings aSettings)
--- a/packages/net/include/goldcrestkeel/Net.h
+++ b/packages/net/include/goldcrestkeel/Net.h
@@ -5,7 +5,9 @@
 #include <goldcrestkeel/net/Api.h>
 #include <goldcrestkeel/net/BackendClient.h>
 #include <goldcrestkeel/net/CommandDriver.h>
+#include <goldcrestkeel/net/ControlDriver.h>
 #include <goldcrestkeel/net/EventLoop.h>
+#include <goldcrestkeel/net/HostList.h>
 #include <goldcrestkeel/net/HttpBackendClient.h>
 #include <goldcrestkeel/net/HttpClient.h>
 #include <goldcrestkeel/net/HttpFront.h>
@@ -13,6 +15,8 @@
 #include <goldcrestkeel/net/Log.h>
 #include <goldcrestkeel/net/Metrics.h>
 #include <goldcrestkeel/net/PeerClient.h>
+#include <goldcrestkeel/net/PeerCommands.h>
+#include <goldcrestkeel/net/PeerDispatch.h>
 #include <goldcrestkeel/net/PeerEnvelope.h>
 #include <goldcrestkeel/net/PeerServer.h>
 #include <goldcrestkeel/net/SearchDriver.h>
--- a/packages/net/include/goldcrestkeel/net/SearchDriver.h
+++ b/packages/net/include/goldcrestkeel/net/SearchDriver.h
@@ -11,6 +11,18 @@
 
 namespace goldcrestkeel {
 
+/** What the driver sees of crashes and drains, for the other entry hosts. */
+class SearchObserver
+{
+public:
+  virtual ~SearchObserver() = default;
+  /** Suspects that are new or have changed here. */
+  virtual void SuspectsChanged(const std::vector<SuspectReport>& aReports) = 0;
+  /** A replica reports that it drains; called once for each incarnation. */
+  virtual void DrainSeen(const std::string& aReplica,
+                         std::uint64_t aIncarnation) = 0;
+};
+
 /** Connects the query engine to the backend servers: carries out its actions,
  *  keeps its timer and polls the status of the replicas. Belongs to the loop
  *  thread. */
@@ -41,6 +53,14 @@
   /** Polls the status of every replica once in each aInterval. */
   void StartPolling(Duration aInterval);
 
+  /** Sets the observer; it must outlive the driver. */
+  void SetObserver(SearchObserver* aObserver) { m_observer = aObserver; }
+  /** Tells the observer of suspects that have changed. */
+  void ReportSuspects();
+  /** Takes over what other entry hosts have reported. */
+  void LearnSuspects(const std::vector<SuspectReport>& aReports);
+  void LearnDrain(const std::string& aReplica, std::uint64_t aIncarnation);
+
   std::size_t Running() const { return m_running.size(); }
   /** Address of a replica, empty if there is no such replica. */
   std::string AddressOf(const std::string& aReplica) const;
@@ -63,6 +83,11 @@
   std::unordered_map<std::string, std::string> m_addresses;
   std::unordered_map<std::string, TimerId> m_polls;
   std::unordered_map<QueryId, Done> m_running;
+  void HandleStatus(const ReplicaStatus& aStatus, Actions& aActions);
+
+  SearchObserver* m_observer = nullptr;
+  std::unordered_map<std::uint64_t, std::uint64_t> m_suspectVersions;
+  std::unordered_map<std::string, std::uint64_t> m_drains;
   QueryId m_nextQuery = 1;
   TimerId m_timer = 0;
   std::optional<TimePoint> m_timerAt;
--- a/packages/net/src/Api.cpp
+++ b/packages/net/src/Api.cpp
@@ -1,5 +1,7 @@
 #include "Problem.h"
 #include "RequestParsing.h"
+#include "ShowStatements.h"
+#include "StatementActions.h"
 
 #include <goldcrestkeel/net/Api.h>
 #include <goldcrestkeel/net/Log.h>
@@ -12,7 +14,9 @@
 namespace {
 
 constexpr std::string_view kServicesPrefix = "/v1/services/";
+constexpr std::string_view kStatementsPath = "/v1/statements";
 constexpr int kOk = 200;
+constexpr int kAccepted = 202;
 constexpr int kFirstServerError = 500;
 
 void
@@ -79,6 +83,25 @@
                   { "result", aOutcome.m_result } }) };
 }
 
+CallerAnswer
+ToAnswer(const ChangeResult& aResult, const std::string& aRequestId)
+{
+  nlohmann::json body{ { "request_id", aRequestId },
+                       { "operation_id", aResult.m_operationId },
+                       { "revision", aResult.m_revision },
+                       { "accepted", aResult.m_accepted },
+                       { "missing_hosts", aResult.m_missing } };
+  if (aResult.m_error && *aResult.m_error != ErrorKind::ConfigurationPending) {
+    return ProblemAnswer(*aResult.m_error,
+                         InfoOf(*aResult.m_error).m_ran,
+                         aResult.m_detail,
+                         {},
+                         aRequestId,
+                         body);
+  }
+  return { aResult.m_accepted ? kOk : kAccepted, Dump(body) };
+}
+
 } // namespace
 
 Api::Api(ApiParts aParts)
@@ -121,6 +144,10 @@
   } else if (request.m_path == "/metrics") {
     RequireMethod(request, "GET");
     HandleMetrics(aExchange);
+  } else if (request.m_path == kStatementsPath) {
+    RequireMethod(request, "POST");
+    CheckAccepting();
+    HandleStatement(aExchange);
   } else if (request.m_path.starts_with(kServicesPrefix)) {
     HandleService(aExchange);
   } else {
@@ -182,6 +209,101 @@
   });
 }
 
+void
+Api::HandleStatement(const SharedExchange& aExchange)
+{
+  const RequestLimits limits{ m_parts.m_maxBodyBytes, m_parts.m_maxDeadline };
+  StatementRequest request =
+    ParseStatementRequest(aExchange->Request(), limits);
+  if (request.m_operationId.empty()) {
+    request.m_operationId = aExchange->Request().m_requestId;
+  }
+  OnLoop(aExchange,
+         [this,
+          aExchange,
+          statement = ParseStatement(request.m_statement),
+          operationId = request.m_operationId,
+          deadline = request.m_deadline] {
+           RunStatement(aExchange, statement, operationId, deadline);
+         });
+}
+
+void
+Api::RunStatement(const SharedExchange& aExchange,
+                  const Statement& aStatement,
+                  const std::string& aOperationId,
+                  std::optional<Duration> aDeadline)
+{
+  if (const auto* search = std::get_if<SearchStatement>(&aStatement)) {
+    StartSearch start = SearchOf(*search);
+    if (start.m_deadline == Duration{ 0 }) {
+      start.m_deadline = aDeadline.value_or(Duration{ 0 });
+    }
+    if (start.m_deadline > m_parts.m_maxDeadline) {
+      throw Error(ErrorKind::BadRequest,
+                  "the deadline is longer than this host allows",
+                  "deadline_ms");
+    }
+    RunSearch(aExchange, std::move(start));
+  } else if (IsCommand(aStatement)) {
+    RunCommand(aExchange,
+               CommandOf(aStatement, aExchange->Request().m_idempotencyKey),
+               aDeadline);
+  } else if (m_parts.m_control == nullptr) {
+    throw Error(ErrorKind::NotReady, "the host takes no such statement yet");
+  } else if (ChangesConfiguration(aStatement)) {
+    RunChange(aExchange, aStatement, aOperationId);
+  } else {
+    RunInspection(aExchange, aStatement);
+  }
+}
+
+void
+Api::RunChange(const SharedExchange& aExchange,
+               const Statement& aStatement,
+               const std::string& aOperationId)
+{
+  const ControlNode& node = m_parts.m_control->Node();
+  ChangeRequest request =
+    ChangeOf(aStatement, *node.Manager().Current(), aOperationId);
+  request.m_who = aExchange->Request().m_operator.value_or("unknown");
+  request.m_from = aExchange->Request().m_from;
+  request.m_when = m_parts.m_loop.GetClock().WallNow();
+  const TimePoint start = m_parts.m_loop.Now();
+  m_parts.m_control->Change(
+    std::move(request), [this, aExchange, start](const ChangeResult& aResult) {
+      Count(aExchange, "change", start, aResult.m_error);
+      aExchange->Answer(ToAnswer(aResult, aExchange->Request().m_requestId));
+    });
+}
+
+void
+Api::RunInspection(const SharedExchange& aExchange, const Statement& aStatement)
+{
+  const ControlNode& node = m_parts.m_control->Node();
+  const TimePoint now = m_parts.m_loop.Now();
+  QueryEngine& engine = m_parts.m_searches.Engine();
+  nlohmann::json body;
+  if (const auto* show = std::get_if<ShowStatement>(&aStatement)) {
+    body = Show(*show, node, engine, now);
+    m_parts.m_control->Refresh();
+  } else if (const auto* explain = std::get_if<ExplainStatement>(&aStatement)) {
+    body = Explain(*explain, *node.Manager().Current());
+  } else {
+    const auto& lift = std::get<LiftQuarantineStatement>(aStatement);
+    if (!engine.LiftQuarantine(now, lift.m_fingerprint)) {
+      throw Error(ErrorKind::NotFound,
+                  "no such statement is in quarantine",
+                  "fingerprint");
+    }
+    m_parts.m_searches.ReportSuspects();
+    body = { { "lifted", lift.m_fingerprint } };
+  }
+  body["request_id"] = aExchange->Request().m_requestId;
+  Count(aExchange, "inspection", now, std::nullopt);
+  aExchange->Answer({ kOk, Dump(body) });
+}
+
 void
 Api::HandleMetrics(const SharedExchange& aExchange)
 {
@@ -207,9 +329,19 @@
   return found->second;
 }
 
+void
+Api::CheckServing() const
+{
+  if (m_parts.m_serving && !m_parts.m_serving()) {
+    throw Error(ErrorKind::NotReady,
+                "the host has not confirmed its configuration");
+  }
+}
+
 void
 Api::RunSearch(const SharedExchange& aExchange, StartSearch aSearch)
 {
+  CheckServing();
   const ServiceSpec& service =
     ServiceFor(aSearch.m_service, ServiceKind::Search);
   if (aSearch.m_deadline == Duration{ 0 }) {
@@ -234,6 +366,7 @@
                 Command aCommand,
                 std::optional<Duration> aDeadline)
 {
+  CheckServing();
   const ServiceSpec& service =
     ServiceFor(aCommand.m_service, ServiceKind::Command);
   if (m_parts.m_commands == nullptr) {
--- a/packages/net/src/RequestParsing.cpp
+++ b/packages/net/src/RequestParsing.cpp
@@ -191,6 +191,16 @@
   return search;
 }
 
+void
+CheckIdempotencyKey(const std::string& aKey)
+{
+  if (!TimeOfKey(aKey)) {
+    throw Error(ErrorKind::BadIdempotencyKey,
+                "the key must be \"<unix milliseconds>-<random>\"",
+                "Idempotency-Key");
+  }
+}
+
 CommandRequest
 ParseCommand(const CallerRequest& aRequest,
              const std::string& aService,
@@ -201,6 +211,7 @@
                 "a command needs the header Idempotency-Key",
                 "Idempotency-Key");
   }
+  CheckIdempotencyKey(*aRequest.m_idempotencyKey);
   Body body(aRequest, aLimits);
   CommandRequest request;
   request.m_command.m_service = aService;
--- a/packages/net/src/RequestParsing.h
+++ b/packages/net/src/RequestParsing.h
@@ -34,6 +34,10 @@
              const std::string& aService,
              const RequestLimits& aLimits);
 
+/** Throws Error (BadIdempotencyKey) unless aKey is valid. */
+void
+CheckIdempotencyKey(const std::string& aKey);
+
 struct StatementRequest
 {
   std::string m_statement;
--- a/packages/net/src/SearchDriver.cpp
+++ b/packages/net/src/SearchDriver.cpp
@@ -99,11 +99,18 @@
   m_backend.Search(
     AddressOf(aRequest.m_replica), aRequest, left, [this](SubOutcome&& aEvent) {
       Actions actions;
+      const auto* failure = std::get_if<SubFailure>(&aEvent);
+      const bool reset =
+        failure != nullptr && failure->m_kind == SubFailureKind::Reset;
       std::visit(
         [&](const auto& aOutcome) {
           m_engine.Handle(m_loop.Now(), aOutcome, actions);
         },
         aEvent);
+      // Only a lost replica makes a statement a suspect.
+      if (reset) {
+        ReportSuspects();
+      }
       Execute(actions);
     });
 }
@@ -175,6 +182,54 @@
                    });
 }
 
+void
+SearchDriver::HandleStatus(const ReplicaStatus& aStatus, Actions& aActions)
+{
+  m_engine.Handle(m_loop.Now(), aStatus, aActions);
+  std::uint64_t& seen = m_drains[aStatus.m_replica];
+  if (aStatus.m_draining && seen != aStatus.m_incarnation) {
+    seen = aStatus.m_incarnation;
+    if (m_observer != nullptr) {
+      m_observer->DrainSeen(aStatus.m_replica, aStatus.m_incarnation);
+    }
+  }
+}
+
+void
+SearchDriver::ReportSuspects()
+{
+  std::vector<SuspectReport> changed;
+  for (SuspectReport& report : m_engine.Suspects()) {
+    std::uint64_t& version = m_suspectVersions[report.m_fingerprint];
+    if (version < report.m_version) {
+      version = report.m_version;
+      changed.push_back(std::move(report));
+    }
+  }
+  if (!changed.empty() && m_observer != nullptr) {
+    m_observer->SuspectsChanged(changed);
+  }
+}
+
+void
+SearchDriver::LearnSuspects(const std::vector<SuspectReport>& aReports)
+{
+  for (const SuspectReport& report : aReports) {
+    std::uint64_t& version = m_suspectVersions[report.m_fingerprint];
+    version = std::max(version, report.m_version);
+  }
+  Actions actions;
+  m_engine.MergeSuspects(m_loop.Now(), aReports, actions);
+  Execute(actions);
+}
+
+void
+SearchDriver::LearnDrain(const std::string& aReplica,
+                         std::uint64_t aIncarnation)
+{
+  m_engine.MarkDraining(m_loop.Now(), aReplica, aIncarnation);
+}
+
 void
 SearchDriver::ScheduleStatus(const std::string& aReplica)
 {
--- /dev/null
+++ b/packages/net/src/StatementActions.cpp
@@ -0,0 +1,125 @@
+#include "StatementActions.h"
+
+#include <algorithm>
+
+namespace goldcrestkeel {
+
+namespace {
+
+// The key is not part of the body, so that the body of a repeated command is
+// the same with the key in the statement and in the header.
+Statement
+WithoutKey(Statement aStatement)
+{
+  if (auto* hold = std::get_if<HoldStatement>(&aStatement)) {
+    hold->m_key.reset();
+  } else if (auto* invoice = std::get_if<InvoiceStatement>(&aStatement)) {
+    invoice->m_key.reset();
+  }
+  return aStatement;
+}
+
+std::string
+ChooseKey(const std::optional<std::string>& aOwn,
+          const std::optional<std::string>& aHeader)
+{
+  if (aOwn && aHeader && *aOwn != *aHeader) {
+    throw Error(ErrorKind::BadRequest,
+                "the statement and the header name different keys",
+                "Idempotency-Key");
+  }
+  const std::optional<std::string>& key = aOwn ? aOwn : aHeader;
+  if (!key) {
+    throw Error(ErrorKind::MissingIdempotencyKey,
+                "the statement needs a KEY or the header Idempotency-Key",
+                "Idempotency-Key");
+  }
+  CheckIdempotencyKey(*key);
+  return *key;
+}
+
+bool
+IsApplied(const Configuration& aCurrent, const std::string& aOperationId)
+{
+  return std::any_of(aCurrent.m_audit.begin(),
+                     aCurrent.m_audit.end(),
+                     [&](const AuditEntry& aEntry) {
+                       return aEntry.m_operationId == aOperationId;
+                     });
+}
+
+const ServiceSpec&
+Existing(const Configuration& aCurrent, const std::string& aName)
+{
+  const auto found = aCurrent.m_services.find(aName);
+  if (found == aCurrent.m_services.end()) {
+    throw Error(ErrorKind::UnknownService, "unknown service", "service");
+  }
+  return found->second;
+}
+
+} // namespace
+
+StartSearch
+SearchOf(const SearchStatement& aStatement)
+{
+  StartSearch search;
+  search.m_service = aStatement.m_service;
+  search.m_statement = aStatement.m_text;
+  search.m_limit = aStatement.m_limit.value_or(search.m_limit);
+  search.m_offset = aStatement.m_offset.value_or(0);
+  search.m_deadline = aStatement.m_deadline.value_or(Duration{ 0 });
+  search.m_minCoverage = aStatement.m_coverage;
+  search.m_snapshot = aStatement.m_snapshot;
+  search.m_class = aStatement.m_class.value_or(CallerClass::Interactive);
+  return search;
+}
+
+Command
+CommandOf(const Statement& aStatement,
+          const std::optional<std::string>& aHeaderKey)
+{
+  Command command;
+  if (const auto* hold = std::get_if<HoldStatement>(&aStatement)) {
+    command.m_service = hold->m_service;
+    command.m_key = ChooseKey(hold->m_key, aHeaderKey);
+  } else {
+    const auto& invoice = std::get<InvoiceStatement>(aStatement);
+    command.m_service = invoice.m_service;
+    command.m_key = ChooseKey(invoice.m_key, aHeaderKey);
+  }
+  command.m_body = Format(WithoutKey(aStatement));
+  return command;
+}
+
+ChangeRequest
+ChangeOf(const Statement& aStatement,
+         const Configuration& aCurrent,
+         const std::string& aOperationId)
+{
+  ChangeRequest request;
+  request.m_operationId = aOperationId;
+  request.m_change = Format(aStatement);
+  if (IsApplied(aCurrent, aOperationId)) {
+    return request;
+  }
+  if (const auto* create = std::get_if<CreateServiceStatement>(&aStatement)) {
+    if (aCurrent.m_services.contains(create->m_service)) {
+      throw Error(ErrorKind::ConfigurationConflict,
+                  "the service exists; use ALTER SERVICE",
+                  "service");
+    }
+    request.m_set.push_back(SpecOf(*create));
+  } else if (const auto* alter =
+               std::get_if<AlterServiceStatement>(&aStatement)) {
+    request.m_set.push_back(
+      ApplyAlterations(Existing(aCurrent, alter->m_service), *alter));
+  } else {
+    const auto& drop = std::get<DropServiceStatement>(aStatement);
+    Existing(aCurrent, drop.m_service);
+    request.m_drop.push_back(drop.m_service);
+  }
+  return request;
+}
+
+} // namespace goldcrestkeel
--- a/packages/net/tests/ApiTest.cpp
+++ b/packages/net/tests/ApiTest.cpp
@@ -118,9 +118,11 @@
   Api m_api{ ApiParts{ m_loop,
                        m_searches,
                        nullptr,
+                       nullptr,
                        m_lifecycle,
                        m_metrics,
                        [] {},
+                       [] { return true; },
                        2048,
                        std::chrono::seconds(30) } };
   HttpFront m_front{ FrontOptions(), m_api };
