Apply the limits of search requests to statements

Cause: a SEARCH statement was not bound by the limits of a search request. LIMIT was accepted, and with OFFSET 1 the sum that each replica is asked for wraps around to 0 hits, so that the answer had no hits and full coverage. DEADLINE 0 ms counted as no deadline.

Change: the limits are in one header and hold for both. The API test has the bad statements.

Conclusion: the query engine itself still adds both numbers in 32 bits and relies on this check.

--- a/packages/net/src/RequestParsing.cpp
+++ b/packages/net/src/RequestParsing.cpp
@@ -1,5 +1,7 @@
 #include "RequestParsing.h"
 
+#include "SearchLimits.h"
+
 #include <nlohmann/json.hpp>
 
 #include <cmath>
@@ -11,10 +13,7 @@
 
 using nlohmann::json;
 
-constexpr std::size_t kMaxQueryBytes = 4096;
 constexpr std::size_t kMaxCommandBytes = 32768;
-constexpr std::uint64_t kMaxHits = 1000;
-constexpr std::uint64_t kMaxOffset = 100000;
 // Deeper nesting is refused: no valid request nests at all.
 constexpr int kMaxDepth = 4;
 
--- a/packages/net/src/StatementActions.cpp
+++ b/packages/net/src/StatementActions.cpp
@@ -1,5 +1,7 @@
 #include "StatementActions.h"
 
+#include "SearchLimits.h"
+
 #include <algorithm>
 
 namespace goldcrestkeel {
@@ -38,6 +40,44 @@
   return *key;
 }
 
+void
+RequireInRange(const char* aField,
+               std::uint64_t aValue,
+               std::uint64_t aLeast,
+               std::uint64_t aMost)
+{
+  if (aValue < aLeast || aValue > aMost) {
+    throw Error(ErrorKind::BadRequest,
+                std::string(aField) + ": must be from " +
+                  std::to_string(aLeast) + " to " + std::to_string(aMost),
+                aField);
+  }
+}
+
+/** Throws Error (BadRequest) for what a search request may not ask for
+ *  either. */
+void
+CheckLimits(const SearchStatement& aStatement)
+{
+  if (aStatement.m_text.empty() || aStatement.m_text.size() > kMaxQueryBytes) {
+    throw Error(ErrorKind::BadRequest,
+                "query: must be a string of 1 to " +
+                  std::to_string(kMaxQueryBytes) + " bytes",
+                "query");
+  }
+  RequireInRange("limit", aStatement.m_limit.value_or(1), 1, kMaxHits);
+  RequireInRange("offset", aStatement.m_offset.value_or(0), 0, kMaxOffset);
+  if (aStatement.m_snapshot == VersionId{ 0 }) {
+    throw Error(
+      ErrorKind::BadRequest, "snapshot: must be a positive number", "snapshot");
+  }
+  if (aStatement.m_deadline.value_or(kMinSearchDeadline) < kMinSearchDeadline) {
+    throw Error(ErrorKind::BadRequest,
+                "deadline_ms: must be at least 1 ms",
+                "deadline_ms");
+  }
+}
+
 bool
 IsApplied(const Configuration& aCurrent, const std::string& aOperationId)
 {
@@ -63,6 +103,7 @@
 StartSearch
 SearchOf(const SearchStatement& aStatement)
 {
+  CheckLimits(aStatement);
   StartSearch search;
   search.m_service = aStatement.m_service;
   search.m_statement = aStatement.m_text;
--- a/packages/net/src/StatementActions.h
+++ b/packages/net/src/StatementActions.h
@@ -13,7 +13,8 @@
 
 namespace goldcrestkeel {
 
-/** The search that a statement asks for. */
+/** The search that a statement asks for. Throws Error (BadRequest) beyond the
+ *  limits of a search request. */
 StartSearch
 SearchOf(const SearchStatement& aStatement);
 
--- a/packages/net/tests/ApiTest.cpp
+++ b/packages/net/tests/ApiTest.cpp
@@ -139,6 +139,7 @@
   std::string m_headers;
 };
 
+const std::string kStatementsPath = "/v1/statements";
 const std::string kSearchPath = "/v1/services/tender/search";
 const std::string kCommandPath = "/v1/services/ledger/commands";
 
@@ -204,6 +205,38 @@
     "service",
     "" },
   { "POST", "/v1/services/tender/other", "{}", 404, "path", "" },
+  // A limit and an offset whose sum overflowed gave an answer without hits and
+  // with full coverage.
+  { "POST",
+    kStatementsPath,
+    R"({"statement":"SEARCH tender FOR \"a\" LIMIT 4294967295 OFFSET 1"})",
+    400,
+    "limit",
+    "" },
+  { "POST",
+    kStatementsPath,
+    R"({"statement":"SEARCH tender FOR \"a\" OFFSET 100001"})",
+    400,
+    "offset",
+    "" },
+  { "POST",
+    kStatementsPath,
+    R"({"statement":"SEARCH tender FOR \"a\" DEADLINE 0 ms"})",
+    400,
+    "deadline_ms",
+    "" },
+  { "POST",
+    kStatementsPath,
+    R"({"statement":"SEARCH tender FOR \"\""})",
+    400,
+    "query",
+    "" },
+  { "POST",
+    kStatementsPath,
+    R"({"statement":"SEARCH tender FOR \"a\" SNAPSHOT 0"})",
+    400,
+    "snapshot",
+    "" },
   // The JSON library reports this number by another exception than a syntax
   // error.
   { "POST", kSearchPath, R"({"query":"a","limit":1e999})", 400, "body", "" },
