Show missing hosts only for a pending revision

Cause: against the demo, status showed an accepted revision with missing hosts: a host that did not write the revision lists those that it has not heard from yet.

Change: status leaves the list out once the revision is accepted.

--- a/packages/gkctl/src/StatusCommand.cpp
+++ b/packages/gkctl/src/StatusCommand.cpp
@@ -35,9 +35,14 @@
     state["detail"] = "no configuration: " + configuration.ErrorName();
     return state;
   }
-  for (const char* name : { "revision", "accepted", "missing_hosts" }) {
+  for (const char* name : { "revision", "accepted" }) {
     state[name] = Member(configuration.m_body, name);
   }
+  // Once the revision is accepted, the list is only what this host has not
+  // heard yet from others.
+  if (state["accepted"] == false) {
+    state["missing_hosts"] = Member(configuration.m_body, "missing_hosts");
+  }
   return state;
 }
 
--- a/packages/gkctl/tests/RequestTest.cpp
+++ b/packages/gkctl/tests/RequestTest.cpp
@@ -220,14 +220,27 @@
 {
   GkctlRun gkctl;
   gkctl.m_transport.Prepare(200, R"({"ready":true})");
-  gkctl.m_transport.Prepare(
-    200, R"({"revision":12,"accepted":false,"missing_hosts":["e3"]})");
-  gkctl.m_transport.Prepare(503, kNotReady);
-  REQUIRE(gkctl.Run({ "status", "--host", "a:1", "--host", "b:1" }) ==
-          ExitCode::NotRun);
-  REQUIRE_THAT(gkctl.m_out.str(),
-               Contains("a:1") && Contains("12") && Contains("[\"e3\"]"));
-  REQUIRE_THAT(gkctl.m_out.str(), Contains("b:1") && Contains("draining"));
+
+  SECTION("with the hosts that a pending revision waits for")
+  {
+    gkctl.m_transport.Prepare(
+      200, R"({"revision":12,"accepted":false,"missing_hosts":["e3"]})");
+    gkctl.m_transport.Prepare(503, kNotReady);
+    REQUIRE(gkctl.Run({ "status", "--host", "a:1", "--host", "b:1" }) ==
+            ExitCode::NotRun);
+    REQUIRE_THAT(gkctl.m_out.str(),
+                 Contains("a:1") && Contains("12") && Contains("[\"e3\"]"));
+    REQUIRE_THAT(gkctl.m_out.str(), Contains("b:1") && Contains("draining"));
+  }
+
+  // Guards against hosts shown as missing from an accepted revision.
+  SECTION("without them once the revision is accepted")
+  {
+    gkctl.m_transport.Prepare(
+      200, R"({"revision":12,"accepted":true,"missing_hosts":["e3"]})");
+    REQUIRE(gkctl.Run({ "status", "--host", "a:1" }) == ExitCode::Success);
+    REQUIRE_THAT(gkctl.m_out.str(), !Contains("e3"));
+  }
 }
 
 TEST_CASE("A table cuts long cells and puts ids first", "[gkctl]")
