Send a search once on a reused connection

A statement that crashes a backend server ran a second time on it, unseen by the crash guard and by the extra-load budget.

--- a/packages/net/include/goldcrestkeel/net/HttpClient.h
+++ b/packages/net/include/goldcrestkeel/net/HttpClient.h
@@ -30,6 +30,10 @@
    *  repeats a request when a reused connection closes without a reply, so
    *  requests that must not run twice set this. */
   bool m_freshConnection = false;
+  /** Lets the request fail instead of being repeated by libcurl, on a
+   *  connection that may be reused. Less strict than m_freshConnection: a
+   *  connection that the server has closed before costs the request. */
+  bool m_noRepeat = false;
 };
 
 enum class HttpOutcome
--- a/packages/net/src/HttpBackendClient.cpp
+++ b/packages/net/src/HttpBackendClient.cpp
@@ -35,6 +35,7 @@
   request.m_url = Url(aAddress, "/search");
   request.m_body = EncodeSearch(m_origin, aRequest, aTimeLeft);
   request.m_timeout = aTimeLeft;
+  request.m_noRepeat = true;
   const AttemptId attempt = aRequest.m_attempt;
   m_searches[attempt] = m_client.Start(
     std::move(request),
--- a/packages/net/tests/ClientTest.cpp
+++ b/packages/net/tests/ClientTest.cpp
@@ -178,6 +178,52 @@
   }
 }
 
+// Guards against a crash that is taken for a failed connection, which would
+// hide the statement from the crash guard, and against libcurl's silent second
+// run of the statement on the same backend server.
+TEST_CASE_METHOD(Fixture,
+                 "A search whose reused connection breaks is sent once",
+                 "[http][search]")
+{
+  bool crash = false;
+  ScriptedServer* self = nullptr;
+  ScriptedServer server([&](int, int aRequest, const std::string&) {
+    if (aRequest == 1) {
+      return MakeResponse(200, "{}");
+    }
+    if (crash) {
+      self->StopListening();
+    }
+    return std::string();
+  });
+  self = &server;
+  HttpBackendClient backend(m_client, "host-1");
+  const auto search = [&](AttemptId aAttempt) {
+    SendSubRequest request;
+    request.m_attempt = aAttempt;
+    std::optional<SubOutcome> outcome;
+    backend.Search(
+      server.Address(), request, kLongTimeout, [&](SubOutcome&& aOutcome) {
+        outcome = std::move(aOutcome);
+      });
+    RunUntil([&] { return outcome.has_value(); });
+    return std::get<SubFailure>(*outcome).m_kind;
+  };
+  search(1);
+
+  SECTION("the backend server crashes: a reset, not a failed connection")
+  {
+    crash = true;
+    REQUIRE(search(2) == SubFailureKind::Reset);
+    REQUIRE(server.Requests().size() == 2);
+  }
+  SECTION("the backend server is up again at once: not sent a second time")
+  {
+    REQUIRE(search(2) == SubFailureKind::Reset);
+    REQUIRE(server.Requests().size() == 2);
+  }
+}
+
 // Guards against a refusal that proves "not run" without belonging to the
 // attempt, and against replies that are not what the protocol says.
 TEST_CASE_METHOD(Fixture, "Command replies are checked", "[command]")
--- a/packages/net/tests/TestSockets.cpp
+++ b/packages/net/tests/TestSockets.cpp
@@ -189,6 +189,12 @@
   return "127.0.0.1:" + std::to_string(m_port);
 }
 
+void
+ScriptedServer::StopListening()
+{
+  shutdown(m_listener.Get(), SHUT_RDWR);
+}
+
 std::vector<std::string>
 ScriptedServer::Requests() const
 {
--- a/packages/net/tests/TestSockets.h
+++ b/packages/net/tests/TestSockets.h
@@ -66,6 +66,9 @@
   ~ScriptedServer();
 
   std::string Address() const;
+  /** Refuses further connections, as a server that has crashed does; open ones
+   *  stay. */
+  void StopListening();
   /** All requests received so far, over all connections. */
   std::vector<std::string> Requests() const;
 
