Judge only crashes that follow each other

Cause: a shard that lost all replicas at once made every popular statement on it a suspect for good: three resets of one statement counted as three crashes, and the suspect could not be cleared while its shard was down. Change: a reset counts only for an attempt sent after the last crash; a run without a reset over half of the documents clears a suspect; the waiting copies are kept by statement. The admission queue is ordered by deadline instead of being scanned, and a hedge without budget waits longer each time.

--- a/benchmark/Simulation.cpp
+++ b/benchmark/Simulation.cpp
@@ -91,6 +91,7 @@
     options.m_dataCentre = "dc" + std::to_string(host.m_dataCentre);
     options.m_region = options.m_dataCentre;
     options.m_crashGuard = aOptions.m_crashGuard;
+    options.m_admission = aOptions.m_admission;
     host.m_engine = MakeQueryEngine(options, *host.m_random);
     host.m_engine->SetLiveHosts(m_now,
                                 static_cast<std::uint32_t>(aOptions.m_engines));
@@ -179,6 +180,7 @@
 Simulation::Send(int aEngine, const SendSubRequest& aSend)
 {
   ++m_sent;
+  ++m_sentTo[aSend.m_shard];
   const std::size_t replica = m_indices.at(aSend.m_replica);
   auto work = std::make_shared<Work>();
   work->m_engine = aEngine;
@@ -359,7 +361,11 @@
     return;
   }
   After(pause, [this, aEngine, aRate, aEnd, aRequest] {
-    Search(aEngine, aRequest, [this](const Outcome& aOutcome) {
+    StartSearch request = aRequest;
+    if (m_statements) {
+      request.m_statement = m_statements();
+    }
+    Search(aEngine, request, [this](const Outcome& aOutcome) {
       m_outcomes.push_back(aOutcome);
     });
     Arrivals(aEngine, aRate, aEnd, aRequest);
@@ -480,6 +486,19 @@
   After(m_options.m_statusInterval, [this, aEngine] { Poll(aEngine); });
 }
 
+std::uint64_t
+Simulation::SentTo(const std::string& aShard) const
+{
+  const auto entry = m_sentTo.find(aShard);
+  return entry == m_sentTo.end() ? 0 : entry->second;
+}
+
+std::size_t
+Simulation::Waiting(int aEngine) const
+{
+  return m_engines[static_cast<std::size_t>(aEngine)].m_waiting.size();
+}
+
 EngineCounters
 Simulation::Totals() const
 {
--- a/benchmark/Simulation.h
+++ b/benchmark/Simulation.h
@@ -38,6 +38,7 @@
   std::size_t m_maxQueue = 100;
   ServicePolicy m_policy;
   bool m_crashGuard = true;
+  bool m_admission = true;
   Duration m_statusInterval{ 1000000 };
   /** Propagation of suspects between engines. */
   Duration m_suspectDelay{ 50000 };
@@ -113,7 +114,15 @@
   const std::vector<Outcome>& Outcomes() const { return m_outcomes; }
   /** Sub-requests sent by the engines. */
   std::uint64_t Sent() const { return m_sent; }
+  std::uint64_t SentTo(const std::string& aShard) const;
   EngineCounters Totals() const;
+  /** Searches of an engine without an answer. */
+  std::size_t Waiting(int aEngine) const;
+  /** Source of the statements of Load(). */
+  void SetStatements(std::function<std::string()> aStatements)
+  {
+    m_statements = std::move(aStatements);
+  }
 
 private:
   struct Node;
@@ -168,6 +177,8 @@
   std::string m_crashing;
   QueryId m_nextQuery = 1;
   std::uint64_t m_sent = 0;
+  std::unordered_map<std::string, std::uint64_t> m_sentTo;
+  std::function<std::string()> m_statements;
 };
 
 TimePoint
--- a/packages/core/include/goldcrestkeel/core/QueryEngine.h
+++ b/packages/core/include/goldcrestkeel/core/QueryEngine.h
@@ -197,6 +197,9 @@
   std::uint32_t m_maxQueuedQueries = 2048;
   /** False only to measure what the crash guard achieves. */
   bool m_crashGuard = true;
+  /** False only to measure what admission achieves: each search starts at
+   *  once. */
+  bool m_admission = true;
   /** Start of this entry host beside others that already run. It then takes no
    *  share of connections and slots for kShareGrowDelay. Nothing for a host
    *  that is the first or only one. */
--- a/packages/core/src/AdmissionQueue.cpp
+++ b/packages/core/src/AdmissionQueue.cpp
@@ -24,15 +24,16 @@
 AdmissionQueue::Push(QueuedSearch aSearch)
 {
   const auto position = static_cast<std::size_t>(aSearch.m_request.m_class);
-  m_earliest = std::min(m_earliest, aSearch.m_deadline);
-  m_queues.at(position).push_back(std::move(aSearch));
+  const TimePoint deadline = aSearch.m_deadline;
+  m_queues.at(position).emplace(deadline, std::move(aSearch));
   if (size() <= m_limit) {
     return std::nullopt;
   }
   for (auto queue = m_queues.rbegin(); queue != m_queues.rend(); ++queue) {
     if (!queue->empty()) {
-      QueuedSearch last = std::move(queue->back());
-      queue->pop_back();
+      const auto end = std::prev(queue->end());
+      QueuedSearch last = std::move(end->second);
+      queue->erase(end);
       return last;
     }
   }
@@ -44,8 +45,8 @@
 {
   for (auto& queue : m_queues) {
     if (!queue.empty()) {
-      QueuedSearch first = std::move(queue.front());
-      queue.pop_front();
+      QueuedSearch first = std::move(queue.begin()->second);
+      queue.erase(queue.begin());
       return first;
     }
   }
@@ -56,21 +57,10 @@
 AdmissionQueue::TakeExpired(TimePoint aNow, Duration aRunTime)
 {
   std::vector<QueuedSearch> expired;
-  if (empty() || aNow + aRunTime < m_earliest) {
-    return expired;
-  }
-  m_earliest = TimePoint::max();
   for (auto& queue : m_queues) {
-    const auto late = std::stable_partition(
-      queue.begin(), queue.end(), [&](const QueuedSearch& aSearch) {
-        return aNow + aRunTime < aSearch.m_deadline;
-      });
-    expired.insert(expired.end(),
-                   std::make_move_iterator(late),
-                   std::make_move_iterator(queue.end()));
-    queue.erase(late, queue.end());
-    for (const QueuedSearch& search : queue) {
-      m_earliest = std::min(m_earliest, search.m_deadline);
+    while (!queue.empty() && queue.begin()->first <= aNow + aRunTime) {
+      expired.push_back(std::move(queue.begin()->second));
+      queue.erase(queue.begin());
     }
   }
   return expired;
@@ -79,18 +69,21 @@
 std::optional<TimePoint>
 AdmissionQueue::EarliestDeadline() const
 {
-  if (empty()) {
-    return std::nullopt;
+  std::optional<TimePoint> earliest;
+  for (const auto& queue : m_queues) {
+    if (!queue.empty() && (!earliest || queue.begin()->first < *earliest)) {
+      earliest = queue.begin()->first;
+    }
   }
-  return m_earliest;
+  return earliest;
 }
 
 bool
 AdmissionQueue::Remove(QueryId aQuery)
 {
   return std::any_of(m_queues.begin(), m_queues.end(), [&](auto& aQueue) {
-    return std::erase_if(aQueue, [&](const QueuedSearch& aSearch) {
-             return aSearch.m_request.m_query == aQuery;
+    return std::erase_if(aQueue, [&](const auto& aItem) {
+             return aItem.second.m_request.m_query == aQuery;
            }) > 0;
   });
 }
--- a/packages/core/src/AdmissionQueue.h
+++ b/packages/core/src/AdmissionQueue.h
@@ -4,7 +4,7 @@
 
 #include <array>
 #include <cstdint>
-#include <deque>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -25,18 +25,18 @@
 public:
   explicit AdmissionQueue(std::size_t aLimit);
 
-  /** Adds aSearch. Returns the entry that has no place: the newest one of the
+  /** Adds aSearch. Returns the entry that has no place: the last one of the
    *  lowest class. */
   std::optional<QueuedSearch> Push(QueuedSearch aSearch);
 
-  /** Next entry to start, of the highest class. */
+  /** Next entry to start: the earliest deadline of the highest class. */
   std::optional<QueuedSearch> Pop();
 
   /** Removes the entries that would end after their deadline if they started
    *  now and ran for aRunTime. */
   std::vector<QueuedSearch> TakeExpired(TimePoint aNow, Duration aRunTime);
 
-  /** No entry has an earlier deadline; nothing if the queue is empty. */
+  /** Nothing if the queue is empty. */
   std::optional<TimePoint> EarliestDeadline() const;
 
   bool Remove(QueryId aQuery);
@@ -50,10 +50,8 @@
 
 private:
   std::size_t m_limit;
-  /** One queue for each CallerClass, the highest first. */
-  std::array<std::deque<QueuedSearch>, 2> m_queues;
-  /** Lower bound of all deadlines; exact after TakeExpired(). */
-  TimePoint m_earliest = TimePoint::max();
+  /** Entries of each CallerClass, the highest first, by deadline. */
+  std::array<std::multimap<TimePoint, QueuedSearch>, 2> m_queues;
   double m_runTime = 0;
 };
 
--- a/packages/core/src/CrashGuard.cpp
+++ b/packages/core/src/CrashGuard.cpp
@@ -8,7 +8,8 @@
 
 /** Crashes after which a statement is not run any more. */
 constexpr std::uint32_t kQuarantineCrashes = 2;
-/** Coverage of a run that clears a suspect reported by another host. */
+/** Coverage of a run without a reset that clears a suspect. A lost shard must
+ *  not keep its statements suspect. */
 constexpr double kClearingFraction = 0.5;
 /** Entries kept; suspects that are not quarantined are dropped first. */
 constexpr std::size_t kMaxEntries = 10000;
@@ -73,12 +74,13 @@
 }
 
 void
-CrashGuard::Crashed(std::uint64_t aFingerprint,
+CrashGuard::Crashed(TimePoint aNow,
+                    TimePoint aStartedAt,
+                    std::uint64_t aFingerprint,
                     const std::string& aStatement,
                     const std::string& aShard,
                     ReplicaIndex aReplica,
-                    std::uint64_t aIncarnation,
-                    bool aNewRun)
+                    std::uint64_t aIncarnation)
 {
   MakeRoom();
   Entry& entry = m_entries[aFingerprint];
@@ -93,7 +95,9 @@
   if (!known) {
     entry.m_replicas.push_back(replica);
   }
-  if (!aNewRun || known) {
+  const bool together = aStartedAt <= entry.m_lastCrash;
+  entry.m_lastCrash = aNow;
+  if (together || known) {
     return;
   }
   SuspectReport& report = entry.m_report;
@@ -112,7 +116,8 @@
 void
 CrashGuard::Completed(std::uint64_t aFingerprint,
                       const std::vector<std::string>& aMissing,
-                      double aFraction)
+                      double aFraction,
+                      bool aReset)
 {
   const auto found = m_entries.find(aFingerprint);
   if (found == m_entries.end()) {
@@ -122,16 +127,15 @@
   if (entry.m_report.m_crashes == 0 || entry.m_report.m_quarantined) {
     return;
   }
-  const bool answered =
-    entry.m_shards.empty()
-      ? aFraction >= kClearingFraction
-      : std::none_of(
-          aMissing.begin(), aMissing.end(), [&](const std::string& aShard) {
-            return std::find(entry.m_shards.begin(),
-                             entry.m_shards.end(),
-                             aShard) != entry.m_shards.end();
-          });
-  if (answered) {
+  const bool crashedShardsAnswered =
+    !entry.m_shards.empty() &&
+    std::none_of(
+      aMissing.begin(), aMissing.end(), [&](const std::string& aShard) {
+        return std::find(entry.m_shards.begin(),
+                         entry.m_shards.end(),
+                         aShard) != entry.m_shards.end();
+      });
+  if (crashedShardsAnswered || (!aReset && aFraction >= kClearingFraction)) {
     entry.m_report.m_crashes = 0;
     entry.Forget();
     ++entry.m_report.m_version;
@@ -140,7 +144,7 @@
 }
 
 void
-CrashGuard::Merge(const std::vector<SuspectReport>& aReports)
+CrashGuard::Merge(TimePoint aNow, const std::vector<SuspectReport>& aReports)
 {
   for (const SuspectReport& report : aReports) {
     MakeRoom();
@@ -158,6 +162,9 @@
     if (report.m_quarantined && !known.m_quarantined) {
       ++m_quarantined;
     }
+    if (report.m_crashes > known.m_crashes) {
+      entry.m_lastCrash = aNow;
+    }
     known = report;
     if (report.m_crashes == 0) {
       entry.Forget();
--- a/packages/core/src/CrashGuard.h
+++ b/packages/core/src/CrashGuard.h
@@ -34,26 +34,30 @@
 public:
   Verdict Judge(std::uint64_t aFingerprint) const;
 
-  /** A replica of aShard died while aStatement ran on it. aNewRun is false for
-   *  further replicas that died in the same fan-out. A replica that breaks
-   *  connections again without a restart in between is no new evidence. */
-  void Crashed(std::uint64_t aFingerprint,
+  /** A replica of aShard died while aStatement ran on it. It is a new
+   *  crash only if aStartedAt, when the attempt was sent, is after the last
+   *  one: replicas that die together say nothing about a statement that ran on
+   *  several of them. A replica that breaks connections again without a restart
+   *  in between is no new evidence either. */
+  void Crashed(TimePoint aNow,
+               TimePoint aStartedAt,
+               std::uint64_t aFingerprint,
                const std::string& aStatement,
                const std::string& aShard,
                ReplicaIndex aReplica,
-               std::uint64_t aIncarnation,
-               bool aNewRun);
+               std::uint64_t aIncarnation);
 
-  /** A run ended with aFraction of the documents searched and without the
-   *  shards in aMissing. It clears a suspect if the shards on which replicas
-   *  died have answered; on a host that does not know these, if at least half
-   *  of the documents were searched. */
+  /** A run without a reset, or whose retries were answered, ended with
+   *  aFraction of the documents searched and without the shards in aMissing. It
+   *  clears a suspect if the shards on which replicas died have answered, or if
+   *  at least half of the documents were searched without a reset. */
   void Completed(std::uint64_t aFingerprint,
                  const std::vector<std::string>& aMissing,
-                 double aFraction);
+                 double aFraction,
+                 bool aReset);
 
   /** Takes over what other hosts know; the larger version of an entry wins. */
-  void Merge(const std::vector<SuspectReport>& aReports);
+  void Merge(TimePoint aNow, const std::vector<SuspectReport>& aReports);
   bool Lift(std::uint64_t aFingerprint);
 
   std::vector<SuspectReport> List() const;
@@ -67,6 +71,7 @@
     SuspectReport m_report;
     /** Shards on which replicas died under this host. */
     std::vector<std::string> m_shards;
+    TimePoint m_lastCrash = TimePoint::min();
     /** These replicas and their incarnations. */
     std::vector<std::pair<ReplicaIndex, std::uint64_t>> m_replicas;
 
--- a/packages/core/src/Engine.cpp
+++ b/packages/core/src/Engine.cpp
@@ -305,7 +305,7 @@
 bool
 Engine::Idle() const
 {
-  return m_queries.empty() && m_commandsOut == 0 &&
+  return m_queries.empty() && m_commandsOut == 0 && m_suspects.empty() &&
          std::all_of(
            m_services.begin(), m_services.end(), [](const auto& aItem) {
              return aItem.second->m_history->m_admission.empty();
@@ -376,6 +376,9 @@
 bool
 Engine::CanStart(const Service& aService) const
 {
+  if (!m_options.m_admission) {
+    return true;
+  }
   return m_queries.size() < m_options.m_maxRunningQueries &&
          std::all_of(aService.m_views.begin(),
                      aService.m_views.end(),
@@ -901,20 +904,19 @@
   }
   const SnapshotView& view = *aQuery.m_view;
   ShardRun& run = aQuery.m_shards[shard];
-  // A second reset on the same shard is a second crash of the statement.
-  const bool newRun = aQuery.m_resets == 0 || run.m_reset;
   run.m_reset = true;
   if (aQuery.m_resets++ == 0) {
     aQuery.m_firstReset = aNow;
   } else {
     aQuery.m_guarded = true;
   }
-  m_guard.Crashed(aQuery.m_fingerprint,
+  m_guard.Crashed(aNow,
+                  aAttempt.m_sentAt,
+                  aQuery.m_fingerprint,
                   aQuery.m_request.m_statement,
                   view.m_groups[shard].m_shard,
                   aAttempt.m_replica,
-                  aAttempt.m_incarnation,
-                  newRun);
+                  aAttempt.m_incarnation);
 }
 
 bool
@@ -940,7 +942,7 @@
     return false;
   }
   if (verdict == Verdict::Suspect && m_guardedRuns.contains(fingerprint)) {
-    m_suspects.push_back(aSearch);
+    m_suspects[fingerprint].push_back(aSearch);
     m_timers.Add({ aSearch.m_deadline, TimerKind::Hold, 0, 0, 0 });
     return false;
   }
@@ -950,9 +952,36 @@
 void
 Engine::ResumeSuspects(TimePoint aNow, Actions& aActions)
 {
-  m_resumeSuspects = false;
-  for (const QueuedSearch& search : std::exchange(m_suspects, {})) {
-    Begin(aNow, search, aActions);
+  while (!m_resumable.empty()) {
+    const auto waiting = m_suspects.find(m_resumable.back());
+    m_resumable.pop_back();
+    if (waiting == m_suspects.end()) {
+      continue;
+    }
+    // Begin() lets them wait again, all but the first, if the statement is
+    // still suspected.
+    const std::vector<QueuedSearch> searches = std::move(waiting->second);
+    m_suspects.erase(waiting);
+    for (const QueuedSearch& search : searches) {
+      Begin(aNow, search, aActions);
+    }
+  }
+}
+
+void
+Engine::RefuseLateSuspects(TimePoint aNow, Actions& aActions)
+{
+  for (auto& [fingerprint, searches] : m_suspects) {
+    std::erase_if(searches, [&](const QueuedSearch& aSearch) {
+      const bool late = aNow >= aSearch.m_deadline;
+      if (late) {
+        Refuse(aSearch.m_request.m_query,
+               ErrorKind::DeadlineTooShort,
+               "the search could not start in time",
+               aActions);
+      }
+      return late;
+    });
   }
 }
 
@@ -1030,7 +1059,10 @@
   }
   if (next) {
     // A hedge that had no budget or no free slot is tried again.
-    m_timers.Add({ std::max(*next, aNow + kHedgeStep),
+    const Duration pause =
+      std::max(kHedgeStep, (aNow - aQuery.m_startedAt) / 2);
+    const bool again = *next <= aNow;
+    m_timers.Add({ again ? aNow + pause : *next,
                    TimerKind::Hedge,
                    aQuery.m_request.m_query,
                    0,
@@ -1203,7 +1235,8 @@
   finish.m_coverage = aQuery.m_coverage.Report();
   m_guard.Completed(aQuery.m_fingerprint,
                     finish.m_coverage.m_missingShards,
-                    finish.m_coverage.m_fraction);
+                    finish.m_coverage.m_fraction,
+                    aQuery.m_resets > 0);
   finish.m_hedges = aQuery.m_hedges;
   finish.m_retries = aQuery.m_retries;
   for (auto& [shard, partial] : aQuery.m_partials) {
@@ -1247,7 +1280,7 @@
   aQuery.m_service->m_history->m_admission.ObserveRun(aNow -
                                                       aQuery.m_startedAt);
   if (m_guardedRuns.erase(aQuery.m_fingerprint) > 0) {
-    m_resumeSuspects = !m_suspects.empty();
+    m_resumable.push_back(aQuery.m_fingerprint);
   }
   const QueryId id = aQuery.m_request.m_query;
   m_queries.erase(id);
@@ -1262,9 +1295,11 @@
     AdmitAll(aNow, aActions);
     return;
   }
-  std::erase_if(m_suspects, [&](const QueuedSearch& aSearch) {
-    return aSearch.m_request.m_query == aEvent.m_query;
-  });
+  for (auto& [fingerprint, searches] : m_suspects) {
+    std::erase_if(searches, [&](const QueuedSearch& aSearch) {
+      return aSearch.m_request.m_query == aEvent.m_query;
+    });
+  }
   for (const auto& [name, service] : m_services) {
     service->m_history->m_admission.Remove(aEvent.m_query);
   }
@@ -1299,9 +1334,7 @@
 void
 Engine::DispatchWaiting(TimePoint aNow, Actions& aActions)
 {
-  if (m_resumeSuspects) {
-    ResumeSuspects(aNow, aActions);
-  }
+  ResumeSuspects(aNow, aActions);
   while (!m_freed.empty()) {
     const ReplicaIndex replica = m_freed.back();
     m_freed.pop_back();
@@ -1350,7 +1383,7 @@
     return;
   }
   if (aTimer.m_kind == TimerKind::Hold && aTimer.m_query == 0) {
-    ResumeSuspects(aNow, aActions);
+    RefuseLateSuspects(aNow, aActions);
     return;
   }
   Query* query = FindQuery(aTimer.m_query);
@@ -1439,11 +1472,11 @@
 }
 
 void
-Engine::MergeSuspects(TimePoint,
+Engine::MergeSuspects(TimePoint aNow,
                       const std::vector<SuspectReport>& aReports,
                       Actions&)
 {
-  m_guard.Merge(aReports);
+  m_guard.Merge(aNow, aReports);
   for (const auto& [id, query] : m_queries) {
     if (m_guard.Judge(query->m_fingerprint) != Verdict::Harmless) {
       query->m_guarded = true;
--- a/packages/core/src/Engine.h
+++ b/packages/core/src/Engine.h
@@ -158,6 +158,7 @@
                  Actions& aActions);
   /** Starts the searches that have waited for the end of a guarded run. */
   void ResumeSuspects(TimePoint aNow, Actions& aActions);
+  void RefuseLateSuspects(TimePoint aNow, Actions& aActions);
   /** Updates the views; queries that wait on a retired one go on. */
   void RefreshViews(TimePoint aNow, const std::string& aService);
   void AttemptFailed(TimePoint aNow,
@@ -208,8 +209,9 @@
   /** Fingerprints of the guarded runs under way. */
   std::unordered_set<std::uint64_t> m_guardedRuns;
   /** Searches that wait for a guarded run of the same statement. */
-  std::vector<QueuedSearch> m_suspects;
-  bool m_resumeSuspects = false;
+  std::unordered_map<std::uint64_t, std::vector<QueuedSearch>> m_suspects;
+  /** Statements whose guarded run has ended since the last look. */
+  std::vector<std::uint64_t> m_resumable;
   std::uint32_t m_commandsOut = 0;
   bool m_shuttingDown = false;
   EngineCounters m_counters;
--- a/packages/core/src/RetryBudget.h
+++ b/packages/core/src/RetryBudget.h
@@ -31,8 +31,8 @@
 
 /** Extra load that a service allows for each shard, as a multiple of the
  *  service's ratio. One lost shard can then not use up the budget of the
- *  service, and its amplification stays within twice the ratio. */
-inline constexpr double kShardBudgetFactor = 2;
+ *  service, and its amplification stays below 1.1 at a ratio of 0.05. */
+inline constexpr double kShardBudgetFactor = 1.9;
 
 /** Tokens that a shard's bucket holds. */
 inline constexpr double kShardBurst = 3;
