--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -8,6 +8,7 @@
 find_package(Threads REQUIRED)
 find_package(CURL REQUIRED)
 find_package(OpenSSL REQUIRED)
+find_package(ZLIB REQUIRED)
 find_package(nlohmann_json REQUIRED)
 find_package(Boost 1.74 REQUIRED COMPONENTS log thread)
 find_package(PkgConfig REQUIRED)
--- a/packages/control/include/goldcrestkeel/control/ConfigurationManager.h
+++ b/packages/control/include/goldcrestkeel/control/ConfigurationManager.h
@@ -116,7 +116,8 @@
                                                  Revision aHave) const;
   /** Whether this host has a revision at all. */
   bool Ready() const;
-  /** Whether this host may serve requests at aNow. */
+  /** Whether this host may serve requests at aNow: it has a revision, others
+   * can know of it, no newer process has its name, and it is not isolated. */
   bool Serving(TimePoint aNow) const;
   std::shared_ptr<const Configuration> Current() const;
   /** Required hosts that have not confirmed the current revision. */
@@ -265,6 +266,7 @@
   Acceptance m_acceptance;
   /** Hosts of this data centre in push order; rebuilt when m_hosts changes. */
   std::vector<std::string> m_ranked;
+  TimePoint m_rankedAt;
   std::map<std::string, std::vector<std::string>> m_otherRanked;
   std::map<std::string, std::string> m_addresses;
 };
--- a/packages/control/include/goldcrestkeel/control/Membership.h
+++ b/packages/control/include/goldcrestkeel/control/Membership.h
@@ -95,6 +95,10 @@
   virtual std::uint64_t Generation() const = 0;
   /** Whether a newer process runs under the name of this host. */
   virtual bool Replaced() const = 0;
+  /** Whether others can know of this process: it has seen itself on the host
+   *  list, or a peer has answered it. Until then a change could be accepted
+   *  without it. */
+  virtual bool Introduced() const = 0;
 };
 
 /** Gossip is bounded so that a probe fits into one packet of 1,500 bytes. */
--- a/packages/control/include/goldcrestkeel/control/MembershipTable.h
+++ b/packages/control/include/goldcrestkeel/control/MembershipTable.h
@@ -80,6 +80,7 @@
   std::vector<HostStatus> Hosts(TimePoint aNow) const override;
   std::uint64_t Generation() const override;
   bool Replaced() const override;
+  bool Introduced() const override;
   const MemberEntry& Self() const;
   /** Hosts not known to be dead, this one included. */
   std::uint32_t LiveHosts() const;
@@ -185,6 +186,7 @@
   TimePoint m_nextRound;
   std::optional<TimePoint> m_startedAt;
   bool m_replaced = false;
+  bool m_introduced = false;
 };
 
 } // namespace goldcrestkeel
--- a/packages/control/src/ConfigurationManager.cpp
+++ b/packages/control/src/ConfigurationManager.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr std::string_view kAcceptanceKey = "acceptance";
+/** While a fleet starts, each host appears by itself; the ranks are worked out
+ *  at most this often. */
+constexpr Duration kRankInterval = std::chrono::milliseconds{ 500 };
 const std::string kAccepted = "accepted";
 
 /** The configuration with all its changes accepted. */
@@ -58,8 +61,11 @@
 bool
 ConfigurationManager::Serving(TimePoint aNow) const
 {
-  return Ready() && !m_hosts.Replaced() &&
-         (aNow - m_confirmedAt < kIsolationLimit || !HasPeers(aNow));
+  if (!Ready() || m_hosts.Replaced()) {
+    return false;
+  }
+  const bool confirmed = aNow - m_confirmedAt < kIsolationLimit;
+  return (confirmed && m_hosts.Introduced()) || !HasPeers(aNow);
 }
 
 std::shared_ptr<const Configuration>
@@ -273,9 +279,12 @@
 void
 ConfigurationManager::UpdateWatchers(TimePoint aNow)
 {
-  if (m_watcher.m_generation == m_hosts.Generation() && !m_ranked.empty()) {
+  const bool recent = aNow - m_rankedAt < kRankInterval;
+  if (!m_ranked.empty() &&
+      (recent || m_watcher.m_generation == m_hosts.Generation())) {
     return;
   }
+  m_rankedAt = aNow;
   m_watcher.m_generation = m_hosts.Generation();
   m_ranked = { m_options.m_host };
   m_otherRanked.clear();
@@ -474,6 +483,9 @@
     m_fetch.reset();
     return;
   }
+  if (!m_addresses.contains(m_fetch->m_host)) {
+    m_ranked.clear();
+  }
   UpdateWatchers(aNow);
   m_fetch->m_running = true;
   aActions.push_back(FetchDocument{
--- a/packages/control/src/MembershipTable.cpp
+++ b/packages/control/src/MembershipTable.cpp
@@ -71,6 +71,7 @@
   }
   for (const ListedHost& listed : aHosts) {
     if (listed.m_host == m_self.m_host) {
+      m_introduced = true;
       continue;
     }
     const bool known = m_members.contains(listed.m_host);
@@ -308,6 +309,7 @@
   }
   const Probe probe = found->second;
   m_probes.erase(found);
+  m_introduced = true;
   // A reply of an earlier process says nothing about the present one.
   const auto member = m_members.find(probe.m_host);
   if (member != m_members.end() &&
@@ -780,6 +782,12 @@
   return m_replaced;
 }
 
+bool
+MembershipTable::Introduced() const
+{
+  return m_introduced;
+}
+
 const MemberEntry&
 MembershipTable::Self() const
 {
--- a/packages/control/tests/ConfigurationManagerTest.cpp
+++ b/packages/control/tests/ConfigurationManagerTest.cpp
@@ -53,58 +53,17 @@
   fleet.Run(3s);
   std::map<std::string, int> operations;
   for (int step = 0; step < 150; ++step) {
-    const std::size_t host = random.Below(fleet.Size());
-    switch (random.Below(12)) {
-      case 0:
-        fleet.KillHost(host);
-        break;
-      case 1:
-      case 2:
-        if (!fleet.At(host).m_up) {
-          fleet.StartHost(host);
-        }
-        break;
-      case 3:
-        fleet.PauseHost(host);
-        break;
-      case 4:
-        fleet.ResumeHost(host);
-        break;
-      case 5: {
-        std::vector<int> groups(fleet.Size());
-        for (int& group : groups) {
-          group = static_cast<int>(random.Below(2));
-        }
-        fleet.Partition(groups, static_cast<int>(random.Below(3)));
-        break;
-      }
-      case 6:
-        fleet.Heal();
-        break;
-      case 7:
-        fleet.TheStore().m_down = random.Below(2) == 0;
-        break;
-      case 8:
-        fleet.TheStore().m_lostReplies = random.Unit();
-        break;
-      default:
-        if (fleet.At(host).m_up) {
-          const std::string operation = "op" + std::to_string(random.Below(60));
-          ++operations[operation];
-          fleet.Change(host, operation, "s" + operation, 0.5);
-        }
+    if (random.Below(4) != 0) {
+      fleet.InjectFault();
+    } else if (const std::size_t host = random.Below(fleet.Size());
+               fleet.At(host).m_up) {
+      const std::string operation = "op" + std::to_string(random.Below(60));
+      ++operations[operation];
+      fleet.Change(host, operation, "s" + operation, 0.5);
     }
     fleet.Run(Duration{ static_cast<Duration::rep>(random.Below(4000000)) });
   }
-  fleet.Heal();
-  fleet.TheStore().m_down = false;
-  fleet.TheStore().m_lostReplies = 0;
-  for (std::size_t i = 0; i < fleet.Size(); ++i) {
-    fleet.ResumeHost(i);
-    if (!fleet.At(i).m_up) {
-      fleet.StartHost(i);
-    }
-  }
+  fleet.EndFaults();
   const auto settled = [&] {
     const Configuration stored = fleet.Stored();
     return stored.m_accepted && fleet.AllHave(stored.m_revision);
--- a/packages/control/tests/VirtualFleet.cpp
+++ b/packages/control/tests/VirtualFleet.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Duration kSecond = std::chrono::seconds{ 1 };
+/** Longest delay with which the host list shows a start. */
+constexpr Duration kListLag = std::chrono::seconds{ 20 };
 /** Latest effect of a write whose reply is lost. */
 constexpr std::uint64_t kLateWriteMicroseconds = 2000000;
 
@@ -463,7 +465,14 @@
 VirtualFleet::Written()
 {
   const Configuration stored = Stored();
-  m_writtenAt.emplace(stored.m_revision, m_now);
+  const bool change = m_writtenAt.emplace(stored.m_revision, m_now).second;
+  const bool behind =
+    std::any_of(m_hosts.begin(), m_hosts.end(), [&](const Host& aHost) {
+      return aHost.m_up && !aHost.m_paused &&
+             aHost.m_node->Manager().Serving(m_now) &&
+             aHost.m_node->Manager().Current()->m_revision < stored.m_revision;
+    });
+  m_lostAtWrite += change && behind ? 1 : 0;
   if (!stored.m_accepted) {
     return;
   }
@@ -513,6 +522,72 @@
   });
 }
 
+// ---- Faults ---------------------------------------------------------------
+
+void
+VirtualFleet::InjectFault()
+{
+  const std::size_t host = m_random->Below(m_hosts.size());
+  switch (m_random->Below(9)) {
+    case 0:
+      KillHost(host);
+      ListLate(host, kListLag * 3);
+      break;
+    case 1:
+    case 2:
+      if (!m_hosts[host].m_up) {
+        StartHost(host);
+        ListLate(host, kListLag);
+      }
+      break;
+    case 3:
+      PauseHost(host);
+      break;
+    case 4:
+      ResumeHost(host);
+      break;
+    case 5: {
+      std::vector<int> groups(m_hosts.size());
+      for (int& group : groups) {
+        group = static_cast<int>(m_random->Below(2));
+      }
+      Partition(groups, static_cast<int>(m_random->Below(3)));
+      break;
+    }
+    case 6:
+      Heal();
+      break;
+    case 7:
+      m_store.m_down = m_random->Below(2) == 0;
+      break;
+    default:
+      m_store.m_lostReplies = m_random->Unit();
+  }
+}
+
+void
+VirtualFleet::ListLate(std::size_t aHost, Duration aLag)
+{
+  const Duration lag{ static_cast<Duration::rep>(
+    m_random->Below(static_cast<std::uint64_t>(aLag.count()))) };
+  After(lag, [this, aHost] { SetListed(aHost, m_hosts[aHost].m_up); });
+}
+
+void
+VirtualFleet::EndFaults()
+{
+  Heal();
+  m_store.m_down = false;
+  m_store.m_lostReplies = 0;
+  for (std::size_t i = 0; i < m_hosts.size(); ++i) {
+    ResumeHost(i);
+    if (!m_hosts[i].m_up) {
+      StartHost(i);
+    }
+    SetListed(i, true);
+  }
+}
+
 // ---- Operators ------------------------------------------------------------
 
 ServiceSpec
--- a/packages/control/tests/VirtualFleet.h
+++ b/packages/control/tests/VirtualFleet.h
@@ -81,6 +81,11 @@
   bool RunUntil(const std::function<bool()>& aDone, Duration aLimit);
   void At(TimePoint aTime, std::function<void()> aAction);
 
+  /** Injects one random fault, or ends one. */
+  void InjectFault();
+  /** Ends all faults and starts all hosts. */
+  void EndFaults();
+
   /** Sends a change through aHost. */
   void Change(std::size_t aHost,
               const std::string& aOperation,
@@ -106,6 +111,9 @@
   Duration InForceMax() const { return m_inForceMax; }
   std::uint64_t Reverts() const { return m_reverts; }
   std::uint64_t LostAccepted() const { return m_lostAccepted; }
+  /** Changes that would have been lost for some host if they counted as
+   * accepted at their write. */
+  std::uint64_t LostAtWrite() const { return m_lostAtWrite; }
 
   /** Called for each message sent, with the sender. */
   std::function<void(std::size_t, const ControlAction&)> m_onSend;
@@ -143,6 +151,8 @@
   void Written();
   void CheckServing(const Host& aHost);
   void Wake(std::size_t aHost);
+  /** Brings the host list up to date for aHost after at most aLag. */
+  void ListLate(std::size_t aHost, Duration aLag);
   bool Reaches(std::size_t aFrom, std::size_t aTo);
   std::size_t Find(const std::string& aAddress) const;
   Duration Delay();
@@ -164,6 +174,7 @@
   Revision m_accepted = 0;
   std::uint64_t m_reverts = 0;
   std::uint64_t m_lostAccepted = 0;
+  std::uint64_t m_lostAtWrite = 0;
 };
 
 } // namespace goldcrestkeel
--- /dev/null
+++ b/packages/net/include/goldcrestkeel/net/DocumentCodec.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string>
+
+namespace goldcrestkeel {
+
+/** Documents travel compressed (zlib): a configuration repeats its field names
+ *  for each replica. */
+std::string
+CompressDocument(const std::string& aDocument);
+/** Throws std::runtime_error if aData is not valid or holds more than
+ *  kMaxDocumentBytes. */
+std::string
+ExpandDocument(const std::string& aData);
+
+} // namespace goldcrestkeel
