Keep slots of remote replicas busy

Cause: requests in flight were limited to the slots. A request to another data centre spends three quarters of its time on the network, so that the replicas were half idle under overload. Change: four requests in flight for each slot, within the share of connections. A hedge without budget is tried again after an eighth instead of a half of the time that the query has run. The queue test limits the connections instead of the slots.

--- a/packages/core/src/Engine.cpp
+++ b/packages/core/src/Engine.cpp
@@ -1060,7 +1060,7 @@
   if (next) {
     // A hedge that had no budget or no free slot is tried again.
     const Duration pause =
-      std::max(kHedgeStep, (aNow - aQuery.m_startedAt) / 2);
+      std::max(kHedgeStep, (aNow - aQuery.m_startedAt) / 8);
     const bool again = *next <= aNow;
     m_timers.Add({ again ? aNow + pause : *next,
                    TimerKind::Hedge,
--- a/packages/core/src/ShareTable.cpp
+++ b/packages/core/src/ShareTable.cpp
@@ -4,6 +4,15 @@
 
 namespace goldcrestkeel {
 
+namespace {
+
+/** Requests in flight for each slot. On the network a request takes up a
+ *  connection but no slot: with a service time of 5 ms and a round trip of
+ *  16 ms, four are needed to keep a slot busy. */
+constexpr std::uint32_t kInFlightPerSlot = 4;
+
+} // namespace
+
 ShareTable::ShareTable(std::optional<TimePoint> aJoinedAt)
   : m_joinedAt(aJoinedAt)
 {
@@ -51,7 +60,8 @@
     return 0;
   }
   return std::min(connections,
-                  std::max<std::uint32_t>(aSlots / Divisor(aNow), 1));
+                  kInFlightPerSlot *
+                    std::max<std::uint32_t>(aSlots / Divisor(aNow), 1));
 }
 
 } // namespace goldcrestkeel
--- a/packages/core/src/ShareTable.h
+++ b/packages/core/src/ShareTable.h
@@ -25,9 +25,9 @@
   /** Connections to one replica that this host may hold. */
   std::uint32_t Connections(TimePoint aNow, std::uint32_t aCap);
 
-  /** Requests that this host may run on one replica. It is at least one while
-   *  the share of connections is: a replica with fewer slots than there are
-   *  hosts queues the rest. */
+  /** Requests of this host that may be in flight to one replica, at most its
+   *  share of connections. The replica queues what exceeds its slots, which
+   *  also happens if it has fewer slots than there are hosts. */
   std::uint32_t Slots(TimePoint aNow,
                       std::uint32_t aSlots,
                       std::uint32_t aConnections);
--- a/packages/core/tests/AdmissionTest.cpp
+++ b/packages/core/tests/AdmissionTest.cpp
@@ -52,6 +52,7 @@
 {
   EngineFixture fixture(1, 1);
   fixture.m_spec.m_replicas.front().m_slots = 1;
+  fixture.m_spec.m_replicas.front().m_connections = 1;
   fixture.Configure();
   QueryId last = 0;
   while (last < 10) {
