Update the views of index versions replica by replica

Cause: each changed status rebuilt all views of its service; with 1,400 shards and 4,200 replicas the benchmark's preparation did not end within 20 s. Change: a replica refers to its group in each view, and only these are updated.

--- a/packages/core/src/Engine.cpp
+++ b/packages/core/src/Engine.cpp
@@ -143,9 +143,17 @@
     m_owners[index] = aSpec.m_name;
   }
   service->m_commands.m_replicas = service->m_replicas;
-  // Views hold counters of the queries that run on them, so an old definition
-  // keeps its own.
-  service->m_views = UpdateViews(m_replicas, service->m_replicas, {});
+  // Running queries keep the views of the old definition. The new one starts
+  // with views of its own that hold the replicas it names.
+  for (const ReplicaIndex index : service->m_replicas) {
+    std::vector<HeldVersion> versions;
+    for (const HeldShard& held : m_replicas[index].m_held) {
+      versions.push_back(
+        { held.m_view->m_map, held.m_view->m_groups[held.m_group].m_shard });
+    }
+    m_replicas[index].m_held.clear();
+    HoldVersions(m_replicas, index, versions, service->m_views);
+  }
   m_services[aSpec.m_name] = std::move(service);
 }
 
@@ -206,37 +214,22 @@
   replica.m_reportedLoad =
     reported > replica.m_inFlight ? reported - replica.m_inFlight : 0;
   replica.m_reportedAt = aNow;
-  const bool same = std::equal(
-    replica.m_held.begin(),
-    replica.m_held.end(),
-    aEvent.m_versions.begin(),
-    aEvent.m_versions.end(),
-    [](const HeldVersion& aLeft, const HeldVersion& aRight) {
-      return aLeft.m_shard == aRight.m_shard && aLeft.m_map == aRight.m_map;
-    });
-  if (same) {
-    return;
+  if (!HoldsVersions(replica, aEvent.m_versions)) {
+    Hold(aNow, *index, aEvent.m_versions);
   }
-  replica.m_held = aEvent.m_versions;
-  RefreshViews(aNow, m_owners[*index]);
 }
 
 void
-Engine::RefreshViews(TimePoint aNow, const std::string& aService)
+Engine::Hold(TimePoint aNow,
+             ReplicaIndex aReplica,
+             const std::vector<HeldVersion>& aVersions)
 {
-  const auto service = FindService(aService);
+  const auto service = FindService(m_owners[aReplica]);
   if (!service) {
     return;
   }
-  const auto previous = std::exchange(
-    service->m_views,
-    UpdateViews(m_replicas, service->m_replicas, service->m_views));
-  for (const auto& view : previous) {
-    const auto& views = service->m_views;
-    if (view->m_waiting == 0 ||
-        std::find(views.begin(), views.end(), view) != views.end()) {
-      continue;
-    }
+  for (const auto& view :
+       HoldVersions(m_replicas, aReplica, aVersions, service->m_views)) {
     for (ShardGroup& group : view->m_groups) {
       for (const WaitingShard& waiting : std::exchange(group.m_waiting, {})) {
         Query* query = FindQuery(waiting.m_query);
@@ -708,13 +701,8 @@
   if (service->m_spec.m_kind == ServiceKind::Command) {
     groups.emplace_back(service->m_commands.m_replicas);
   }
-  for (const auto& view : service->m_views) {
-    for (const HeldVersion& held : replica.m_held) {
-      const ShardGroup* group = FindGroup(*view, held.m_shard);
-      if (group != nullptr && held.m_map.m_version == view->m_version) {
-        groups.emplace_back(group->m_replicas);
-      }
-    }
+  for (const HeldShard& held : replica.m_held) {
+    groups.emplace_back(held.m_view->m_groups[held.m_group].m_replicas);
   }
   if (EjectUnlessLast(aNow, m_replicas, aReplica, groups)) {
     ++m_counters.m_ejections;
@@ -1073,11 +1061,14 @@
 void
 Engine::DropVersion(TimePoint aNow, ReplicaIndex aReplica, VersionId aVersion)
 {
-  std::vector<HeldVersion>& held = m_replicas[aReplica].m_held;
-  std::erase_if(held, [&](const HeldVersion& aHeld) {
-    return aHeld.m_map.m_version == aVersion;
-  });
-  RefreshViews(aNow, m_owners[aReplica]);
+  std::vector<HeldVersion> kept;
+  for (const HeldShard& held : m_replicas[aReplica].m_held) {
+    if (held.m_view->m_version != aVersion) {
+      kept.push_back(
+        { held.m_view->m_map, held.m_view->m_groups[held.m_group].m_shard });
+    }
+  }
+  Hold(aNow, aReplica, kept);
 }
 
 bool
@@ -1342,16 +1333,10 @@
     if (!service) {
       continue;
     }
-    for (const auto& view : service->m_views) {
-      if (view->m_waiting == 0) {
-        continue;
-      }
-      for (const HeldVersion& held : m_replicas[replica].m_held) {
-        if (held.m_map.m_version == view->m_version) {
-          if (ShardGroup* group = FindGroup(*view, held.m_shard)) {
-            DispatchGroup(aNow, *view, *group, aActions);
-          }
-        }
+    for (const HeldShard& held : m_replicas[replica].m_held) {
+      if (held.m_view->m_waiting > 0) {
+        const std::shared_ptr<SnapshotView> view = held.m_view;
+        DispatchGroup(aNow, *view, view->m_groups[held.m_group], aActions);
       }
     }
     Admit(aNow, *service, aActions);
--- a/packages/core/src/Engine.h
+++ b/packages/core/src/Engine.h
@@ -159,8 +159,11 @@
   /** Starts the searches that have waited for the end of a guarded run. */
   void ResumeSuspects(TimePoint aNow, Actions& aActions);
   void RefuseLateSuspects(TimePoint aNow, Actions& aActions);
-  /** Updates the views; queries that wait on a retired one go on. */
-  void RefreshViews(TimePoint aNow, const std::string& aService);
+  /** Replaces what a replica holds; queries that wait on a retired view go
+   *  on. */
+  void Hold(TimePoint aNow,
+            ReplicaIndex aReplica,
+            const std::vector<HeldVersion>& aVersions);
   void AttemptFailed(TimePoint aNow,
                      Query& aQuery,
                      std::uint32_t aShard,
--- a/packages/core/src/ReplicaTable.h
+++ b/packages/core/src/ReplicaTable.h
@@ -3,6 +3,7 @@
 #include <goldcrestkeel/core/Topology.h>
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -13,6 +14,16 @@
 /** Dense number of a replica within one engine. */
 using ReplicaIndex = std::uint32_t;
 
+struct SnapshotView;
+
+/** A shard of one index version that a replica holds. */
+struct HeldShard
+{
+  std::shared_ptr<SnapshotView> m_view;
+  /** Position in the view's groups. */
+  std::uint32_t m_group = 0;
+};
+
 /** What this entry host knows of one replica. */
 struct ReplicaState
 {
@@ -23,7 +34,7 @@
   std::uint32_t m_connections = 1;
 
   std::uint64_t m_incarnation = 0;
-  std::vector<HeldVersion> m_held;
+  std::vector<HeldShard> m_held;
 
   /** Sub-requests and commands of this host that run on the replica. */
   std::uint32_t m_inFlight = 0;
--- a/packages/core/src/SnapshotSelector.cpp
+++ b/packages/core/src/SnapshotSelector.cpp
@@ -1,7 +1,7 @@
 #include "SnapshotSelector.h"
 
 #include <algorithm>
-#include <unordered_map>
+#include <utility>
 
 namespace goldcrestkeel {
 
@@ -54,10 +54,8 @@
   }
 };
 
-} // namespace
-
-ShardGroup*
-FindGroup(SnapshotView& aView, const std::string& aShard)
+std::optional<std::uint32_t>
+FindGroup(const SnapshotView& aView, const std::string& aShard)
 {
   // MakeView() leaves the groups in the order of their names.
   const auto group =
@@ -68,47 +66,63 @@
                        return aLeft.m_shard < aRight;
                      });
   if (group == aView.m_groups.end() || group->m_shard != aShard) {
-    return nullptr;
+    return std::nullopt;
   }
-  return &*group;
+  return static_cast<std::uint32_t>(group - aView.m_groups.begin());
 }
 
-std::vector<std::shared_ptr<SnapshotView>>
-UpdateViews(const ReplicaTable& aTable,
-            const std::vector<ReplicaIndex>& aReplicas,
-            const std::vector<std::shared_ptr<SnapshotView>>& aPrevious)
+} // namespace
+
+SnapshotViews
+HoldVersions(ReplicaTable& aTable,
+             ReplicaIndex aReplica,
+             const std::vector<HeldVersion>& aVersions,
+             SnapshotViews& aViews)
 {
-  std::vector<std::shared_ptr<SnapshotView>> views = aPrevious;
-  for (const auto& view : views) {
-    for (ShardGroup& group : view->m_groups) {
-      group.m_replicas.clear();
-    }
+  std::vector<HeldShard>& held = aTable[aReplica].m_held;
+  std::vector<HeldShard> previous = std::exchange(held, {});
+  for (const HeldShard& shard : previous) {
+    std::erase(shard.m_view->m_groups[shard.m_group].m_replicas, aReplica);
+    --shard.m_view->m_holders;
   }
-  std::vector<bool> held(views.size(), false);
-  for (const ReplicaIndex index : aReplicas) {
-    for (const HeldVersion& version : aTable[index].m_held) {
-      auto view =
-        std::find_if(views.begin(), views.end(), [&](const auto& aView) {
-          return aView->m_map == version.m_map;
-        });
-      if (view == views.end()) {
-        views.push_back(MakeView(version.m_map));
-        held.push_back(false);
-        view = views.end() - 1;
-      }
-      if (ShardGroup* group = FindGroup(**view, version.m_shard)) {
-        group->m_replicas.push_back(index);
-        held[static_cast<std::size_t>(view - views.begin())] = true;
-      }
+  for (const HeldVersion& version : aVersions) {
+    auto view =
+      std::find_if(aViews.begin(), aViews.end(), [&](const auto& aView) {
+        return aView->m_map == version.m_map;
+      });
+    if (view == aViews.end()) {
+      aViews.push_back(MakeView(version.m_map));
+      view = aViews.end() - 1;
     }
-  }
-  std::vector<std::shared_ptr<SnapshotView>> result;
-  for (std::size_t i = 0; i < views.size(); ++i) {
-    if (held[i]) {
-      result.push_back(views[i]);
+    if (const auto group = FindGroup(**view, version.m_shard)) {
+      (*view)->m_groups[*group].m_replicas.push_back(aReplica);
+      ++(*view)->m_holders;
+      held.push_back({ *view, *group });
     }
   }
-  return result;
+  SnapshotViews retired;
+  std::erase_if(aViews, [&](const auto& aView) {
+    if (aView->m_holders == 0) {
+      retired.push_back(aView);
+    }
+    return aView->m_holders == 0;
+  });
+  return retired;
+}
+
+bool
+HoldsVersions(const ReplicaState& aReplica,
+              const std::vector<HeldVersion>& aVersions)
+{
+  return std::equal(aReplica.m_held.begin(),
+                    aReplica.m_held.end(),
+                    aVersions.begin(),
+                    aVersions.end(),
+                    [](const HeldShard& aHeld, const HeldVersion& aVersion) {
+                      return aHeld.m_view->m_groups[aHeld.m_group].m_shard ==
+                               aVersion.m_shard &&
+                             aHeld.m_view->m_map == aVersion.m_map;
+                    });
 }
 
 bool
--- a/packages/core/src/SnapshotSelector.h
+++ b/packages/core/src/SnapshotSelector.h
@@ -43,6 +43,8 @@
   VersionId m_version = 0;
   DocumentCount m_total = 0;
   ShardMap m_map;
+  /** Replicas that hold a shard of the view. */
+  std::uint32_t m_holders = 0;
   /** Sub-requests that wait for a slot, over all groups. */
   std::uint32_t m_waiting = 0;
   /** Groups with so many waiting sub-requests that no new query starts. */
@@ -50,16 +52,21 @@
   std::vector<ShardGroup> m_groups;
 };
 
-/** Views of all index versions that aReplicas report, one for each distinct
- *  shard map. Views of aPrevious with an equal map are updated and reused. */
-std::vector<std::shared_ptr<SnapshotView>>
-UpdateViews(const ReplicaTable& aTable,
-            const std::vector<ReplicaIndex>& aReplicas,
-            const std::vector<std::shared_ptr<SnapshotView>>& aPrevious);
+using SnapshotViews = std::vector<std::shared_ptr<SnapshotView>>;
 
-/** Group of aShard, or nullptr. */
-ShardGroup*
-FindGroup(SnapshotView& aView, const std::string& aShard);
+/** Replaces what aReplica holds by aVersions, with one view for each distinct
+ *  shard map. Returns the views that no replica holds any more; they are
+ *  removed from aViews. */
+SnapshotViews
+HoldVersions(ReplicaTable& aTable,
+             ReplicaIndex aReplica,
+             const std::vector<HeldVersion>& aVersions,
+             SnapshotViews& aViews);
+
+/** True if aReplica already holds exactly aVersions. */
+bool
+HoldsVersions(const ReplicaState& aReplica,
+              const std::vector<HeldVersion>& aVersions);
 
 /** False if the replica's status has been missing several times. */
 bool
