Ignore a drain signal from before a restart

Cause: a late refusal or reply of an earlier incarnation would have marked the restarted replica as draining until its next restart; found while making the randomised test notice an ignored drain refusal, which it did not. Change: a drain signal counts only for the incarnation it came from, and ends 30 s after the last one. The randomised test now tracks drain refusals; it fails if the engine ignores them.

--- a/packages/core/src/Engine.cpp
+++ b/packages/core/src/Engine.cpp
@@ -17,6 +17,9 @@
  *  shards of the same fan-out could have arrived: a round trip between regions
  *  takes up to 46 ms with both client legs, half of which is common. */
 constexpr Duration kResetPause{ 25000 };
+/** A replica that was draining is used again without a restart if no signal has
+ *  reported it for longer than a status or the host list can lag. */
+constexpr Duration kDrainMemory{ 30000000 };
 /** Shortest time between two looks at the stragglers of one query. */
 constexpr Duration kHedgeStep{ 2000 };
 /** Shortest time between two looks at a queue of waiting searches. */
@@ -177,6 +180,12 @@
   return entry == m_queries.end() ? nullptr : entry->second.get();
 }
 
+bool
+Engine::IsCurrent(const Attempt& aAttempt) const
+{
+  return m_replicas[aAttempt.m_replica].m_incarnation == aAttempt.m_incarnation;
+}
+
 void
 Engine::SetDraining(TimePoint aNow, ReplicaState& aReplica)
 {
@@ -208,6 +217,8 @@
   }
   if (aEvent.m_draining) {
     SetDraining(aNow, replica);
+  } else if (aNow - replica.m_drainSignal > kDrainMemory) {
+    replica.m_draining = false;
   }
   replica.m_statusMisses = 0;
   const std::uint32_t reported = aEvent.m_inFlight + aEvent.m_queued;
@@ -781,7 +792,8 @@
     return;
   }
   const Attempt attempt = *found;
-  if (aEvent.m_draining && aEvent.m_echoAttempt == aEvent.m_attempt) {
+  if (aEvent.m_draining && aEvent.m_echoAttempt == aEvent.m_attempt &&
+      IsCurrent(attempt)) {
     SetDraining(aNow, m_replicas[attempt.m_replica]);
   }
   Query& query = *FindQuery(attempt.m_query);
@@ -846,7 +858,7 @@
   if (notRun) {
     ++query.m_notRun;
   }
-  if (aEvent.m_kind == SubFailureKind::Draining) {
+  if (aEvent.m_kind == SubFailureKind::Draining && IsCurrent(attempt)) {
     SetDraining(aNow, m_replicas[attempt.m_replica]);
   }
   RemoveAttempt(aNow, aEvent.m_attempt, EndOf(aEvent.m_kind));
--- a/packages/core/src/Engine.h
+++ b/packages/core/src/Engine.h
@@ -186,6 +186,8 @@
                      Actions& aActions);
   /** Sends what waits for the slots that have been freed. */
   void DispatchWaiting(TimePoint aNow, Actions& aActions);
+  /** True if the replica has not started again since the attempt was sent. */
+  bool IsCurrent(const Attempt& aAttempt) const;
   void SetDraining(TimePoint aNow, ReplicaState& aReplica);
   void RecordEnd(TimePoint aNow,
                  ReplicaIndex aReplica,
--- a/packages/core/tests/EngineTest.cpp
+++ b/packages/core/tests/EngineTest.cpp
@@ -63,6 +63,27 @@
     REQUIRE(fixture.Counters().m_discardedReplies == 1);
   }
 
+  // Guards against a late refusal that takes a restarted replica out of
+  // service for good.
+  SECTION("ignores a draining refusal from before a restart")
+  {
+    ReplicaStatus restarted;
+    restarted.m_replica = fixture.m_sent[0].m_replica;
+    restarted.m_incarnation = 2;
+    restarted.m_versions = {
+      { { 1, { { "s0", 100 }, { "s1", 100 }, { "s2", 100 } } }, "s0" }
+    };
+    fixture.Handle(restarted);
+    fixture.Fail(0, SubFailureKind::Draining);
+    int sent = 0;
+    for (QueryId query = 2; query < 22; ++query) {
+      fixture.Start(query);
+      sent += fixture.m_sent[fixture.m_sent.size() - 3].m_replica ==
+              restarted.m_replica;
+    }
+    REQUIRE(sent > 0);
+  }
+
   SECTION("sends nothing to a draining replica")
   {
     fixture.Engine().MarkDraining(fixture.m_now, "s0-r0", 0);
--- a/packages/core/tests/RandomRunTest.cpp
+++ b/packages/core/tests/RandomRunTest.cpp
@@ -267,6 +267,8 @@
     if (!server.m_alive) {
       Fail(aSend, SubFailureKind::ConnectFailed);
     } else if (server.m_draining) {
+      m_out[aSend.m_attempt] = aSend.m_replica;
+      m_refusals[aSend.m_attempt] = server.m_incarnation;
       Fail(aSend, SubFailureKind::Draining);
     } else if (!server.m_versions.contains(aSend.m_version) ||
                ShardName(ShardOf(server, aSend.m_version)) != aSend.m_shard) {
@@ -345,7 +347,7 @@
   void Receive(const Pending& aPending)
   {
     if (aPending.m_failure) {
-      Deliver(*aPending.m_failure);
+      ReceiveFailure(*aPending.m_failure);
       return;
     }
     SubReply reply = *aPending.m_reply;
@@ -368,6 +370,20 @@
     Deliver(reply);
   }
 
+  void ReceiveFailure(const SubFailure& aFailure)
+  {
+    const auto out = m_out.find(aFailure.m_attempt);
+    if (aFailure.m_kind == SubFailureKind::Draining && out != m_out.end()) {
+      const FakeServer& server = m_servers.at(out->second);
+      if (server.m_draining &&
+          server.m_incarnation == m_refusals[aFailure.m_attempt]) {
+        m_knownDraining.insert(server.m_id);
+      }
+    }
+    m_out.erase(aFailure.m_attempt);
+    Deliver(aFailure);
+  }
+
   template<typename Event>
   void Deliver(const Event& aEvent)
   {
@@ -453,6 +469,8 @@
   std::set<std::string> m_knownDraining;
   std::multimap<TimePoint, Pending> m_pending;
   std::map<AttemptId, std::string> m_out;
+  /** Incarnation that refused an attempt because it was draining. */
+  std::map<AttemptId, std::uint64_t> m_refusals;
   std::map<QueryId, Model> m_models;
 };
 
