Answer unknown for a command that this host does not take

Cause: a host without the service, not ready or shutting down answered "ran": "no" for a key that another host may have run for the same caller. Change: a refused request with an Idempotency-Key says "no" only if every host refuses it (malformed input); otherwise "unknown".

--- a/packages/net/src/Api.cpp
+++ b/packages/net/src/Api.cpp
@@ -102,6 +102,14 @@
   return { aResult.m_accepted ? kOk : kAccepted, Dump(body) };
 }
 
+void
+AnswerError(const std::shared_ptr<Exchange>& aExchange, const Error& aError)
+{
+  const CallerRequest& request = aExchange->Request();
+  aExchange->Answer(ProblemAnswer(
+    aError, request.m_requestId, request.m_idempotencyKey.has_value()));
+}
+
 } // namespace
 
 Api::Api(ApiParts aParts)
@@ -122,7 +130,7 @@
           { "error", InfoOf(error.Kind()).m_name },
           { "detail", error.what() } });
     m_parts.m_metrics.CountRequest("refused", error.Kind(), Duration{ 0 });
-    aExchange->Answer(ProblemAnswer(error, aExchange->Request().m_requestId));
+    AnswerError(aExchange, error);
   }
 }
 
@@ -392,11 +400,10 @@
       run();
     } catch (const Error& error) {
       Count(aExchange, "refused", m_parts.m_loop.Now(), error.Kind());
-      aExchange->Answer(ProblemAnswer(error, aExchange->Request().m_requestId));
+      AnswerError(aExchange, error);
     } catch (const std::exception& error) {
       Count(aExchange, "refused", m_parts.m_loop.Now(), ErrorKind::Internal);
-      aExchange->Answer(ProblemAnswer(Error(ErrorKind::Internal, error.what()),
-                                      aExchange->Request().m_requestId));
+      AnswerError(aExchange, Error(ErrorKind::Internal, error.what()));
     }
   });
 }
--- a/packages/net/src/Problem.cpp
+++ b/packages/net/src/Problem.cpp
@@ -2,6 +2,28 @@
 
 namespace goldcrestkeel {
 
+namespace {
+
+// Faults of the request itself, which do not depend on the host's state.
+bool
+RefusedEverywhere(ErrorKind aKind)
+{
+  switch (aKind) {
+    case ErrorKind::BadRequest:
+    case ErrorKind::MissingIdempotencyKey:
+    case ErrorKind::BadIdempotencyKey:
+    case ErrorKind::BodyTooLarge:
+    case ErrorKind::StatementSyntax:
+    case ErrorKind::MethodNotAllowed:
+    case ErrorKind::NotFound:
+      return true;
+    default:
+      return false;
+  }
+}
+
+} // namespace
+
 CallerAnswer
 ProblemAnswer(ErrorKind aKind,
               Ran aRan,
@@ -26,13 +48,13 @@
 }
 
 CallerAnswer
-ProblemAnswer(const Error& aError, const std::string& aRequestId)
+ProblemAnswer(const Error& aError, const std::string& aRequestId, bool aHasKey)
 {
-  return ProblemAnswer(aError.Kind(),
-                       InfoOf(aError.Kind()).m_ran,
-                       aError.what(),
-                       aError.Field(),
-                       aRequestId);
+  const Ran ran = aHasKey && !RefusedEverywhere(aError.Kind())
+                    ? Ran::Unknown
+                    : InfoOf(aError.Kind()).m_ran;
+  return ProblemAnswer(
+    aError.Kind(), ran, aError.what(), aError.Field(), aRequestId);
 }
 
 std::string
--- a/packages/net/src/Problem.h
+++ b/packages/net/src/Problem.h
@@ -21,8 +21,13 @@
               const std::string& aRequestId,
               const nlohmann::json& aExtra = nlohmann::json::object());
 
+/** Answer to a refused request. With a key (aHasKey), "not run" is said only
+ *  of a request that every host refuses: another host may have run a command
+ *  that this one does not take. */
 CallerAnswer
-ProblemAnswer(const Error& aError, const std::string& aRequestId);
+ProblemAnswer(const Error& aError,
+              const std::string& aRequestId,
+              bool aHasKey = false);
 
 /** JSON text; bytes that are not UTF-8 are replaced. */
 std::string
--- a/packages/net/tests/ApiTest.cpp
+++ b/packages/net/tests/ApiTest.cpp
@@ -289,3 +289,27 @@
     REQUIRE(m_backend.m_requests == 0);
   }
 }
+
+// Guards against "not run" for a key that another host may have run.
+TEST_CASE_METHOD(Fixture, "A host that takes no command cannot tell", "[api]")
+{
+  TestConnection caller(m_front.Port());
+  const auto ran = [&](const std::string& aPath, const std::string& aBody) {
+    caller.Send(MakeRequest("POST", aPath, aBody, "Idempotency-Key: 1-a\r\n"));
+    return BodyOf(caller.Receive()).at("ran");
+  };
+  const std::string body = R"({"command":"hold 7"})";
+  REQUIRE(ran(kCommandPath, body) == "unknown");
+  REQUIRE(ran("/v1/services/nobody/commands", body) == "unknown");
+
+  SECTION("also while it shuts down")
+  {
+    m_lifecycle.StartDraining();
+    m_lifecycle.StartRefusing();
+    REQUIRE(ran(kCommandPath, body) == "unknown");
+  }
+  SECTION("but a malformed command runs nowhere")
+  {
+    REQUIRE(ran(kCommandPath, "{}") == "no");
+  }
+}
