Await the reply of a command beyond its deadline

Cause: the connection was given up at the caller's deadline, so that a reply that came a little later left the key unknown for good.

--- a/packages/net/include/goldcrestkeel/net/BackendClient.h
+++ b/packages/net/include/goldcrestkeel/net/BackendClient.h
@@ -24,6 +24,8 @@
   /** The backend server refuses to start the command later than this. */
   WallTime m_startBefore = 0;
   Duration m_deadline{ 0 };
+  /** Time for which the reply is awaited; not shorter than the deadline. */
+  Duration m_replyTimeout{ 0 };
 };
 
 using BackendOutcome = std::variant<BackendReply, BackendFailure>;
--- a/packages/net/src/HttpBackendClient.cpp
+++ b/packages/net/src/HttpBackendClient.cpp
@@ -2,6 +2,8 @@
 
 #include <goldcrestkeel/net/HttpBackendClient.h>
 
+#include <algorithm>
+
 namespace goldcrestkeel {
 
 namespace {
@@ -69,7 +71,7 @@
   request.m_method = HttpMethod::Post;
   request.m_url = Url(aCommand.m_address, "/command");
   request.m_body = EncodeCommand(m_commandOrigin, aCommand);
-  request.m_timeout = aCommand.m_deadline;
+  request.m_timeout = std::max(aCommand.m_deadline, aCommand.m_replyTimeout);
   request.m_freshConnection = true;
   m_client.Start(std::move(request),
                  [attempt = aCommand.m_attempt,
