Change the configuration during the randomised run

Cause: reverts of the configuration, lost changes and hosts that restart were not checked, and one run at a time fitted on the machine.

Change: an operator changes a service all the time; the revision of a ready host must not fall, and each change that was answered as written must be once in the audit trail. The services are applied with gkctl. Runs pick loopback addresses that no other run uses. A cancelled search ends at once and frees its slot.

--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -10,7 +10,6 @@
 import threading
 import time
 
-PLATFORM = "127.10.0.1:20000"
 ADMIN_PORT_OFFSET = 10000
 HTTP_PORT = 8080
 PEER_PORT = 8081
@@ -30,6 +29,12 @@
     return f"{ip}:{int(port) + ADMIN_PORT_OFFSET}"
 
 
+def in_use(address):
+    ip, port = address.split(":")
+    with socket.socket() as probe:
+        return probe.connect_ex((ip, int(port))) == 0
+
+
 class Client:
     """HTTP client with one kept connection a thread and address. It never sends a
     request twice."""
@@ -74,13 +79,16 @@
 class Fleet:
     """Processes by name. Every process is stopped by its id."""
 
-    def __init__(self, directory, binaries):
+    def __init__(self, directory, binaries, platform):
+        """`platform` is the address of the platform."""
         self.directory = directory
+        self.platform_address = platform
         self.binaries = binaries
         self.processes = {}
         self.commands = {}
         self.replicas = {}
         self.hosts = {}
+        self.settings = {}
         self.client = Client()
 
     def start(self, name, command):
@@ -105,12 +113,10 @@
             os.kill(process.pid, number)
 
     def start_platform(self, *options):
-        ip, port = PLATFORM.split(":")
-        with socket.socket() as probe:
-            if probe.connect_ex((ip, int(port))) == 0:
-                raise SystemExit(f"another run uses {PLATFORM} and the other addresses")
+        if in_use(self.platform_address):
+            raise SystemExit(f"another run uses {self.platform_address}")
         self.start("platform", [f"{self.binaries}/gk-standin-platform",
-                                "--listen", PLATFORM, *options])
+                                "--listen", self.platform_address, *options])
 
     def start_replica(self, spec, indexes, links, *options):
         """`links` gives the one-way delay in ms by host id."""
@@ -134,26 +140,30 @@
             "http": {"address": f"{ip}:{HTTP_PORT}"},
             "peer": {"address": f"{ip}:{PEER_PORT}",
                      "keys": [{"id": "k1", "secret": "demo secret, loopback only"}]},
-            "store": {"address": PLATFORM},
-            "host_list": {"address": PLATFORM},
+            "store": {"address": self.platform_address},
+            "host_list": {"address": self.platform_address},
             **settings}
-        path = f"{self.directory}/{host}.json"
-        with open(path, "w", encoding="utf-8") as file:
-            json.dump(settings, file, indent=2)
-        self.start(host, [f"{self.binaries}/goldcrestkeeld", "--settings", path])
+        self.settings[host] = settings
+        self.write_settings(host)
+        self.start(host, [f"{self.binaries}/goldcrestkeeld", "--settings",
+                          f"{self.directory}/{host}.json"])
+
+    def write_settings(self, host):
+        with open(f"{self.directory}/{host}.json", "w", encoding="utf-8") as file:
+            json.dump(self.settings[host], file, indent=2)
 
     def set_host_list(self):
         """Puts all entry hosts on the platform's host list as live."""
         hosts = [{"id": h, "address": f"{a.split(':')[0]}:{PEER_PORT}",
                   "state": "live"} for h, a in self.hosts.items()]
-        self.client.call(admin_of(PLATFORM), "POST", "/admin/hosts", {"hosts": hosts})
+        self.client.call(admin_of(self.platform_address), "POST", "/admin/hosts", {"hosts": hosts})
 
     def admin(self, replica, command):
         return self.client.call(admin_of(self.replicas[replica]["address"]),
                                 "POST", "/admin", command)[1]
 
     def platform(self, command):
-        return self.client.call(admin_of(PLATFORM), "POST", "/admin", command)[1]
+        return self.client.call(admin_of(self.platform_address), "POST", "/admin", command)[1]
 
     def apply(self, path):
         """Puts the services of a file in force with gkctl; returns its output."""
@@ -170,6 +180,15 @@
         return {host: int(self.metric(host, "goldcrestkeel_configuration_revision"))
                 for host in self.hosts}
 
+    def wait_for_members(self, seconds=30):
+        """Waits until each host knows all others."""
+        deadline = time.monotonic() + seconds
+        for host in self.hosts:
+            while self.metric(host, "goldcrestkeel_live_hosts") < len(self.hosts):
+                if time.monotonic() > deadline:
+                    raise RuntimeError(f"{host} does not know all hosts")
+                time.sleep(0.1)
+
     def wait_for_revision(self, seconds=30):
         """Waits until all hosts have the same revision; returns it."""
         deadline = time.monotonic() + seconds
@@ -213,9 +232,9 @@
                         runs.setdefault(key, []).append(replica)
         return runs
 
-    def metric(self, host, name):
+    def metric(self, host, name, timeout=10):
         """Sum over the labels of one metric of a host."""
-        text = self.client.call(self.hosts[host], "GET", "/metrics")[1]
+        text = self.client.call(self.hosts[host], "GET", "/metrics", timeout=timeout)[1]
         return sum(float(line.rsplit(" ", 1)[1]) for line in text.splitlines()
                    if re.match(rf"{name}(\{{|\s)", line))
 
--- a/testing/standins/backend/src/Backend.cpp
+++ b/testing/standins/backend/src/Backend.cpp
@@ -189,6 +189,9 @@
     } else if (!job->m_command) {
       ++m_counters.m_cancelled;
       job->m_cancelled = true;
+      if (job->m_running) {
+        Finish(job);
+      }
     }
   });
   aRequest.m_responder->Send(204, "");
@@ -275,6 +278,7 @@
 Backend::Start(const JobPointer& aJob)
 {
   ++m_running;
+  aJob->m_running = true;
   m_counters.m_maxInFlight =
     std::max<std::uint64_t>(m_counters.m_maxInFlight, m_running);
   auto time = ServiceTime();
@@ -297,17 +301,23 @@
       aJob->m_searchedShare = std::uniform_real_distribution<>(0, 1)(m_random);
     }
   }
-  After(time, [this, aJob] { Finish(aJob); });
+  After(time, [this, aJob] {
+    if (aJob->m_running) {
+      Finish(aJob);
+    }
+  });
 }
 
 void
 Backend::Finish(const JobPointer& aJob)
 {
   const auto& text = aJob->m_command ? aJob->m_body : aJob->m_statement;
-  if (!m_crashOn.empty() && text.find(m_crashOn) != std::string::npos) {
+  if (!aJob->m_cancelled && !m_crashOn.empty() &&
+      text.find(m_crashOn) != std::string::npos) {
     std::abort();
   }
   --m_running;
+  aJob->m_running = false;
   if (aJob->m_command) {
     Reply(aJob, CommandReply(*aJob));
   } else if (m_indexes.contains({ aJob->m_version, aJob->m_shard })) {
--- a/testing/standins/backend/src/Backend.h
+++ b/testing/standins/backend/src/Backend.h
@@ -53,6 +53,7 @@
     /** Share of the documents that the run reaches. */
     double m_searchedShare = 1;
     bool m_queued = false;
+    bool m_running = false;
     bool m_cancelled = false;
   };
   using JobPointer = std::shared_ptr<Job>;
@@ -83,6 +84,7 @@
   void Arrive(const JobPointer& aJob);
   void StartWaiting();
   void Start(const JobPointer& aJob);
+  /** Ends the run, at its end or when it is cancelled. */
   void Finish(const JobPointer& aJob);
   /** Reason to refuse the job now, or null. */
   const char* RefusalAtStart(const Job& aJob) const;
