Keep a reserve of extra load for retries

Hedges had used up the shard's extra load, so that the lost sub-requests were not sent again before the deadline. Ruled out: the crash guard (one reset does not stop retries), ejection. Change: a second bucket, filled first, serves retries only.

--- a/packages/core/src/Engine.cpp
+++ b/packages/core/src/Engine.cpp
@@ -988,11 +988,14 @@
 // ---- Hedges and retries ---------------------------------------------------
 
 bool
-Engine::SpendExtra(Query& aQuery, std::uint32_t aShard)
+Engine::SpendExtra(Query& aQuery, std::uint32_t aShard, SendKind aKind)
 {
   ExtraLoadBudget& service = aQuery.m_service->m_history->m_budget;
   ExtraLoadBudget& shard = BudgetOf(aQuery, aShard);
-  if (!service.CanSpend() || !shard.CanSpend()) {
+  const bool allowed = aKind == SendKind::Hedge
+                         ? service.CanHedge() && shard.CanHedge()
+                         : service.CanRetry() && shard.CanRetry();
+  if (!allowed) {
     return false;
   }
   service.Spend();
@@ -1016,7 +1019,7 @@
                     aQuery.m_view->m_groups[shard],
                     { run.m_tried.data(), run.m_triedCount },
                     replica) == Pick::Chosen &&
-        SpendExtra(aQuery, shard)) {
+        SpendExtra(aQuery, shard, SendKind::Hedge)) {
       Send(aNow, aQuery, shard, replica, SendKind::Hedge, aActions);
     }
   }
@@ -1180,7 +1183,7 @@
     if (pick == Pick::None) {
       pick = PickReplica(aNow, *aQuery.m_service, group, {}, replica);
     }
-    if (pick == Pick::Chosen && SpendExtra(aQuery, aShard)) {
+    if (pick == Pick::Chosen && SpendExtra(aQuery, aShard, SendKind::Retry)) {
       Send(aNow, aQuery, aShard, replica, SendKind::Retry, aActions);
     } else {
       ScheduleRetry(aNow, aQuery, aShard);
--- a/packages/core/src/Engine.h
+++ b/packages/core/src/Engine.h
@@ -133,7 +133,7 @@
                   const SubReply& aReply,
                   Actions& aActions);
   /** Whether one more sub-request to the shard is within the budgets. */
-  bool SpendExtra(Query& aQuery, std::uint32_t aShard);
+  bool SpendExtra(Query& aQuery, std::uint32_t aShard, SendKind aKind);
   void Hedge(TimePoint aNow, Query& aQuery, Actions& aActions);
   /** When the only attempt of a shard is to be hedged, if at all. */
   std::optional<TimePoint> HedgeTime(const ShardRun& aRun, const Query& aQuery);
--- a/packages/core/src/RetryBudget.cpp
+++ b/packages/core/src/RetryBudget.cpp
@@ -18,10 +18,12 @@
 
 } // namespace
 
-ExtraLoadBudget::ExtraLoadBudget(double aRatio, double aBurst)
+ExtraLoadBudget::ExtraLoadBudget(double aRatio, double aBurst, double aReserve)
   : m_ratio(aRatio)
   , m_burst(aBurst)
+  , m_reserve(aReserve)
   , m_tokens(aBurst)
+  , m_reserved(aReserve)
 {
 }
 
@@ -29,17 +31,19 @@
 ExtraLoadBudget::AddPrimary()
 {
   ++m_primaries;
-  m_tokens = std::min(m_tokens + m_ratio, m_burst);
+  const double reserved = std::min(m_ratio, m_reserve - m_reserved);
+  m_reserved += reserved;
+  m_tokens = std::min(m_tokens + m_ratio - reserved, m_burst);
 }
 
 void
 ExtraLoadBudget::Spend()
 {
-  m_tokens -= 1;
+  (m_tokens >= 1 ? m_tokens : m_reserved) -= 1;
   ++m_spent;
   GK_INVARIANT(static_cast<double>(m_spent) <=
                  m_ratio * static_cast<double>(m_primaries) + m_burst +
-                   kRounding,
+                   m_reserve + kRounding,
                InvariantId::HedgeWithinBudget,
                std::to_string(m_spent) + " extra sub-requests for " +
                  std::to_string(m_primaries));
--- a/packages/core/src/RetryBudget.h
+++ b/packages/core/src/RetryBudget.h
@@ -8,23 +8,29 @@
 
 namespace goldcrestkeel {
 
-/** Token bucket that limits extra sub-requests to a share of primary ones. */
+/** Token bucket that limits extra sub-requests to a share of primary ones. A
+ *  second, smaller bucket is filled first and serves retries only, so that
+ *  hedges cannot use up what coverage depends on when a replica is lost. */
 class ExtraLoadBudget
 {
 public:
-  /** aRatio tokens are earned by each primary sub-request; aBurst tokens are
-   *  there at the start and are the most that can be saved. */
-  ExtraLoadBudget(double aRatio, double aBurst);
+  /** aRatio tokens are earned by each primary sub-request. aBurst tokens for
+   *  any use and aReserve tokens for retries are there at the start and are the
+   *  most that can be saved. */
+  ExtraLoadBudget(double aRatio, double aBurst, double aReserve);
 
   void AddPrimary();
-  bool CanSpend() const { return m_tokens >= 1; }
+  bool CanHedge() const { return m_tokens >= 1; }
+  bool CanRetry() const { return m_tokens >= 1 || m_reserved >= 1; }
   /** Takes one token; checks HedgeWithinBudget. */
   void Spend();
 
 private:
   double m_ratio;
   double m_burst;
+  double m_reserve;
   double m_tokens;
+  double m_reserved;
   std::uint64_t m_primaries = 0;
   std::uint64_t m_spent = 0;
 };
@@ -37,6 +43,10 @@
 /** Tokens that a shard's bucket holds. */
 inline constexpr double kShardBurst = 3;
 
+/** Tokens of a shard for retries only: about as many searches of one entry host
+ *  as run on a replica when it is lost. */
+inline constexpr double kShardReserve = 3;
+
 /** Random delay before retry aRetry (0 is the first), growing with each;
  *  nothing if it would end at or after aDeadline. */
 std::optional<Duration>
--- a/packages/core/src/Service.cpp
+++ b/packages/core/src/Service.cpp
@@ -8,6 +8,8 @@
 
 /** Tokens that a small service's bucket holds. */
 constexpr double kServiceBurst = 10;
+/** Tokens of a service for retries only. */
+constexpr double kServiceReserve = 5;
 
 } // namespace
 
@@ -17,7 +19,8 @@
   , m_hedge(MakeHedgePolicy(m_hedgeName, m_extraLoad))
   , m_budget(m_extraLoad,
              std::max(kServiceBurst,
-                      m_extraLoad * static_cast<double>(aSpec.m_shards.size())))
+                      m_extraLoad * static_cast<double>(aSpec.m_shards.size())),
+             kServiceReserve)
   , m_admission(aMaxQueued)
 {
 }
@@ -26,7 +29,8 @@
 ServiceHistory::ShardBudget(const std::string& aShard)
 {
   return m_shardBudgets
-    .try_emplace(aShard, kShardBudgetFactor * m_extraLoad, kShardBurst)
+    .try_emplace(
+      aShard, kShardBudgetFactor * m_extraLoad, kShardBurst, kShardReserve)
     .first->second;
 }
 
--- a/packages/core/tests/HedgeTest.cpp
+++ b/packages/core/tests/HedgeTest.cpp
@@ -68,6 +68,49 @@
   }
 }
 
+// Guards against hedges that use up the whole extra load, so that the loss of a
+// replica costs coverage although other replicas of the shard are healthy.
+TEST_CASE("Hedges leave extra load for retries", "[hedge][retry]")
+{
+  EngineFixture fixture(1, 3);
+  const auto advance = [&](int aMilliseconds) {
+    fixture.AdvanceTo(fixture.m_now.time_since_epoch() +
+                      std::chrono::milliseconds(aMilliseconds));
+  };
+  for (QueryId query = 1; query <= 110; ++query) {
+    fixture.Start(query);
+    fixture.m_now += Duration{ 5000 };
+    fixture.Reply(fixture.m_sent.size() - 1, {});
+  }
+  std::size_t open = fixture.m_sent.size();
+  for (QueryId query = 1000; query < 1300; ++query) {
+    fixture.Start(query);
+    advance(100);
+    for (; open < fixture.m_sent.size(); ++open) {
+      fixture.Reply(open, {});
+    }
+  }
+  REQUIRE(fixture.Counters().m_hedges >= 10);
+  fixture.m_finished.clear();
+
+  for (QueryId query = 2000; query < 2003; ++query) {
+    fixture.m_request.m_statement = "statement " + std::to_string(query);
+    fixture.Start(query);
+  }
+  for (std::size_t lost = open; lost < open + 3; ++lost) {
+    fixture.Fail(lost, SubFailureKind::Malformed);
+  }
+  advance(50);
+  REQUIRE(fixture.m_sent.size() == open + 6);
+  for (std::size_t retry = open + 3; retry < open + 6; ++retry) {
+    fixture.Reply(retry, {});
+  }
+  REQUIRE(fixture.m_finished.size() == 3);
+  for (const FinishSearch& answer : fixture.m_finished) {
+    REQUIRE(answer.m_coverage.m_fraction == 1);
+  }
+}
+
 TEST_CASE("A failed sub-request is retried", "[retry]")
 {
   EngineFixture fixture(2, 2);
