Reserve the addresses of a run with a bound socket

Cause: two randomised runs that started within a second used the same addresses, and a platform that refuses connections looked free.

--- a/scripts/lib/fleet.py
+++ b/scripts/lib/fleet.py
@@ -29,10 +29,21 @@
     return f"{ip}:{int(port) + ADMIN_PORT_OFFSET}"
 
 
-def in_use(address):
-    ip, port = address.split(":")
+def reserve(platform):
+    """Socket that reserves the loopback addresses of one run while it is open, or
+    None if another run has them. A connection to the platform alone is no sign,
+    because it refuses connections during a simulated outage."""
+    ip, port = platform.split(":")
     with socket.socket() as probe:
-        return probe.connect_ex((ip, int(port))) == 0
+        if probe.connect_ex((ip, int(port))) == 0:
+            return None
+    lock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        lock.bind((ip, int(port) - 1))
+    except OSError:
+        lock.close()
+        return None
+    return lock
 
 
 class Client:
@@ -79,8 +90,12 @@
 class Fleet:
     """Processes by name. Every process is stopped by its id."""
 
-    def __init__(self, directory, binaries, platform):
-        """`platform` is the address of the platform."""
+    def __init__(self, directory, binaries, platform, reservation):
+        """`platform` is the address of the platform, `reservation` the socket from
+        reserve()."""
+        if reservation is None:
+            raise SystemExit(f"another run uses {platform}")
+        self.reservation = reservation
         self.directory = directory
         self.platform_address = platform
         self.binaries = binaries
@@ -113,8 +128,6 @@
             os.kill(process.pid, number)
 
     def start_platform(self, *options):
-        if in_use(self.platform_address):
-            raise SystemExit(f"another run uses {self.platform_address}")
         self.start("platform", [f"{self.binaries}/gk-standin-platform",
                                 "--listen", self.platform_address, *options])
 
