--- a/packages/goldcrestkeeld/src/Daemon.cpp
+++ b/packages/goldcrestkeeld/src/Daemon.cpp
@@ -275,12 +275,12 @@
     }
     Log(Severity::Info, "draining");
     m_lifecycle.StartDraining();
+    // Callers with a kept connection move to another host during the wait.
+    m_front.CloseConnections();
     m_control.StartDraining();
     CheckState();
     m_loop.After(m_settings.m_drainWait, [this] {
       m_lifecycle.StartRefusing();
-      m_front.CloseConnections();
-      m_drainLimit = m_loop.Now() + kHandoverLimit;
       FinishRequests();
     });
   }
