Compress configuration documents between hosts

Cause: a document of 4,300 replicas has about 0.8 MB.

Change: pushes and fetched documents travel zlib-compressed; one that is not valid or expands beyond 1,000,000 bytes is dropped as malformed. The benchmark encodes messages with the code of packages/net instead of a copy.

--- a/benchmark/ControlPlane.cpp
+++ b/benchmark/ControlPlane.cpp
@@ -1,5 +1,5 @@
 #include "Benchmark.h"
-#include "GossipEncoding.h"
+#include "PeerMessages.h"
 #include "VirtualFleet.h"
 
 #include <goldcrestkeel/net/DocumentCodec.h>
@@ -46,7 +46,7 @@
   namespace transport = apache::thrift::transport;
   auto buffer = std::make_shared<transport::TMemoryBuffer>();
   apache::thrift::protocol::TCompactProtocol protocol(buffer);
-  ToThrift(aMessage).write(&protocol);
+  ToMessage(aMessage).write(&protocol);
   return buffer->getBufferAsString();
 }
 
@@ -60,7 +60,7 @@
   apache::thrift::protocol::TCompactProtocol protocol(buffer);
   peer::Gossip gossip;
   gossip.read(&protocol);
-  return FromThrift(gossip);
+  return FromMessage(gossip);
 }
 
 /** Straight line through measured points (least squares). */
--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -59,9 +59,10 @@
   2: optional bool targetAlive
 }
 
+/** Documents are compressed (zlib). */
 struct ConfigPush {
   1: required i64 revision,
-  2: required string document
+  2: required binary document
 }
 
 struct ConfigFetch {
@@ -70,7 +71,7 @@
 
 struct ConfigReply {
   1: required i64 revision,
-  2: optional string document
+  2: optional binary document
 }
 
 struct CommandForward {
--- a/packages/net/gen-cpp/peer_types.cpp
+++ b/packages/net/gen-cpp/peer_types.cpp
@@ -1316,7 +1316,7 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->document);
+          xfer += iprot->readBinary(this->document);
           isset_document = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1348,7 +1348,7 @@
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->document);
+  xfer += oprot->writeBinary(this->document);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1523,7 +1523,7 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->document);
+          xfer += iprot->readBinary(this->document);
           this->__isset.document = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1554,7 +1554,7 @@
 
   if (this->__isset.document) {
     xfer += oprot->writeFieldBegin("document", ::apache::thrift::protocol::T_STRING, 2);
-    xfer += oprot->writeString(this->document);
+    xfer += oprot->writeBinary(this->document);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
--- a/packages/net/gen-cpp/peer_types.h
+++ b/packages/net/gen-cpp/peer_types.h
@@ -504,6 +504,9 @@
 std::ostream& operator<<(std::ostream& out, const ProbeReply& obj);
 
 
+/**
+ * Documents are compressed (zlib).
+ */
 class ConfigPush : public virtual ::apache::thrift::TBase {
  public:
 
--- a/packages/net/src/ControlDriver.cpp
+++ b/packages/net/src/ControlDriver.cpp
@@ -1,6 +1,7 @@
 #include "PeerMessages.h"
 
 #include <goldcrestkeel/net/ControlDriver.h>
+#include <goldcrestkeel/net/DocumentCodec.h>
 #include <goldcrestkeel/net/Log.h>
 
 namespace goldcrestkeel {
@@ -12,6 +13,17 @@
 constexpr Duration kProbeCallTimeout = std::chrono::milliseconds{ 900 };
 constexpr Duration kDocumentTimeout = std::chrono::seconds{ 3 };
 
+/** The document of a message, nothing if it is not valid. */
+std::optional<std::string>
+Expand(const std::string& aData)
+{
+  try {
+    return ExpandDocument(aData);
+  } catch (const std::runtime_error&) {
+    return std::nullopt;
+  }
+}
+
 } // namespace
 
 ControlDriver::ControlDriver(EventLoop& aLoop,
@@ -104,10 +116,14 @@
   if (aPush.revision < 0) {
     throw FrameRefused("malformed_payload");
   }
+  const auto document = Expand(aPush.document);
+  if (!document) {
+    throw FrameRefused("malformed_payload");
+  }
   peer::Ack ack;
   Raise([&](TimePoint aNow, ControlActions& aActions) {
     ack.accepted = m_node.PushReceived(
-      aNow, static_cast<Revision>(aPush.revision), aPush.document, aActions);
+      aNow, static_cast<Revision>(aPush.revision), *document, aActions);
   });
   return ack;
 }
@@ -124,7 +140,7 @@
   const auto document = manager.DocumentFor(
     m_loop.Now(), static_cast<Revision>(aFetch.haveRevision));
   if (document) {
-    reply.__set_document(*document);
+    reply.__set_document(CompressDocument(*document));
   }
   return reply;
 }
@@ -267,7 +283,7 @@
 {
   peer::ConfigPush push;
   push.revision = static_cast<std::int64_t>(aAction.m_revision);
-  push.document = *aAction.m_document;
+  push.document = CompressDocument(*aAction.m_document);
   peer::PeerRequest request;
   request.__set_configPush(push);
   m_peers.Call(
@@ -303,7 +319,7 @@
                  std::optional<std::string> document;
                  if (reply != nullptr && reply->__isset.config &&
                      reply->config.__isset.document) {
-                   document = reply->config.document;
+                   document = Expand(reply->config.document);
                  }
                  Raise([&](TimePoint aNow, ControlActions& aActions) {
                    m_node.FetchFinished(aNow, host, document, aActions);
