--- a/packages/core/src/Engine.cpp
+++ b/packages/core/src/Engine.cpp
@@ -17,6 +17,9 @@
  *  shards of the same fan-out could have arrived: a round trip between regions
  *  takes up to 46 ms with both client legs, half of which is common. */
 constexpr Duration kResetPause{ 25000 };
+/** A replica that was draining is used again without a restart if no signal has
+ *  reported it for longer than a status or the host list can lag. */
+constexpr Duration kDrainMemory{ 30000000 };
 /** Shortest time between two looks at the stragglers of one query. */
 constexpr Duration kHedgeStep{ 2000 };
 /** Shortest time between two looks at a queue of waiting searches. */
@@ -143,9 +146,17 @@
     m_owners[index] = aSpec.m_name;
   }
   service->m_commands.m_replicas = service->m_replicas;
-  // Views hold counters of the queries that run on them, so an old definition
-  // keeps its own.
-  service->m_views = UpdateViews(m_replicas, service->m_replicas, {});
+  // Running queries keep the views of the old definition. The new one starts
+  // with views of its own that hold the replicas it names.
+  for (const ReplicaIndex index : service->m_replicas) {
+    std::vector<HeldVersion> versions;
+    for (const HeldShard& held : m_replicas[index].m_held) {
+      versions.push_back(
+        { held.m_view->m_map, held.m_view->m_groups[held.m_group].m_shard });
+    }
+    m_replicas[index].m_held.clear();
+    HoldVersions(m_replicas, index, versions, service->m_views);
+  }
   m_services[aSpec.m_name] = std::move(service);
 }
 
@@ -169,6 +180,12 @@
   return entry == m_queries.end() ? nullptr : entry->second.get();
 }
 
+bool
+Engine::IsCurrent(const Attempt& aAttempt) const
+{
+  return m_replicas[aAttempt.m_replica].m_incarnation == aAttempt.m_incarnation;
+}
+
 void
 Engine::SetDraining(TimePoint aNow, ReplicaState& aReplica)
 {
@@ -200,43 +217,30 @@
   }
   if (aEvent.m_draining) {
     SetDraining(aNow, replica);
+  } else if (aNow - replica.m_drainSignal > kDrainMemory) {
+    replica.m_draining = false;
   }
   replica.m_statusMisses = 0;
   const std::uint32_t reported = aEvent.m_inFlight + aEvent.m_queued;
   replica.m_reportedLoad =
     reported > replica.m_inFlight ? reported - replica.m_inFlight : 0;
   replica.m_reportedAt = aNow;
-  const bool same = std::equal(
-    replica.m_held.begin(),
-    replica.m_held.end(),
-    aEvent.m_versions.begin(),
-    aEvent.m_versions.end(),
-    [](const HeldVersion& aLeft, const HeldVersion& aRight) {
-      return aLeft.m_shard == aRight.m_shard && aLeft.m_map == aRight.m_map;
-    });
-  if (same) {
-    return;
+  if (!HoldsVersions(replica, aEvent.m_versions)) {
+    Hold(aNow, *index, aEvent.m_versions);
   }
-  replica.m_held = aEvent.m_versions;
-  RefreshViews(aNow, m_owners[*index]);
 }
 
 void
-Engine::RefreshViews(TimePoint aNow, const std::string& aService)
+Engine::Hold(TimePoint aNow,
+             ReplicaIndex aReplica,
+             const std::vector<HeldVersion>& aVersions)
 {
-  const auto service = FindService(aService);
+  const auto service = FindService(m_owners[aReplica]);
   if (!service) {
     return;
   }
-  const auto previous = std::exchange(
-    service->m_views,
-    UpdateViews(m_replicas, service->m_replicas, service->m_views));
-  for (const auto& view : previous) {
-    const auto& views = service->m_views;
-    if (view->m_waiting == 0 ||
-        std::find(views.begin(), views.end(), view) != views.end()) {
-      continue;
-    }
+  for (const auto& view :
+       HoldVersions(m_replicas, aReplica, aVersions, service->m_views)) {
     for (ShardGroup& group : view->m_groups) {
       for (const WaitingShard& waiting : std::exchange(group.m_waiting, {})) {
         Query* query = FindQuery(waiting.m_query);
@@ -305,7 +309,7 @@
 bool
 Engine::Idle() const
 {
-  return m_queries.empty() && m_commandsOut == 0 &&
+  return m_queries.empty() && m_commandsOut == 0 && m_suspects.empty() &&
          std::all_of(
            m_services.begin(), m_services.end(), [](const auto& aItem) {
              return aItem.second->m_history->m_admission.empty();
@@ -376,6 +380,9 @@
 bool
 Engine::CanStart(const Service& aService) const
 {
+  if (!m_options.m_admission) {
+    return true;
+  }
   return m_queries.size() < m_options.m_maxRunningQueries &&
          std::all_of(aService.m_views.begin(),
                      aService.m_views.end(),
@@ -705,13 +712,8 @@
   if (service->m_spec.m_kind == ServiceKind::Command) {
     groups.emplace_back(service->m_commands.m_replicas);
   }
-  for (const auto& view : service->m_views) {
-    for (const HeldVersion& held : replica.m_held) {
-      const ShardGroup* group = FindGroup(*view, held.m_shard);
-      if (group != nullptr && held.m_map.m_version == view->m_version) {
-        groups.emplace_back(group->m_replicas);
-      }
-    }
+  for (const HeldShard& held : replica.m_held) {
+    groups.emplace_back(held.m_view->m_groups[held.m_group].m_replicas);
   }
   if (EjectUnlessLast(aNow, m_replicas, aReplica, groups)) {
     ++m_counters.m_ejections;
@@ -790,7 +792,8 @@
     return;
   }
   const Attempt attempt = *found;
-  if (aEvent.m_draining && aEvent.m_echoAttempt == aEvent.m_attempt) {
+  if (aEvent.m_draining && aEvent.m_echoAttempt == aEvent.m_attempt &&
+      IsCurrent(attempt)) {
     SetDraining(aNow, m_replicas[attempt.m_replica]);
   }
   Query& query = *FindQuery(attempt.m_query);
@@ -855,7 +858,7 @@
   if (notRun) {
     ++query.m_notRun;
   }
-  if (aEvent.m_kind == SubFailureKind::Draining) {
+  if (aEvent.m_kind == SubFailureKind::Draining && IsCurrent(attempt)) {
     SetDraining(aNow, m_replicas[attempt.m_replica]);
   }
   RemoveAttempt(aNow, aEvent.m_attempt, EndOf(aEvent.m_kind));
@@ -901,20 +904,19 @@
   }
   const SnapshotView& view = *aQuery.m_view;
   ShardRun& run = aQuery.m_shards[shard];
-  // A second reset on the same shard is a second crash of the statement.
-  const bool newRun = aQuery.m_resets == 0 || run.m_reset;
   run.m_reset = true;
   if (aQuery.m_resets++ == 0) {
     aQuery.m_firstReset = aNow;
   } else {
     aQuery.m_guarded = true;
   }
-  m_guard.Crashed(aQuery.m_fingerprint,
+  m_guard.Crashed(aNow,
+                  aAttempt.m_sentAt,
+                  aQuery.m_fingerprint,
                   aQuery.m_request.m_statement,
                   view.m_groups[shard].m_shard,
                   aAttempt.m_replica,
-                  aAttempt.m_incarnation,
-                  newRun);
+                  aAttempt.m_incarnation);
 }
 
 bool
@@ -940,7 +942,7 @@
     return false;
   }
   if (verdict == Verdict::Suspect && m_guardedRuns.contains(fingerprint)) {
-    m_suspects.push_back(aSearch);
+    m_suspects[fingerprint].push_back(aSearch);
     m_timers.Add({ aSearch.m_deadline, TimerKind::Hold, 0, 0, 0 });
     return false;
   }
@@ -950,9 +952,36 @@
 void
 Engine::ResumeSuspects(TimePoint aNow, Actions& aActions)
 {
-  m_resumeSuspects = false;
-  for (const QueuedSearch& search : std::exchange(m_suspects, {})) {
-    Begin(aNow, search, aActions);
+  while (!m_resumable.empty()) {
+    const auto waiting = m_suspects.find(m_resumable.back());
+    m_resumable.pop_back();
+    if (waiting == m_suspects.end()) {
+      continue;
+    }
+    // Begin() lets them wait again, all but the first, if the statement is
+    // still suspected.
+    const std::vector<QueuedSearch> searches = std::move(waiting->second);
+    m_suspects.erase(waiting);
+    for (const QueuedSearch& search : searches) {
+      Begin(aNow, search, aActions);
+    }
+  }
+}
+
+void
+Engine::RefuseLateSuspects(TimePoint aNow, Actions& aActions)
+{
+  for (auto& [fingerprint, searches] : m_suspects) {
+    std::erase_if(searches, [&](const QueuedSearch& aSearch) {
+      const bool late = aNow >= aSearch.m_deadline;
+      if (late) {
+        Refuse(aSearch.m_request.m_query,
+               ErrorKind::DeadlineTooShort,
+               "the search could not start in time",
+               aActions);
+      }
+      return late;
+    });
   }
 }
 
@@ -1030,7 +1059,10 @@
   }
   if (next) {
     // A hedge that had no budget or no free slot is tried again.
-    m_timers.Add({ std::max(*next, aNow + kHedgeStep),
+    const Duration pause =
+      std::max(kHedgeStep, (aNow - aQuery.m_startedAt) / 8);
+    const bool again = *next <= aNow;
+    m_timers.Add({ again ? aNow + pause : *next,
                    TimerKind::Hedge,
                    aQuery.m_request.m_query,
                    0,
@@ -1041,11 +1073,14 @@
 void
 Engine::DropVersion(TimePoint aNow, ReplicaIndex aReplica, VersionId aVersion)
 {
-  std::vector<HeldVersion>& held = m_replicas[aReplica].m_held;
-  std::erase_if(held, [&](const HeldVersion& aHeld) {
-    return aHeld.m_map.m_version == aVersion;
-  });
-  RefreshViews(aNow, m_owners[aReplica]);
+  std::vector<HeldVersion> kept;
+  for (const HeldShard& held : m_replicas[aReplica].m_held) {
+    if (held.m_view->m_version != aVersion) {
+      kept.push_back(
+        { held.m_view->m_map, held.m_view->m_groups[held.m_group].m_shard });
+    }
+  }
+  Hold(aNow, aReplica, kept);
 }
 
 bool
@@ -1203,7 +1238,8 @@
   finish.m_coverage = aQuery.m_coverage.Report();
   m_guard.Completed(aQuery.m_fingerprint,
                     finish.m_coverage.m_missingShards,
-                    finish.m_coverage.m_fraction);
+                    finish.m_coverage.m_fraction,
+                    aQuery.m_resets > 0);
   finish.m_hedges = aQuery.m_hedges;
   finish.m_retries = aQuery.m_retries;
   for (auto& [shard, partial] : aQuery.m_partials) {
@@ -1247,7 +1283,7 @@
   aQuery.m_service->m_history->m_admission.ObserveRun(aNow -
                                                       aQuery.m_startedAt);
   if (m_guardedRuns.erase(aQuery.m_fingerprint) > 0) {
-    m_resumeSuspects = !m_suspects.empty();
+    m_resumable.push_back(aQuery.m_fingerprint);
   }
   const QueryId id = aQuery.m_request.m_query;
   m_queries.erase(id);
@@ -1262,9 +1298,11 @@
     AdmitAll(aNow, aActions);
     return;
   }
-  std::erase_if(m_suspects, [&](const QueuedSearch& aSearch) {
-    return aSearch.m_request.m_query == aEvent.m_query;
-  });
+  for (auto& [fingerprint, searches] : m_suspects) {
+    std::erase_if(searches, [&](const QueuedSearch& aSearch) {
+      return aSearch.m_request.m_query == aEvent.m_query;
+    });
+  }
   for (const auto& [name, service] : m_services) {
     service->m_history->m_admission.Remove(aEvent.m_query);
   }
@@ -1299,9 +1337,7 @@
 void
 Engine::DispatchWaiting(TimePoint aNow, Actions& aActions)
 {
-  if (m_resumeSuspects) {
-    ResumeSuspects(aNow, aActions);
-  }
+  ResumeSuspects(aNow, aActions);
   while (!m_freed.empty()) {
     const ReplicaIndex replica = m_freed.back();
     m_freed.pop_back();
@@ -1309,16 +1345,10 @@
     if (!service) {
       continue;
     }
-    for (const auto& view : service->m_views) {
-      if (view->m_waiting == 0) {
-        continue;
-      }
-      for (const HeldVersion& held : m_replicas[replica].m_held) {
-        if (held.m_map.m_version == view->m_version) {
-          if (ShardGroup* group = FindGroup(*view, held.m_shard)) {
-            DispatchGroup(aNow, *view, *group, aActions);
-          }
-        }
+    for (const HeldShard& held : m_replicas[replica].m_held) {
+      if (held.m_view->m_waiting > 0) {
+        const std::shared_ptr<SnapshotView> view = held.m_view;
+        DispatchGroup(aNow, *view, view->m_groups[held.m_group], aActions);
       }
     }
     Admit(aNow, *service, aActions);
@@ -1350,7 +1380,7 @@
     return;
   }
   if (aTimer.m_kind == TimerKind::Hold && aTimer.m_query == 0) {
-    ResumeSuspects(aNow, aActions);
+    RefuseLateSuspects(aNow, aActions);
     return;
   }
   Query* query = FindQuery(aTimer.m_query);
@@ -1439,11 +1469,11 @@
 }
 
 void
-Engine::MergeSuspects(TimePoint,
+Engine::MergeSuspects(TimePoint aNow,
                       const std::vector<SuspectReport>& aReports,
                       Actions&)
 {
-  m_guard.Merge(aReports);
+  m_guard.Merge(aNow, aReports);
   for (const auto& [id, query] : m_queries) {
     if (m_guard.Judge(query->m_fingerprint) != Verdict::Harmless) {
       query->m_guarded = true;
--- a/packages/core/src/Engine.h
+++ b/packages/core/src/Engine.h
@@ -158,8 +158,12 @@
                  Actions& aActions);
   /** Starts the searches that have waited for the end of a guarded run. */
   void ResumeSuspects(TimePoint aNow, Actions& aActions);
-  /** Updates the views; queries that wait on a retired one go on. */
-  void RefreshViews(TimePoint aNow, const std::string& aService);
+  void RefuseLateSuspects(TimePoint aNow, Actions& aActions);
+  /** Replaces what a replica holds; queries that wait on a retired view go
+   *  on. */
+  void Hold(TimePoint aNow,
+            ReplicaIndex aReplica,
+            const std::vector<HeldVersion>& aVersions);
   void AttemptFailed(TimePoint aNow,
                      Query& aQuery,
                      std::uint32_t aShard,
@@ -182,6 +186,8 @@
                      Actions& aActions);
   /** Sends what waits for the slots that have been freed. */
   void DispatchWaiting(TimePoint aNow, Actions& aActions);
+  /** True if the replica has not started again since the attempt was sent. */
+  bool IsCurrent(const Attempt& aAttempt) const;
   void SetDraining(TimePoint aNow, ReplicaState& aReplica);
   void RecordEnd(TimePoint aNow,
                  ReplicaIndex aReplica,
@@ -208,8 +214,9 @@
   /** Fingerprints of the guarded runs under way. */
   std::unordered_set<std::uint64_t> m_guardedRuns;
   /** Searches that wait for a guarded run of the same statement. */
-  std::vector<QueuedSearch> m_suspects;
-  bool m_resumeSuspects = false;
+  std::unordered_map<std::uint64_t, std::vector<QueuedSearch>> m_suspects;
+  /** Statements whose guarded run has ended since the last look. */
+  std::vector<std::uint64_t> m_resumable;
   std::uint32_t m_commandsOut = 0;
   bool m_shuttingDown = false;
   EngineCounters m_counters;
--- a/packages/net/tests/ApiTest.cpp
+++ b/packages/net/tests/ApiTest.cpp
@@ -139,6 +139,7 @@
   std::string m_headers;
 };
 
+const std::string kStatementsPath = "/v1/statements";
 const std::string kSearchPath = "/v1/services/tender/search";
 const std::string kCommandPath = "/v1/services/ledger/commands";
 
@@ -204,6 +205,38 @@
     "service",
     "" },
   { "POST", "/v1/services/tender/other", "{}", 404, "path", "" },
+  // A limit and an offset whose sum overflowed gave an answer without hits and
+  // with full coverage.
+  { "POST",
+    kStatementsPath,
+    R"({"statement":"SEARCH tender FOR \"a\" LIMIT 4294967295 OFFSET 1"})",
+    400,
+    "limit",
+    "" },
+  { "POST",
+    kStatementsPath,
+    R"({"statement":"SEARCH tender FOR \"a\" OFFSET 100001"})",
+    400,
+    "offset",
+    "" },
+  { "POST",
+    kStatementsPath,
+    R"({"statement":"SEARCH tender FOR \"a\" DEADLINE 0 ms"})",
+    400,
+    "deadline_ms",
+    "" },
+  { "POST",
+    kStatementsPath,
+    R"({"statement":"SEARCH tender FOR \"\""})",
+    400,
+    "query",
+    "" },
+  { "POST",
+    kStatementsPath,
+    R"({"statement":"SEARCH tender FOR \"a\" SNAPSHOT 0"})",
+    400,
+    "snapshot",
+    "" },
   // The JSON library reports this number by another exception than a syntax
   // error.
   { "POST", kSearchPath, R"({"query":"a","limit":1e999})", 400, "body", "" },
@@ -289,3 +322,27 @@
     REQUIRE(m_backend.m_requests == 0);
   }
 }
+
+// Guards against "not run" for a key that another host may have run.
+TEST_CASE_METHOD(Fixture, "A host that takes no command cannot tell", "[api]")
+{
+  TestConnection caller(m_front.Port());
+  const auto ran = [&](const std::string& aPath, const std::string& aBody) {
+    caller.Send(MakeRequest("POST", aPath, aBody, "Idempotency-Key: 1-a\r\n"));
+    return BodyOf(caller.Receive()).at("ran");
+  };
+  const std::string body = R"({"command":"hold 7"})";
+  REQUIRE(ran(kCommandPath, body) == "unknown");
+  REQUIRE(ran("/v1/services/nobody/commands", body) == "unknown");
+
+  SECTION("also while it shuts down")
+  {
+    m_lifecycle.StartDraining();
+    m_lifecycle.StartRefusing();
+    REQUIRE(ran(kCommandPath, body) == "unknown");
+  }
+  SECTION("but a malformed command runs nowhere")
+  {
+    REQUIRE(ran(kCommandPath, "{}") == "no");
+  }
+}
