Keep a timer that is always due from starving the loop

Cause: RunTimers() ran timers until none was due, so one that set itself again for a past time kept transfers and posted tasks from running. Change: timers set while timers run wait for the next round; the control node's timer pauses at least 1 ms.

--- a/packages/net/src/ControlDriver.cpp
+++ b/packages/net/src/ControlDriver.cpp
@@ -3,6 +3,8 @@
 #include <goldcrestkeel/net/ControlDriver.h>
 #include <goldcrestkeel/net/Log.h>
 
+#include <algorithm>
+
 namespace goldcrestkeel {
 
 namespace {
@@ -11,6 +13,9 @@
 // own time-outs are shorter.
 constexpr Duration kProbeCallTimeout = std::chrono::milliseconds{ 900 };
 constexpr Duration kDocumentTimeout = std::chrono::seconds{ 3 };
+// The node can name a time in the past while it waits for an answer; this pause
+// keeps the loop from running without rest.
+constexpr Duration kShortestPause = std::chrono::milliseconds{ 1 };
 
 } // namespace
 
@@ -340,7 +345,7 @@
   }
   m_loop.Cancel(m_timer);
   m_timerAt = next;
-  m_timer = m_loop.At(next, [this] {
+  m_timer = m_loop.At(std::max(next, m_loop.Now() + kShortestPause), [this] {
     m_timerAt.reset();
     Raise([&](TimePoint aNow, ControlActions& aActions) {
       m_node.FireTimers(aNow, aActions);
--- a/packages/net/src/EventLoop.cpp
+++ b/packages/net/src/EventLoop.cpp
@@ -97,10 +97,20 @@
 EventLoop::RunTimers()
 {
   const TimePoint now = Now();
-  while (!m_timers.empty() && m_timers.begin()->first.first <= now) {
-    auto node = m_timers.extract(m_timers.begin());
+  // Timers set from here on wait for the next round. One that is always due
+  // would otherwise keep transfers and posted tasks from running.
+  const TimerId firstNew = m_nextTimer;
+  auto next = m_timers.begin();
+  while (next != m_timers.end() && next->first.first <= now) {
+    if (next->first.second >= firstNew) {
+      ++next;
+      continue;
+    }
+    auto node = m_timers.extract(next);
     m_timerTimes.erase(node.key().second);
     node.mapped()();
+    // The task may have set or cancelled any timer.
+    next = m_timers.begin();
   }
 }
 
