--- a/packages/core/src/Engine.cpp
+++ b/packages/core/src/Engine.cpp
@@ -193,7 +193,7 @@
     aReplica.m_draining = true;
     aReplica.m_drainingSince = aNow;
   }
-  aReplica.m_drainSignal = aNow;
+  aReplica.m_drainSignal = std::max(aReplica.m_drainSignal, aNow);
 }
 
 void
@@ -209,6 +209,7 @@
   if (restarted) {
     replica.m_incarnation = aEvent.m_incarnation;
     replica.m_draining = false;
+    replica.m_drainSignal = TimePoint{};
     replica.m_consecutiveFailures = 0;
     replica.m_ejectedUntil = aNow;
   }
@@ -281,6 +282,8 @@
   if (aIncarnation == 0 || replica.m_incarnation == 0 ||
       aIncarnation == replica.m_incarnation) {
     SetDraining(aNow, replica);
+    // The list is not repeated, so that only a restart ends this drain.
+    replica.m_drainSignal = TimePoint::max();
   }
 }
 
