Test a handover that arrives late

Change: a test in which copies of handovers arrive after their sender has taken the range back and accepted further keys. Conclusion: the test fails with the range taken back without a compare-and-swap (a command ran twice) and passes without this fault.

--- a/packages/control/tests/CommandGuardTest.cpp
+++ b/packages/control/tests/CommandGuardTest.cpp
@@ -413,6 +413,37 @@
   }
 }
 
+// Guards against a copy of a handover that arrives after its sender has taken
+// the range back and accepted further keys.
+TEST_CASE("A handover that arrives late", "[commands]")
+{
+  SettledFleet fleet;
+  fleet.m_peerFate = [&](std::size_t aFrom, std::size_t) {
+    return aFrom == 0 && fleet.Random().Below(4) != 0 ? Fate::Late
+                                                      : Fate::Delivered;
+  };
+  fleet.Shutdown(0);
+  fleet.PublishMembers(kSecond);
+  std::vector<std::string> keys;
+  const auto ignore = [](const CommandOutcome&) {};
+  for (int i = 0; i < 400; ++i) {
+    keys.push_back(fleet.NewKey());
+    fleet.Submit(0, Hold(keys.back()), kSecond, ignore);
+    fleet.RunFor(Duration{ 20000 });
+  }
+  fleet.m_peerFate = nullptr;
+  fleet.RunFor(10 * kSecond);
+
+  SECTION("does not make a command run twice")
+  {
+    for (const std::string& key : keys) {
+      fleet.Ask(1, Hold(key));
+      REQUIRE(fleet.Runs(key) <= 1);
+    }
+    REQUIRE(fleet.Guard(0).Counters().m_handoversSent > 0);
+  }
+}
+
 // Every fault at once, with fixed seeds. The fleet asserts AtMostOnce,
 // NotRunIsTrue and OwnAnswer at each run and each answer.
 TEST_CASE("No command runs twice with every fault at once", "[commands]")
