Test keys accepted at the end of a lease

Cause: the randomised run does not notice a floor that is 3 s too low, because a successor of a host in the member list waits 5 s. Change: a test in which the owner loses the store and leaves the member list while callers with clocks ahead keep sending to it until its successor is there. Conclusion: passes; fails with the floor 3 s lower (a command ran twice). It does not notice a floor lower by 1 or 2 s, because finding the lapsed session takes the successor that long.

--- a/benchmark/CommandFleet.h
+++ b/benchmark/CommandFleet.h
@@ -94,6 +94,8 @@
    *  out after it. */
   void PauseAfterDecision(std::size_t aHost, Duration aTime);
   void Shutdown(std::size_t aHost);
+  /** Leaves a host that runs out of the published member list. */
+  void Hide(std::size_t aHost) { m_hosts[aHost]->m_draining = true; }
   void SetClockError(std::size_t aHost, WallTime aError);
   const CommandGuard& Guard(std::size_t aHost) const;
   /** Sends the true member list to all hosts, each after up to aLag. */
--- a/packages/control/tests/CommandGuardTest.cpp
+++ b/packages/control/tests/CommandGuardTest.cpp
@@ -413,6 +413,45 @@
   }
 }
 
+// Guards against a successor whose floor does not cover the keys that the old
+// owner, with its clock ahead, accepted up to the end of its lease.
+TEST_CASE("An owner that accepts keys up to the end of its lease", "[commands]")
+{
+  SettledFleet fleet;
+  fleet.SetClockError(0, kClockError / 2);
+  fleet.SetClockError(1, -kClockError / 2);
+  fleet.SetClockError(2, -kClockError / 2);
+  fleet.m_storeFate = [](std::size_t aHost, const StoreCall&) {
+    return aHost == 0 ? Fate::RequestLost : Fate::Delivered;
+  };
+  fleet.Hide(0);
+  fleet.PublishMembers(Duration{ 0 });
+  std::vector<std::string> keys;
+  const std::string watched = fleet.KeyOwnedBy(0);
+  const auto ignore = [](const CommandOutcome&) {};
+  while (fleet.OwnerOf(watched) == 0) {
+    // The caller's clock is ahead by the full error.
+    const std::string key = fleet.NewKey(kClockError);
+    if (fleet.OwnerOf(key) == 0) {
+      keys.push_back(key);
+      fleet.Submit(0, Hold(key), Duration{ 300000 }, ignore);
+    }
+    fleet.RunFor(Duration{ 10000 });
+  }
+  fleet.RunFor(kSecond);
+
+  SECTION("does not see its keys run again by the successor")
+  {
+    std::size_t ran = 0;
+    for (const std::string& key : keys) {
+      ran += fleet.Runs(key);
+      fleet.Ask(1, Hold(key), kSecond / 2);
+      REQUIRE(fleet.Runs(key) <= 1);
+    }
+    REQUIRE(ran > 0);
+  }
+}
+
 // Guards against a copy of a handover that arrives after its sender has taken
 // the range back and accepted further keys.
 TEST_CASE("A handover that arrives late", "[commands]")
