--- a/packages/control/tests/CommandGuardTest.cpp
+++ b/packages/control/tests/CommandGuardTest.cpp
@@ -413,6 +413,76 @@
   }
 }
 
+// Guards against a successor whose floor does not cover the keys that the old
+// owner, with its clock ahead, accepted up to the end of its lease.
+TEST_CASE("An owner that accepts keys up to the end of its lease", "[commands]")
+{
+  SettledFleet fleet;
+  fleet.SetClockError(0, kClockError / 2);
+  fleet.SetClockError(1, -kClockError / 2);
+  fleet.SetClockError(2, -kClockError / 2);
+  fleet.m_storeFate = [](std::size_t aHost, const StoreCall&) {
+    return aHost == 0 ? Fate::RequestLost : Fate::Delivered;
+  };
+  fleet.Hide(0);
+  fleet.PublishMembers(Duration{ 0 });
+  std::vector<std::string> keys;
+  const std::string watched = fleet.KeyOwnedBy(0);
+  const auto ignore = [](const CommandOutcome&) {};
+  while (fleet.OwnerOf(watched) == 0) {
+    // The caller's clock is ahead by the full error.
+    const std::string key = fleet.NewKey(kClockError);
+    if (fleet.OwnerOf(key) == 0) {
+      keys.push_back(key);
+      fleet.Submit(0, Hold(key), Duration{ 300000 }, ignore);
+    }
+    fleet.RunFor(Duration{ 10000 });
+  }
+  fleet.RunFor(kSecond);
+
+  SECTION("does not see its keys run again by the successor")
+  {
+    std::size_t ran = 0;
+    for (const std::string& key : keys) {
+      ran += fleet.Runs(key);
+      fleet.Ask(1, Hold(key), kSecond / 2);
+      REQUIRE(fleet.Runs(key) <= 1);
+    }
+    REQUIRE(ran > 0);
+  }
+}
+
+// Guards against a copy of a handover that arrives after its sender has taken
+// the range back and accepted further keys.
+TEST_CASE("A handover that arrives late", "[commands]")
+{
+  SettledFleet fleet;
+  fleet.m_peerFate = [&](std::size_t aFrom, std::size_t) {
+    return aFrom == 0 && fleet.Random().Below(4) != 0 ? Fate::Late
+                                                      : Fate::Delivered;
+  };
+  fleet.Shutdown(0);
+  fleet.PublishMembers(kSecond);
+  std::vector<std::string> keys;
+  const auto ignore = [](const CommandOutcome&) {};
+  for (int i = 0; i < 400; ++i) {
+    keys.push_back(fleet.NewKey());
+    fleet.Submit(0, Hold(keys.back()), kSecond, ignore);
+    fleet.RunFor(Duration{ 20000 });
+  }
+  fleet.m_peerFate = nullptr;
+  fleet.RunFor(10 * kSecond);
+
+  SECTION("does not make a command run twice")
+  {
+    for (const std::string& key : keys) {
+      fleet.Ask(1, Hold(key));
+      REQUIRE(fleet.Runs(key) <= 1);
+    }
+    REQUIRE(fleet.Guard(0).Counters().m_handoversSent > 0);
+  }
+}
+
 // Every fault at once, with fixed seeds. The fleet asserts AtMostOnce,
 // NotRunIsTrue and OwnAnswer at each run and each answer.
 TEST_CASE("No command runs twice with every fault at once", "[commands]")
