Decide in one place which failures prove that nothing ran

Cause: the engine and the command ledger each had the same table. Change: ProvesNotRun() in the core's interface. Checked: core_test; no change of behaviour.

--- a/packages/control/src/CommandLedger.cpp
+++ b/packages/control/src/CommandLedger.cpp
@@ -18,24 +18,6 @@
 /** Attempts on replicas that refuse, after which the command is refused. */
 constexpr std::uint32_t kMaxAttempts = 8;
 
-bool
-ProvesNotRun(SubFailureKind aKind)
-{
-  switch (aKind) {
-    case SubFailureKind::ConnectFailed:
-    case SubFailureKind::Shed:
-    case SubFailureKind::Draining:
-    case SubFailureKind::VersionGone:
-    case SubFailureKind::DeadlinePassed:
-      return true;
-    case SubFailureKind::Reset:
-    case SubFailureKind::Malformed:
-    case SubFailureKind::TimedOut:
-      return false;
-  }
-  return false;
-}
-
 WallTime
 ToWall(Duration aDuration)
 {
--- a/packages/core/include/goldcrestkeel/core/QueryEngine.h
+++ b/packages/core/include/goldcrestkeel/core/QueryEngine.h
@@ -88,6 +88,10 @@
 std::string_view
 NameOf(SubFailureKind aKind);
 
+/** Whether the failure is proof that the request did not run and will not. */
+bool
+ProvesNotRun(SubFailureKind aKind);
+
 struct SubFailure
 {
   AttemptId m_attempt = 0;
--- a/packages/core/src/Engine.cpp
+++ b/packages/core/src/Engine.cpp
@@ -27,24 +27,6 @@
 /** Replicas of one shard that are compared. */
 constexpr std::size_t kMaxEligible = 16;
 
-bool
-CertainlyNotRun(SubFailureKind aKind)
-{
-  switch (aKind) {
-    case SubFailureKind::ConnectFailed:
-    case SubFailureKind::Shed:
-    case SubFailureKind::Draining:
-    case SubFailureKind::VersionGone:
-    case SubFailureKind::DeadlinePassed:
-      return true;
-    case SubFailureKind::Reset:
-    case SubFailureKind::Malformed:
-    case SubFailureKind::TimedOut:
-      return false;
-  }
-  return false;
-}
-
 AttemptEnd
 EndOf(SubFailureKind aKind)
 {
@@ -52,7 +34,7 @@
     return AttemptEnd::Reset;
   }
   const bool refused =
-    CertainlyNotRun(aKind) && aKind != SubFailureKind::ConnectFailed;
+    ProvesNotRun(aKind) && aKind != SubFailureKind::ConnectFailed;
   return refused ? AttemptEnd::Refused : AttemptEnd::Failed;
 }
 
@@ -82,6 +64,24 @@
   return "unknown";
 }
 
+bool
+ProvesNotRun(SubFailureKind aKind)
+{
+  switch (aKind) {
+    case SubFailureKind::ConnectFailed:
+    case SubFailureKind::Shed:
+    case SubFailureKind::Draining:
+    case SubFailureKind::VersionGone:
+    case SubFailureKind::DeadlinePassed:
+      return true;
+    case SubFailureKind::Reset:
+    case SubFailureKind::Malformed:
+    case SubFailureKind::TimedOut:
+      return false;
+  }
+  return false;
+}
+
 std::unique_ptr<QueryEngine>
 MakeQueryEngine(const EngineOptions& aOptions, RandomSource& aRandom)
 {
@@ -857,7 +857,7 @@
   }
   const Attempt attempt = *found;
   Query& query = *FindQuery(attempt.m_query);
-  const bool notRun = CertainlyNotRun(aEvent.m_kind);
+  const bool notRun = ProvesNotRun(aEvent.m_kind);
   if (notRun) {
     ++query.m_notRun;
   }
