Assert NotRunIsTrue where a search ends

Change: a refused search must not be running, and an answer that says 'not run' must have no attempt that may have run.

--- a/packages/core/src/Engine.cpp
+++ b/packages/core/src/Engine.cpp
@@ -327,6 +327,9 @@
                std::string aDetail,
                Actions& aActions)
 {
+  GK_INVARIANT(!m_queries.contains(aQuery),
+               InvariantId::NotRunIsTrue,
+               "query " + std::to_string(aQuery) + " is refused while it runs");
   ++m_counters.m_refused;
   FinishSearch finish;
   finish.m_query = aQuery;
@@ -1270,6 +1273,10 @@
                                                : ErrorKind::CoverageNotReached;
     finish.m_detail = "no shard answered";
   }
+  GK_INVARIANT(finish.m_ran != Ran::No || aQuery.m_sent == aQuery.m_notRun,
+               InvariantId::NotRunIsTrue,
+               std::to_string(aQuery.m_sent) + " attempts, " +
+                 std::to_string(aQuery.m_notRun) + " certainly not run");
   aActions.emplace_back(std::move(finish));
   Release(aNow, aQuery, AttemptEnd::Unanswered, aActions);
 }
