Use the services file only for a new installation

Cause: in a run of four daemons a host that restarted during an outage of store and host list was ready at once with its services file, which may be older than the accepted configuration.

Change: the file is in force only after the store has said that it holds no configuration.

The host was still not ready 4 s after the outage ended; the cause is open.

--- a/packages/control/include/goldcrestkeel/control/ConfigurationManager.h
+++ b/packages/control/include/goldcrestkeel/control/ConfigurationManager.h
@@ -116,6 +116,9 @@
                                                  Revision aHave) const;
   /** Whether this host has a revision at all. */
   bool Ready() const;
+  /** Whether the store has said that it holds no configuration, and no revision
+   *  has come since: a new installation, not an outage. */
+  bool StoreIsEmpty() const;
   /** Whether this host may serve requests at aNow: it has a revision, others
    * can know of it, no newer process has its name, and it is not isolated. */
   bool Serving(TimePoint aNow) const;
@@ -253,6 +256,7 @@
   std::optional<TimePoint> m_startedAt;
   std::optional<TimePoint> m_startReadAt;
   bool m_settled = false;
+  bool m_storeEmpty = false;
   TimePoint m_confirmedAt;
   TimePoint m_nextConfirmCall;
   StoreToken m_lastToken = 0;
--- a/packages/control/src/ConfigurationManager.cpp
+++ b/packages/control/src/ConfigurationManager.cpp
@@ -49,6 +49,12 @@
   return m_current->m_revision > 0 && m_settled;
 }
 
+bool
+ConfigurationManager::StoreIsEmpty() const
+{
+  return m_storeEmpty && m_current->m_revision == 0;
+}
+
 bool
 ConfigurationManager::HasPeers(TimePoint aNow) const
 {
@@ -244,6 +250,7 @@
                                    const StoreResult& aResult,
                                    ControlActions& aActions)
 {
+  m_storeEmpty = m_storeEmpty || aResult.m_status == StoreStatus::NotFound;
   if (aResult.m_status != StoreStatus::Ok) {
     return;
   }
--- a/packages/control/tests/ConfigurationManagerTest.cpp
+++ b/packages/control/tests/ConfigurationManagerTest.cpp
@@ -184,6 +184,18 @@
   }
 }
 
+TEST_CASE("A new installation has an empty store", "[configuration]")
+{
+  VirtualFleet fleet({});
+  fleet.StartAll();
+  fleet.Run(3s);
+  REQUIRE(fleet.Node(0).Manager().StoreIsEmpty());
+  REQUIRE_FALSE(fleet.Node(0).Manager().Ready());
+  fleet.Change(0, "first", "tender", 0.5);
+  REQUIRE(fleet.RunUntil([&] { return fleet.AllHave(1); }, 10s));
+  REQUIRE_FALSE(fleet.Node(0).Manager().StoreIsEmpty());
+}
+
 TEST_CASE_METHOD(Fixture, "The store is down", "[configuration]")
 {
   m_fleet.TheStore().m_down = true;
@@ -219,6 +231,8 @@
     m_fleet.StartHost(0);
     m_fleet.Run(30s);
     REQUIRE_FALSE(m_fleet.Node(0).Manager().Ready());
+    // An outage must not pass for a new installation.
+    REQUIRE_FALSE(m_fleet.Node(0).Manager().StoreIsEmpty());
     m_fleet.TheStore().m_down = false;
     m_fleet.Run(5s);
     REQUIRE(m_fleet.Node(0).Manager().Serving(m_fleet.Now()));
--- a/packages/goldcrestkeeld/src/Daemon.cpp
+++ b/packages/goldcrestkeeld/src/Daemon.cpp
@@ -261,7 +261,9 @@
 
   bool CheckServing()
   {
-    const bool byFile = !m_controlled && !m_settings.m_servicesFile.empty();
+    // During an outage the file may be older than the accepted configuration.
+    const bool byFile = !m_controlled && !m_settings.m_servicesFile.empty() &&
+                        m_node.Manager().StoreIsEmpty();
     const bool serving = byFile || (m_node.Manager().Ready() &&
                                     m_node.Manager().Serving(m_loop.Now()));
     m_lifecycle.SetServing(serving);
