Start on the first probe and keep timers in the future

Cause: a daemon restarted while the host list was down was probed by its peers before it had a list. It then took itself for a watcher that had not started, its next timer lay in the past, and the event loop spun.

Change: the watch counts as a timer only after the start, and the first probe starts the node, so that it gets the revision without the host list.

Conclusion: ctest passes. Four daemons, store and host list refusing connections: the restarted host had the revision in force 0.4 s after its start; before, it never answered.

--- a/packages/control/include/goldcrestkeel/control/ControlNode.h
+++ b/packages/control/include/goldcrestkeel/control/ControlNode.h
@@ -17,7 +17,7 @@
   /** aRandom must outlive the node. */
   ControlNode(MemberEntry aSelf, RandomSource& aRandom);
 
-  /** The first list starts the node. */
+  /** The first list starts the node, unless a probe did so before. */
   void SetHostList(TimePoint aNow,
                    const std::vector<ListedHost>& aHosts,
                    ControlActions& aActions);
--- a/packages/control/src/ConfigurationManager.cpp
+++ b/packages/control/src/ConfigurationManager.cpp
@@ -744,7 +744,7 @@
   if (m_startedAt && !m_settled) {
     earlier(SettleTime());
   }
-  if (m_watcher.m_active && !m_watcher.m_callRunning) {
+  if (m_startedAt && m_watcher.m_active && !m_watcher.m_callRunning) {
     earlier(std::max(m_watcher.m_nextCall, *m_startedAt + kStartSettle));
   }
   if (m_fetch && !m_fetch->m_running) {
--- a/packages/control/src/ControlNode.cpp
+++ b/packages/control/src/ControlNode.cpp
@@ -52,6 +52,9 @@
 {
   const std::size_t first = aActions.size();
   m_members.ProbeReceived(aNow, aRequest, aMessage, aTarget, aActions);
+  if (!std::exchange(m_started, true)) {
+    m_manager.Start(aNow, aActions);
+  }
   m_manager.PeerSeen(aNow,
                      aMessage.m_sender.m_host,
                      aMessage.m_sender.m_revision,
--- a/packages/control/tests/ConfigurationManagerTest.cpp
+++ b/packages/control/tests/ConfigurationManagerTest.cpp
@@ -184,6 +184,31 @@
   }
 }
 
+// Guards against a timer in the past, which turned the daemon's loop into a
+// busy loop, and against a host that waits for the list although peers reach
+// it.
+TEST_CASE("A host is probed before it has the host list", "[configuration]")
+{
+  const auto random = MakeSeededRandom(1);
+  ControlNode node({ "a", "127.0.0.1:1", "dc1", 10 }, *random);
+  const GossipMessage message{
+    { "b", "127.0.0.1:2", "dc1", 5, MemberState::Alive, 3 }, {}, {}, {}
+  };
+  TimePoint now{ 1h };
+  ControlActions actions;
+  node.ProbeReceived(now, 1, message, "", actions);
+  const auto fetches =
+    std::count_if(actions.begin(), actions.end(), [](const auto& aAction) {
+      return std::holds_alternative<FetchDocument>(aAction);
+    });
+  REQUIRE(fetches == 1);
+  for (int i = 0; i < 100; ++i) {
+    node.FireTimers(now, actions);
+    REQUIRE(node.NextTimer() > now);
+    now = node.NextTimer();
+  }
+}
+
 TEST_CASE("A new installation has an empty store", "[configuration]")
 {
   VirtualFleet fleet({});
