Keep status calls and cancellations within the share of connections

The engine counts a cancelled search as ended, but its transfer ran on beside its successor, and status calls and cancellations had no limit at all. Change: the backend client counts the transfers of each backend server. At the limit a cancelled search gives its connection up, and a status call waits. Checked: new tests for the three cases.

--- a/packages/net/include/goldcrestkeel/net/BackendClient.h
+++ b/packages/net/include/goldcrestkeel/net/BackendClient.h
@@ -38,6 +38,10 @@
 public:
   virtual ~BackendClient() = default;
 
+  /** Connections that may be open to a backend server. Searches and commands
+   *  are limited by the engine; cancellations and status calls give way. */
+  virtual void LimitConnections(const std::string& aAddress,
+                                std::uint32_t aLimit) = 0;
   virtual void Search(const std::string& aAddress,
                       const SendSubRequest& aRequest,
                       Duration aTimeLeft,
--- a/packages/net/include/goldcrestkeel/net/HttpBackendClient.h
+++ b/packages/net/include/goldcrestkeel/net/HttpBackendClient.h
@@ -3,6 +3,7 @@
 #include <goldcrestkeel/net/BackendClient.h>
 #include <goldcrestkeel/net/HttpClient.h>
 
+#include <deque>
 #include <string>
 #include <unordered_map>
 
@@ -16,6 +17,8 @@
    *  must outlive this object. */
   HttpBackendClient(HttpClient& aClient, std::string aOrigin);
 
+  void LimitConnections(const std::string& aAddress,
+                        std::uint32_t aLimit) override;
   void Search(const std::string& aAddress,
               const SendSubRequest& aRequest,
               Duration aTimeLeft,
@@ -29,10 +32,32 @@
     std::function<void(std::optional<ReplicaStatus>&&)> aDone) override;
 
 private:
+  /** Transfers to one backend server. */
+  struct Target
+  {
+    std::uint32_t m_limit = 1;
+    std::uint32_t m_open = 0;
+    /** Cancelled searches that run on, oldest first. */
+    std::deque<TransferId> m_abandoned;
+    /** Status call that waits for a connection. */
+    std::function<void()> m_waiting;
+
+    bool Full() const { return m_open >= m_limit; }
+  };
+
+  TransferId Start(const std::string& aAddress,
+                   HttpRequest aRequest,
+                   HttpClient::Done aDone);
+  /** Ends a cancelled search if the limit is reached. */
+  void MakeRoom(Target& aTarget);
+  /** Sends the waiting status call if there is a connection for it. */
+  void StartWaiting(Target& aTarget);
+
   HttpClient& m_client;
   std::string m_origin;
   std::string m_commandOrigin;
   std::unordered_map<AttemptId, TransferId> m_searches;
+  std::unordered_map<std::string, Target> m_targets;
 };
 
 } // namespace goldcrestkeel
--- a/packages/net/src/SearchDriver.cpp
+++ b/packages/net/src/SearchDriver.cpp
@@ -168,6 +168,8 @@
 void
 SearchDriver::PollStatus(const std::string& aReplica)
 {
+  m_backend.LimitConnections(AddressOf(aReplica),
+                             m_engine.ConnectionShare(m_loop.Now(), aReplica));
   m_backend.Status(AddressOf(aReplica),
                    aReplica,
                    [this, aReplica](std::optional<ReplicaStatus>&& aStatus) {
--- a/packages/net/tests/ApiTest.cpp
+++ b/packages/net/tests/ApiTest.cpp
@@ -23,6 +23,7 @@
   {
   }
 
+  void LimitConnections(const std::string&, std::uint32_t) override {}
   void Search(const std::string&,
               const SendSubRequest& aRequest,
               Duration,
--- a/packages/net/tests/ClientTest.cpp
+++ b/packages/net/tests/ClientTest.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <future>
 
 using namespace goldcrestkeel;
@@ -224,6 +225,73 @@
   }
 }
 
+// Guards against status calls, cancellations and cancelled searches that open
+// connections beyond this host's share of a backend server's connections.
+TEST_CASE_METHOD(Fixture,
+                 "Connections to a backend server stay within the limit",
+                 "[http][limit]")
+{
+  std::promise<void> release;
+  const std::shared_future<void> released = release.get_future().share();
+  ScriptedServer server([&](int, int, const std::string& aText) {
+    if (aText.starts_with("POST /search")) {
+      released.wait();
+    }
+    return MakeResponse(200, "{}");
+  });
+  HttpBackendClient backend(m_client, "host-1");
+  backend.LimitConnections(server.Address(), 2);
+  int ended = 0;
+  const auto search = [&](AttemptId aAttempt) {
+    SendSubRequest request;
+    request.m_attempt = aAttempt;
+    backend.Search(
+      server.Address(), request, kLongTimeout, [&](SubOutcome&&) { ++ended; });
+  };
+  const auto received = [&](const std::string& aStart) {
+    const auto requests = server.Requests();
+    return std::count_if(
+      requests.begin(), requests.end(), [&](const std::string& aText) {
+        return aText.starts_with(aStart);
+      });
+  };
+  search(1);
+  search(2);
+  RunUntil([&] { return received("POST /search") == 2; });
+
+  SECTION("a status call waits for a connection")
+  {
+    bool polled = false;
+    backend.Status(server.Address(), "r1", [&](std::optional<ReplicaStatus>&&) {
+      polled = true;
+    });
+    for (int round = 0; round < 5; ++round) {
+      m_loop.RunOnce(kRound);
+    }
+    REQUIRE(received("GET /status") == 0);
+    release.set_value();
+    RunUntil([&] { return polled && ended == 2; });
+    REQUIRE(received("GET /status") == 1);
+  }
+  SECTION("a cancelled search gives its connection up if there is no other")
+  {
+    backend.CancelSearch(server.Address(), 2);
+    search(3);
+    RunUntil([&] { return received("POST /search") == 3; });
+    REQUIRE(received("POST /cancel") == 0);
+    release.set_value();
+    RunUntil([&] { return ended == 2; });
+  }
+  SECTION("with room it is cancelled and its connection is kept")
+  {
+    backend.LimitConnections(server.Address(), 3);
+    backend.CancelSearch(server.Address(), 2);
+    RunUntil([&] { return received("POST /cancel") == 1; });
+    release.set_value();
+    RunUntil([&] { return ended == 1; });
+  }
+}
+
 // Guards against a refusal that proves "not run" without belonging to the
 // attempt, and against replies that are not what the protocol says.
 TEST_CASE_METHOD(Fixture, "Command replies are checked", "[command]")
