Tell the other hosts about a drain that the status reports

Cause: SearchDriver::HandleStatus(), which reports a draining replica to the other hosts, was called from nowhere; found by reading. Change: the status poll calls it. Checked: net_test; the demo runs with it.

--- a/packages/net/src/SearchDriver.cpp
+++ b/packages/net/src/SearchDriver.cpp
@@ -175,7 +175,7 @@
                    [this, aReplica](std::optional<ReplicaStatus>&& aStatus) {
                      Actions actions;
                      if (aStatus) {
-                       m_engine.Handle(m_loop.Now(), *aStatus, actions);
+                       HandleStatus(*aStatus, actions);
                      } else {
                        m_engine.StatusUnavailable(m_loop.Now(), aReplica);
                      }
