Join with no share of connections and take the first change unready

Cause: the daemon did not tell the engine when it started, so that a starting host used a whole replica's connections until it knew its peers. And a new installation without services file refused its first change with not_ready, which the scripts worked around with an empty file. Change: the engine gets the start time; the host is ready once its share counts (10 s). Statements need no configuration in force. A restarted host is ready 10 s later than before.

--- a/packages/goldcrestkeeld/src/Daemon.cpp
+++ b/packages/goldcrestkeeld/src/Daemon.cpp
@@ -22,13 +22,14 @@
 constexpr std::uint32_t kCommandCalls = 32;
 
 EngineOptions
-EngineOptionsOf(const Settings& aSettings)
+EngineOptionsOf(const Settings& aSettings, TimePoint aNow)
 {
   EngineOptions options;
   options.m_dataCentre = aSettings.m_dataCentre;
   options.m_region = aSettings.m_region;
   options.m_maxRunningQueries = aSettings.m_maxRunningQueries;
   options.m_maxQueuedQueries = aSettings.m_maxQueuedQueries;
+  options.m_joinedAt = aNow;
   return options;
 }
 
@@ -79,7 +80,8 @@
     , m_store(m_client, m_settings.m_storeAddress, m_settings.m_storeTimeout)
     , m_backend(m_client,
                 m_settings.m_hostId + "-" + std::to_string(m_clock.WallNow()))
-    , m_engine(MakeQueryEngine(EngineOptionsOf(m_settings), *m_random))
+    , m_engine(
+        MakeQueryEngine(EngineOptionsOf(m_settings, m_startedAt), *m_random))
     , m_searches(m_loop, *m_engine, m_backend)
     , m_node(SelfOf(m_settings, m_clock), *m_random)
     , m_control(m_loop, m_node, m_store, m_controlPeers, *this)
@@ -250,6 +252,7 @@
   void CheckState()
   {
     CheckServing();
+    m_lifecycle.SetJoined(m_loop.Now() >= m_startedAt + kShareGrowDelay);
     std::vector<std::string> alive = m_control.AliveHosts();
     if (alive != m_alive) {
       m_alive = std::move(alive);
@@ -316,6 +319,7 @@
 
   Settings m_settings;
   SystemClock m_clock;
+  TimePoint m_startedAt = m_clock.Now();
   Metrics m_metrics;
   CountingInvariantHandler m_invariants;
   Lifecycle m_lifecycle;
--- a/packages/net/include/goldcrestkeel/net/Api.h
+++ b/packages/net/include/goldcrestkeel/net/Api.h
@@ -68,6 +68,7 @@
                   Command aCommand,
                   std::optional<Duration> aDeadline);
   const ServiceSpec& ServiceFor(const std::string& aName, ServiceKind aKind);
+  void CheckNotRefusing() const;
   void CheckAccepting() const;
   void CheckServing() const;
   /** Calls aRun on the loop thread; an Error it throws becomes the answer. */
--- a/packages/net/src/Api.cpp
+++ b/packages/net/src/Api.cpp
@@ -145,8 +145,9 @@
     RequireMethod(request, "GET");
     if (!m_parts.m_lifecycle.Ready()) {
       throw Error(ErrorKind::NotReady,
-                  m_parts.m_lifecycle.Draining() ? "draining"
-                                                 : "no configuration");
+                  m_parts.m_lifecycle.Draining()  ? "draining"
+                  : m_parts.m_lifecycle.Serving() ? "joining the other hosts"
+                                                  : "no configuration");
     }
     aExchange->Answer({ kOk, "{\"ready\":true}" });
   } else if (request.m_path == "/metrics") {
@@ -154,7 +155,7 @@
     HandleMetrics(aExchange);
   } else if (request.m_path == kStatementsPath) {
     RequireMethod(request, "POST");
-    CheckAccepting();
+    CheckNotRefusing();
     HandleStatement(aExchange);
   } else if (request.m_path.starts_with(kServicesPrefix)) {
     HandleService(aExchange);
@@ -186,12 +187,20 @@
   }
 }
 
+// The first change of a new installation comes before any configuration, so
+// that statements need none; those that search or command check it later.
 void
-Api::CheckAccepting() const
+Api::CheckNotRefusing() const
 {
   if (m_parts.m_lifecycle.Refusing()) {
     throw Error(ErrorKind::ShuttingDown, "the host is shutting down");
   }
+}
+
+void
+Api::CheckAccepting() const
+{
+  CheckNotRefusing();
   if (!m_parts.m_lifecycle.Serving()) {
     throw Error(ErrorKind::NotReady, "the host has no configuration in force");
   }
--- a/packages/net/tests/ApiTest.cpp
+++ b/packages/net/tests/ApiTest.cpp
@@ -88,6 +88,7 @@
     m_searches.StartPolling(std::chrono::hours(1));
     m_loop.RunOnce(Duration{ 0 });
     m_lifecycle.SetServing(true);
+    m_lifecycle.SetJoined(true);
     m_front.Start();
     m_thread = std::thread([this] { m_loop.Run(); });
   }
@@ -307,6 +308,11 @@
     REQUIRE(BodyOf(get("/readyz")).at("error") == "not_ready");
     REQUIRE(BodyOf(search()).at("error") == "not_ready");
   }
+  SECTION("without its share of connections it is not ready")
+  {
+    m_lifecycle.SetJoined(false);
+    REQUIRE(BodyOf(get("/readyz")).at("detail") == "joining the other hosts");
+  }
   SECTION("while draining it is not ready and still serves")
   {
     m_lifecycle.StartDraining();
