--- a/packages/net/src/SearchDriver.cpp
+++ b/packages/net/src/SearchDriver.cpp
@@ -168,12 +168,14 @@
 void
 SearchDriver::PollStatus(const std::string& aReplica)
 {
+  m_backend.LimitConnections(AddressOf(aReplica),
+                             m_engine.ConnectionShare(m_loop.Now(), aReplica));
   m_backend.Status(AddressOf(aReplica),
                    aReplica,
                    [this, aReplica](std::optional<ReplicaStatus>&& aStatus) {
                      Actions actions;
                      if (aStatus) {
-                       m_engine.Handle(m_loop.Now(), *aStatus, actions);
+                       HandleStatus(*aStatus, actions);
                      } else {
                        m_engine.StatusUnavailable(m_loop.Now(), aReplica);
                      }
