Start searches behind ones that ended while they waited

Its share was 0 when the first searches came; they ended while they waited for a slot, their entries stayed, and with nothing in flight no reply started the next search. Ruled out: the admission queue's expected run time (searches that can start do not pass it), lost transfers in the backend client. Change: while searches wait, a timer looks every 100 ms whether they can be dispatched or have ended. Waiting sub-requests of a replaced service definition are retried. The new test fails before and passes after.

--- a/packages/core/src/Engine.cpp
+++ b/packages/core/src/Engine.cpp
@@ -24,6 +24,8 @@
 constexpr Duration kHedgeStep{ 2000 };
 /** Shortest time between two looks at a queue of waiting searches. */
 constexpr Duration kShortestTimer{ 100 };
+/** Interval at which waiting searches are looked at without an event. */
+constexpr Duration kWaitCheck{ 100000 };
 /** Replicas of one shard that are compared. */
 constexpr std::size_t kMaxEligible = 16;
 
@@ -122,12 +124,17 @@
 // ---- Services and replicas ------------------------------------------------
 
 void
-Engine::SetService(TimePoint, const ServiceSpec& aSpec)
+Engine::SetService(TimePoint aNow, const ServiceSpec& aSpec)
 {
   auto service = std::make_shared<Service>();
   service->m_spec = aSpec;
   service->m_selector = MakeReplicaSelector(aSpec.m_policy.m_selector);
   const auto previous = FindService(aSpec.m_name);
+  if (previous) {
+    for (const auto& view : previous->m_views) {
+      RetryWaiting(aNow, *view);
+    }
+  }
   if (previous && previous->m_history->m_hedgeName == aSpec.m_policy.m_hedge &&
       previous->m_history->m_extraLoad == aSpec.m_policy.m_extraLoad) {
     service->m_history = previous->m_history;
@@ -242,23 +249,31 @@
   }
   for (const auto& view :
        HoldVersions(m_replicas, aReplica, aVersions, service->m_views)) {
-    for (ShardGroup& group : view->m_groups) {
-      for (const WaitingShard& waiting : std::exchange(group.m_waiting, {})) {
-        Query* query = FindQuery(waiting.m_query);
-        if (query != nullptr && query->m_epoch == waiting.m_epoch) {
-          query->m_shards[waiting.m_shard].m_waiting = false;
-          query->m_shards[waiting.m_shard].m_retryDue = true;
-          m_timers.Add({ aNow,
-                         TimerKind::Retry,
-                         waiting.m_query,
-                         waiting.m_shard,
-                         waiting.m_epoch });
-        }
+    RetryWaiting(aNow, *view);
+  }
+}
+
+// Queries that wait on a view that is no longer updated are dispatched by their
+// retry timers.
+void
+Engine::RetryWaiting(TimePoint aNow, SnapshotView& aView)
+{
+  for (ShardGroup& group : aView.m_groups) {
+    for (const WaitingShard& waiting : std::exchange(group.m_waiting, {})) {
+      Query* query = FindQuery(waiting.m_query);
+      if (query != nullptr && query->m_epoch == waiting.m_epoch) {
+        query->m_shards[waiting.m_shard].m_waiting = false;
+        query->m_shards[waiting.m_shard].m_retryDue = true;
+        m_timers.Add({ aNow,
+                       TimerKind::Retry,
+                       waiting.m_query,
+                       waiting.m_shard,
+                       waiting.m_epoch });
       }
     }
-    view->m_waiting = 0;
-    view->m_saturated = 0;
   }
+  aView.m_waiting = 0;
+  aView.m_saturated = 0;
 }
 
 void
@@ -413,13 +428,42 @@
     Begin(aNow, *queue.Pop(), aActions);
   }
   if (const auto earliest = queue.EarliestDeadline()) {
-    const TimePoint next =
-      std::max(*earliest - queue.ExpectedRun(), aNow + kShortestTimer);
-    TimePoint& armed = aService.m_history->m_admissionTimer;
-    if (armed <= aNow || next < armed) {
-      armed = next;
-      m_timers.Add({ next, TimerKind::Admission, 0, 0, 0 });
+    ArmAdmission(
+      aNow,
+      *aService.m_history,
+      std::max(*earliest - queue.ExpectedRun(), aNow + kShortestTimer));
+  }
+}
+
+void
+Engine::ArmAdmission(TimePoint aNow, ServiceHistory& aHistory, TimePoint aNext)
+{
+  TimePoint& armed = aHistory.m_admissionTimer;
+  if (armed <= aNow || aNext < armed) {
+    armed = aNext;
+    m_timers.Add({ aNext, TimerKind::Admission, 0, 0, 0 });
+  }
+}
+
+// Searches can end while they wait, and a share of connections can grow. In
+// both cases no reply may be due whose end would start the searches behind
+// them.
+void
+Engine::DispatchStalled(TimePoint aNow, Service& aService, Actions& aActions)
+{
+  bool waiting = false;
+  const SnapshotViews views = aService.m_views;
+  for (const auto& view : views) {
+    if (view->m_waiting == 0) {
+      continue;
     }
+    for (ShardGroup& group : view->m_groups) {
+      DispatchGroup(aNow, *view, group, aActions);
+    }
+    waiting = waiting || view->m_waiting > 0;
+  }
+  if (waiting) {
+    ArmAdmission(aNow, *aService.m_history, aNow + kWaitCheck);
   }
 }
 
@@ -427,6 +471,7 @@
 Engine::AdmitAll(TimePoint aNow, Actions& aActions)
 {
   for (const auto& [name, service] : m_services) {
+    DispatchStalled(aNow, *service, aActions);
     Admit(aNow, *service, aActions);
   }
 }
@@ -578,14 +623,14 @@
   if (pick == Pick::Chosen) {
     Send(aNow, aQuery, aShard, replica, SendKind::Primary, aActions);
   } else if (pick == Pick::Busy) {
-    Wait(aQuery, aShard);
+    Wait(aNow, aQuery, aShard);
   } else {
     ScheduleRetry(aNow, aQuery, aShard);
   }
 }
 
 void
-Engine::Wait(Query& aQuery, std::uint32_t aShard)
+Engine::Wait(TimePoint aNow, Query& aQuery, std::uint32_t aShard)
 {
   SnapshotView& view = *aQuery.m_view;
   ShardGroup& group = view.m_groups[aShard];
@@ -603,6 +648,7 @@
   aQuery.m_shards[aShard].m_waiting = true;
   ++view.m_waiting;
   view.m_saturated += group.m_waiting.size() == group.SaturatedAt();
+  ArmAdmission(aNow, *aQuery.m_service->m_history, aNow + kWaitCheck);
 }
 
 ExtraLoadBudget&
--- a/packages/core/src/Engine.h
+++ b/packages/core/src/Engine.h
@@ -101,6 +101,9 @@
   bool CanStart(const Service& aService) const;
   /** Starts queued searches and refuses those that are too late. */
   void Admit(TimePoint aNow, Service& aService, Actions& aActions);
+  void ArmAdmission(TimePoint aNow, ServiceHistory& aHistory, TimePoint aNext);
+  void DispatchStalled(TimePoint aNow, Service& aService, Actions& aActions);
+  void RetryWaiting(TimePoint aNow, SnapshotView& aView);
   void AdmitAll(TimePoint aNow, Actions& aActions);
   void FanOut(TimePoint aNow, Query& aQuery, Actions& aActions);
   /** Sends to one replica of the shard, or lets the shard wait or fail. */
@@ -178,7 +181,7 @@
                Query& aQuery,
                AttemptEnd aEnd,
                Actions& aActions);
-  void Wait(Query& aQuery, std::uint32_t aShard);
+  void Wait(TimePoint aNow, Query& aQuery, std::uint32_t aShard);
   /** Sends waiting sub-requests of aGroup while it has free slots. */
   void DispatchGroup(TimePoint aNow,
                      SnapshotView& aView,
--- a/packages/core/tests/AdmissionTest.cpp
+++ b/packages/core/tests/AdmissionTest.cpp
@@ -112,6 +112,42 @@
   }
 }
 
+// Guards against searches that ended while they waited and block all later
+// ones: a host whose share was 0 for a while had nothing in flight whose end
+// would have started them.
+TEST_CASE("A host without a share recovers", "[admission][share]")
+{
+  EngineFixture fixture(1, 1);
+  fixture.m_spec.m_replicas.front().m_connections = 1;
+  fixture.Configure();
+  fixture.Engine().SetLiveHosts(fixture.m_now, 2);
+  for (QueryId query = 1; query <= 8; ++query) {
+    fixture.Start(query);
+  }
+  fixture.AdvanceTo(Duration{ 2000000 });
+  REQUIRE(fixture.m_sent.empty());
+  REQUIRE(fixture.m_finished.size() == 8);
+  for (const FinishSearch& answer : fixture.m_finished) {
+    REQUIRE(answer.m_ran == Ran::No);
+  }
+  fixture.Engine().SetLiveHosts(fixture.m_now, 1);
+
+  SECTION("when the share grows, a new search runs")
+  {
+    fixture.AdvanceTo(Duration{ 20000000 });
+    fixture.Start(9);
+    REQUIRE(fixture.m_sent.size() == 1);
+  }
+  SECTION("a search that waits when the share grows runs")
+  {
+    fixture.AdvanceTo(Duration{ 11500000 });
+    fixture.Start(9);
+    REQUIRE(fixture.m_sent.empty());
+    fixture.AdvanceTo(Duration{ 12400000 });
+    REQUIRE(fixture.m_sent.size() == 1);
+  }
+}
+
 TEST_CASE("A full queue refuses the lowest class first", "[admission]")
 {
   AdmissionQueue queue(2);
