Divide the engine's source by step

Change: one file for each section; names of failures and the query's own methods in files of their own. No change of behaviour.

--- a/packages/core/src/Engine.h
+++ b/packages/core/src/Engine.h
@@ -19,6 +19,9 @@
 
 namespace goldcrestkeel {
 
+/** Interval at which waiting searches are looked at without an event. */
+inline constexpr Duration kWaitCheck{ 100000 };
+
 class Engine : public QueryEngine
 {
 public:
--- /dev/null
+++ b/packages/core/src/EngineReplies.cpp
@@ -0,0 +1,237 @@
+#include "Engine.h"
+
+#include <goldcrestkeel/core/Invariant.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace goldcrestkeel {
+
+bool
+Engine::Accept(TimePoint, const SubReply& aReply, const Attempt& aAttempt)
+{
+  const Query* query = FindQuery(aAttempt.m_query);
+  if (query == nullptr) {
+    return false;
+  }
+  const ShardGroup& group = query->m_view->m_groups[aAttempt.m_shard];
+  ReplicaState& replica = m_replicas[aAttempt.m_replica];
+  if (aAttempt.m_incarnation != 0 &&
+      aReply.m_incarnation != aAttempt.m_incarnation) {
+    // The backend server has restarted since its last status. Its incarnation
+    // stays unknown until the next one.
+    if (replica.m_incarnation == aAttempt.m_incarnation) {
+      replica.m_incarnation = 0;
+    }
+    return false;
+  }
+  return aReply.m_intact && aReply.m_echoAttempt == aReply.m_attempt &&
+         aReply.m_echoQuery == aAttempt.m_query &&
+         aReply.m_echoShard == group.m_shard &&
+         aReply.m_echoVersion == query->m_view->m_version &&
+         aReply.m_documentsSearched <= group.m_documents;
+}
+
+void
+Engine::Handle(TimePoint aNow, const SubReply& aEvent, Actions& aActions)
+{
+  const Attempt* found = m_attempts.Find(aEvent.m_attempt);
+  if (found == nullptr) {
+    ++m_counters.m_discardedReplies;
+    return;
+  }
+  const Attempt attempt = *found;
+  if (aEvent.m_draining && aEvent.m_echoAttempt == aEvent.m_attempt &&
+      IsCurrent(attempt)) {
+    SetDraining(aNow, m_replicas[attempt.m_replica]);
+  }
+  Query& query = *FindQuery(attempt.m_query);
+  const bool accepted = Accept(aNow, aEvent, attempt);
+  RemoveAttempt(aNow,
+                aEvent.m_attempt,
+                accepted ? AttemptEnd::Answered : AttemptEnd::Failed);
+  if (accepted) {
+    CountReply(aNow, query, attempt.m_shard, aEvent, aActions);
+  } else {
+    ++m_counters.m_discardedReplies;
+    AttemptFailed(aNow, query, attempt.m_shard, aActions);
+  }
+  DispatchWaiting(aNow, aActions);
+}
+
+void
+Engine::CountReply(TimePoint aNow,
+                   Query& aQuery,
+                   std::uint32_t aShard,
+                   const SubReply& aReply,
+                   Actions& aActions)
+{
+  GK_INVARIANT(aReply.m_echoQuery == aQuery.m_request.m_query,
+               InvariantId::OwnAnswer,
+               "reply for query " + std::to_string(aReply.m_echoQuery) +
+                 " counted for " + std::to_string(aQuery.m_request.m_query));
+  GK_INVARIANT(aReply.m_echoVersion == aQuery.m_view->m_version,
+               InvariantId::SingleSnapshot,
+               "reply from version " + std::to_string(aReply.m_echoVersion) +
+                 " counted for " + std::to_string(aQuery.m_view->m_version));
+  ShardRun& run = aQuery.m_shards[aShard];
+  const bool whole =
+    aReply.m_documentsSearched == aQuery.m_view->m_groups[aShard].m_documents;
+  aQuery.m_coverage.Count(aShard, aReply.m_documentsSearched);
+  if (whole) {
+    run.m_answered = true;
+    aQuery.m_partials.erase(aShard);
+    aQuery.m_merger.Add(aReply.m_hits);
+    CancelAttempts(aNow, aQuery, aShard, AttemptEnd::Cancelled, aActions);
+    Close(aQuery, aShard);
+    FinishIfDone(aNow, aQuery, aActions);
+    return;
+  }
+  PartialReply& partial = aQuery.m_partials[aShard];
+  if (aReply.m_documentsSearched >= partial.m_documents) {
+    partial = { aReply.m_documentsSearched, aReply.m_hits };
+  }
+  AttemptFailed(aNow, aQuery, aShard, aActions);
+}
+
+void
+Engine::Handle(TimePoint aNow, const SubFailure& aEvent, Actions& aActions)
+{
+  const Attempt* found = m_attempts.Find(aEvent.m_attempt);
+  if (found == nullptr) {
+    return;
+  }
+  const Attempt attempt = *found;
+  Query& query = *FindQuery(attempt.m_query);
+  const bool notRun = ProvesNotRun(aEvent.m_kind);
+  if (notRun) {
+    ++query.m_notRun;
+  }
+  if (aEvent.m_kind == SubFailureKind::Draining && IsCurrent(attempt)) {
+    SetDraining(aNow, m_replicas[attempt.m_replica]);
+  }
+  RemoveAttempt(aNow, aEvent.m_attempt, EndOf(aEvent.m_kind));
+  if (aEvent.m_kind == SubFailureKind::VersionGone) {
+    DropVersion(aNow, attempt.m_replica, query.m_view->m_version);
+  }
+  if (aEvent.m_kind == SubFailureKind::Reset) {
+    ConnectionReset(aNow, query, attempt);
+  }
+  AttemptFailed(aNow, query, attempt.m_shard, aActions);
+  DispatchWaiting(aNow, aActions);
+}
+
+void
+Engine::AttemptFailed(TimePoint aNow,
+                      Query& aQuery,
+                      std::uint32_t aShard,
+                      Actions& aActions)
+{
+  if (aQuery.m_guarded && aQuery.m_resets > 0) {
+    if (!aQuery.m_shards[aShard].InFlight()) {
+      Close(aQuery, aShard);
+      FinishIfDone(aNow, aQuery, aActions);
+    }
+    return;
+  }
+  const bool lost = aQuery.m_view->m_groups[aShard].m_replicas.empty();
+  if (lost && Restart(aNow, aQuery, aActions)) {
+    return;
+  }
+  if (!aQuery.m_shards[aShard].InFlight()) {
+    ScheduleRetry(aNow, aQuery, aShard);
+    FinishIfDone(aNow, aQuery, aActions);
+  }
+}
+
+void
+Engine::ConnectionReset(TimePoint aNow, Query& aQuery, const Attempt& aAttempt)
+{
+  const std::uint32_t shard = aAttempt.m_shard;
+  if (!m_options.m_crashGuard) {
+    return;
+  }
+  const SnapshotView& view = *aQuery.m_view;
+  ShardRun& run = aQuery.m_shards[shard];
+  run.m_reset = true;
+  if (aQuery.m_resets++ == 0) {
+    aQuery.m_firstReset = aNow;
+  } else {
+    aQuery.m_guarded = true;
+  }
+  m_guard.Crashed(aNow,
+                  aAttempt.m_sentAt,
+                  aQuery.m_fingerprint,
+                  aQuery.m_request.m_statement,
+                  view.m_groups[shard].m_shard,
+                  aAttempt.m_replica,
+                  aAttempt.m_incarnation);
+}
+
+bool
+Engine::PassGuard(TimePoint aNow,
+                  const QueuedSearch& aSearch,
+                  Actions& aActions)
+{
+  const std::uint64_t fingerprint = Fingerprint(aSearch.m_request.m_statement);
+  const Verdict verdict = m_guard.Judge(fingerprint);
+  if (verdict == Verdict::Quarantined) {
+    Refuse(aSearch.m_request.m_query,
+           ErrorKind::Quarantined,
+           "replicas died while this statement ran; fingerprint " +
+             std::to_string(fingerprint),
+           aActions);
+    return false;
+  }
+  if (aNow >= aSearch.m_deadline) {
+    Refuse(aSearch.m_request.m_query,
+           ErrorKind::DeadlineTooShort,
+           "the search could not start in time",
+           aActions);
+    return false;
+  }
+  if (verdict == Verdict::Suspect && m_guardedRuns.contains(fingerprint)) {
+    m_suspects[fingerprint].push_back(aSearch);
+    m_timers.Add({ aSearch.m_deadline, TimerKind::Hold, 0, 0, 0 });
+    return false;
+  }
+  return true;
+}
+
+void
+Engine::ResumeSuspects(TimePoint aNow, Actions& aActions)
+{
+  while (!m_resumable.empty()) {
+    const auto waiting = m_suspects.find(m_resumable.back());
+    m_resumable.pop_back();
+    if (waiting == m_suspects.end()) {
+      continue;
+    }
+    // Begin() lets them wait again, all but the first, if the statement is
+    // still suspected.
+    const std::vector<QueuedSearch> searches = std::move(waiting->second);
+    m_suspects.erase(waiting);
+    for (const QueuedSearch& search : searches) {
+      Begin(aNow, search, aActions);
+    }
+  }
+}
+
+void
+Engine::RefuseLateSuspects(TimePoint aNow, Actions& aActions)
+{
+  for (auto& [fingerprint, searches] : m_suspects) {
+    std::erase_if(searches, [&](const QueuedSearch& aSearch) {
+      const bool late = aNow >= aSearch.m_deadline;
+      if (late) {
+        Refuse(aSearch.m_request.m_query,
+               ErrorKind::DeadlineTooShort,
+               "the search could not start in time",
+               aActions);
+      }
+      return late;
+    });
+  }
+}
+
+} // namespace goldcrestkeel
--- a/packages/core/src/ReplicaHealth.cpp
+++ b/packages/core/src/ReplicaHealth.cpp
@@ -139,4 +139,15 @@
   return std::clamp(progress, kSlowStartFloor, 1.0);
 }
 
+AttemptEnd
+EndOf(SubFailureKind aKind)
+{
+  if (aKind == SubFailureKind::Reset) {
+    return AttemptEnd::Reset;
+  }
+  const bool refused =
+    ProvesNotRun(aKind) && aKind != SubFailureKind::ConnectFailed;
+  return refused ? AttemptEnd::Refused : AttemptEnd::Failed;
+}
+
 } // namespace goldcrestkeel
--- a/packages/core/src/ReplicaHealth.h
+++ b/packages/core/src/ReplicaHealth.h
@@ -3,6 +3,7 @@
 #include "HedgePolicy.h"
 #include "ReplicaTable.h"
 
+#include <goldcrestkeel/core/QueryEngine.h>
 #include <goldcrestkeel/core/Random.h>
 
 #include <span>
@@ -60,4 +61,8 @@
 double
 SlowStartShare(TimePoint aNow, const ReplicaState& aReplica);
 
+/** How an attempt that failed with aKind counts for its replica. */
+AttemptEnd
+EndOf(SubFailureKind aKind);
+
 } // namespace goldcrestkeel
