Name what is expected in a list of shards

Cause: the syntax error for SHARDS ('a') showed a mangled C++ type, because the list parser inside the rule has no name. Change: the list is written as the one of replicas is, whose parts have names. Checked: two new cases fail before and pass after.

--- a/packages/language/src/Services.cpp
+++ b/packages/language/src/Services.cpp
@@ -124,8 +124,9 @@
                GrammarIterator aLast,
                std::vector<std::string>& aValue)
 {
-  static const auto kDefinition =
-    x3::lit('(') > (kName[Append{}] % ',') > Named("a comma or )", ')');
+  static const auto kDefinition = x3::lit('(') > kName[Append{}] >
+                                  *(x3::lit(',') > kName[Append{}]) >
+                                  Named("a comma or )", ')');
   return Run(kDefinition, aFirst, aLast, aValue);
 }
 
--- a/packages/language/tests/ParserTest.cpp
+++ b/packages/language/tests/ParserTest.cpp
@@ -299,6 +299,8 @@
       Case{ "HOLD s ITEM \"i\" QUANTITY 1", 27, "MEMBER" },
       Case{ "ALTER SERVICE s", 16, "SET, ADD or DROP" },
       Case{ "ALTER SERVICE s ADD x", 21, "REPLICA or SHARD" },
+      Case{ "CREATE SERVICE s SHARDS ('a')", 26, "a name" },
+      Case{ "CREATE SERVICE s SHARDS ()", 26, "a name" },
       Case{ "DROP s", 6, "SERVICE" },
       Case{ "SHOW x",
             6,
