Refuse repeated searches without a second write

Cause: reading the body through a callback made libcurl send headers and body of each search in two writes. Change: libcurl's callback before each request refuses the second one. The tests that count requests pass unchanged.

--- a/packages/net/src/HttpClient.cpp
+++ b/packages/net/src/HttpClient.cpp
@@ -66,20 +66,19 @@
   HttpClient::Done m_done;
   HttpReply m_reply;
   bool m_tooLarge = false;
-  /** Bytes of the body that libcurl has read, with m_noRepeat. */
-  std::size_t m_bodyRead = 0;
+  /** libcurl has begun to send the request, with m_noRepeat. */
+  bool m_started = false;
 };
 
-// Without a seek function libcurl cannot send the body a second time, so that
-// a broken connection fails the request.
-std::size_t
-ReadBody(char* aBuffer, std::size_t aSize, std::size_t aCount, void* aTransfer)
+// libcurl calls this before it sends the request, also when it repeats one. Its
+// fixed signature has plain addresses and ports.
+int
+OnSend(void* aTransfer, char*, char*, int, int)
 {
   auto& transfer = *static_cast<Transfer*>(aTransfer);
-  const std::size_t bytes = transfer.m_request.m_body.copy(
-    aBuffer, aSize * aCount, transfer.m_bodyRead);
-  transfer.m_bodyRead += bytes;
-  return bytes;
+  const bool repeated = transfer.m_started;
+  transfer.m_started = true;
+  return repeated ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
 std::size_t
@@ -273,31 +272,29 @@
       1,
       std::chrono::ceil<std::chrono::milliseconds>(request.m_timeout).count());
     curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS, milliseconds);
-    SetMethod(handle, aTransfer);
+    SetMethod(handle, request);
+    if (request.m_noRepeat) {
+      curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, OnSend);
+      curl_easy_setopt(handle, CURLOPT_PREREQDATA, &aTransfer);
+    }
     if (request.m_freshConnection) {
       curl_easy_setopt(handle, CURLOPT_FRESH_CONNECT, 1L);
       curl_easy_setopt(handle, CURLOPT_FORBID_REUSE, 1L);
     }
   }
 
-  static void SetMethod(CURL* aHandle, Transfer& aTransfer)
+  static void SetMethod(CURL* aHandle, const HttpRequest& aRequest)
   {
-    const HttpRequest& request = aTransfer.m_request;
-    if (request.m_method == HttpMethod::Get) {
+    if (aRequest.m_method == HttpMethod::Get) {
       curl_easy_setopt(aHandle, CURLOPT_HTTPGET, 1L);
       return;
     }
     curl_easy_setopt(aHandle, CURLOPT_POST, 1L);
     curl_easy_setopt(aHandle,
                      CURLOPT_POSTFIELDSIZE_LARGE,
-                     static_cast<curl_off_t>(request.m_body.size()));
-    if (request.m_noRepeat) {
-      curl_easy_setopt(aHandle, CURLOPT_READFUNCTION, ReadBody);
-      curl_easy_setopt(aHandle, CURLOPT_READDATA, &aTransfer);
-    } else {
-      curl_easy_setopt(aHandle, CURLOPT_POSTFIELDS, request.m_body.c_str());
-    }
-    if (request.m_method == HttpMethod::Put) {
+                     static_cast<curl_off_t>(aRequest.m_body.size()));
+    curl_easy_setopt(aHandle, CURLOPT_POSTFIELDS, aRequest.m_body.c_str());
+    if (aRequest.m_method == HttpMethod::Put) {
       curl_easy_setopt(aHandle, CURLOPT_CUSTOMREQUEST, "PUT");
     }
   }
