Hash in one place

Cause: FNV-1a stood in the crash guard, the command keys and the host ranking, the last two with the same finaliser and the same rendezvous ranking. Change: StableHash in the core; the ranking of a key range calls the one of a key. The values are the same, so that hosts of both versions agree.

--- a/packages/control/src/CommandKey.cpp
+++ b/packages/control/src/CommandKey.cpp
@@ -1,6 +1,9 @@
 #include "CommandKey.h"
 
+#include "Rendezvous.h"
+
 #include <goldcrestkeel/Control.h>
+#include <goldcrestkeel/core/StableHash.h>
 
 #include <algorithm>
 #include <charconv>
@@ -12,30 +15,6 @@
 constexpr std::size_t kMaxTimeDigits = 15;
 constexpr std::size_t kMaxRandomLength = 64;
 
-// FNV-1a with a final mix. The value must be the same on all hosts and in all
-// builds, which std::hash does not promise.
-constexpr std::uint64_t kFnvOffset = 0xcbf29ce484222325ULL;
-constexpr std::uint64_t kFnvPrime = 0x100000001b3ULL;
-
-std::uint64_t
-Add(std::uint64_t aHash, std::string_view aText)
-{
-  for (const char letter : aText) {
-    aHash = (aHash ^ static_cast<unsigned char>(letter)) * kFnvPrime;
-  }
-  return aHash;
-}
-
-// Finaliser of MurmurHash3: FNV-1a alone spreads the last bytes badly over the
-// high bits.
-std::uint64_t
-Mix(std::uint64_t aHash)
-{
-  aHash = (aHash ^ (aHash >> 33)) * 0xff51afd7ed558ccdULL;
-  aHash = (aHash ^ (aHash >> 33)) * 0xc4ceb9fe1a85ec53ULL;
-  return aHash ^ (aHash >> 33);
-}
-
 bool
 IsDigit(char aLetter)
 {
@@ -74,25 +53,15 @@
 std::uint32_t
 RangeOfKey(std::string_view aKey)
 {
-  return static_cast<std::uint32_t>(Mix(Add(kFnvOffset, aKey)) %
+  return static_cast<std::uint32_t>(StableHash().Add(aKey).Mixed() %
                                     kCommandRanges);
 }
 
 std::vector<std::string>
 RankHosts(std::uint32_t aRange, const std::vector<std::string>& aHosts)
 {
-  std::vector<std::pair<std::uint64_t, std::string>> ranked;
-  ranked.reserve(aHosts.size());
-  const std::string range = std::to_string(aRange) + "/";
-  for (const std::string& host : aHosts) {
-    ranked.emplace_back(Mix(Add(Add(kFnvOffset, range), host)), host);
-  }
-  std::sort(ranked.begin(), ranked.end(), std::greater<>());
-  std::vector<std::string> hosts;
-  hosts.reserve(ranked.size());
-  for (auto& [weight, host] : ranked) {
-    hosts.push_back(std::move(host));
-  }
+  std::vector<std::string> hosts = aHosts;
+  RankHosts(std::to_string(aRange), hosts);
   return hosts;
 }
 
@@ -100,8 +69,11 @@
 FingerprintOf(const Command& aCommand)
 {
   const std::string length = std::to_string(aCommand.m_service.size()) + ":";
-  return Mix(
-    Add(Add(Add(kFnvOffset, length), aCommand.m_service), aCommand.m_body));
+  return StableHash()
+    .Add(length)
+    .Add(aCommand.m_service)
+    .Add(aCommand.m_body)
+    .Mixed();
 }
 
 } // namespace goldcrestkeel
--- a/packages/core/include/goldcrestkeel/Core.h
+++ b/packages/core/include/goldcrestkeel/Core.h
@@ -6,5 +6,6 @@
 #include <goldcrestkeel/core/Invariant.h>
 #include <goldcrestkeel/core/QueryEngine.h>
 #include <goldcrestkeel/core/Random.h>
+#include <goldcrestkeel/core/StableHash.h>
 #include <goldcrestkeel/core/Time.h>
 #include <goldcrestkeel/core/Topology.h>
--- a/packages/core/src/CrashGuard.cpp
+++ b/packages/core/src/CrashGuard.cpp
@@ -1,5 +1,7 @@
 #include "CrashGuard.h"
 
+#include <goldcrestkeel/core/StableHash.h>
+
 #include <algorithm>
 
 namespace goldcrestkeel {
@@ -14,9 +16,6 @@
 /** Entries kept; suspects that are not quarantined are dropped first. */
 constexpr std::size_t kMaxEntries = 10000;
 
-constexpr std::uint64_t kFnvOffset = 14695981039346656037ULL;
-constexpr std::uint64_t kFnvPrime = 1099511628211ULL;
-
 bool
 IsSpace(char aCharacter)
 {
@@ -25,31 +24,26 @@
 
 } // namespace
 
-// FNV-1a: hosts exchange fingerprints, so that std::hash, which may differ
-// between builds, does not do.
 std::uint64_t
 Fingerprint(std::string_view aStatement)
 {
-  std::uint64_t hash = kFnvOffset;
+  StableHash hash;
   bool space = false;
   bool started = false;
-  const auto add = [&](char aCharacter) {
-    hash = (hash ^ static_cast<unsigned char>(aCharacter)) * kFnvPrime;
-  };
   for (char character : aStatement) {
     if (IsSpace(character)) {
       space = started;
       continue;
     }
     if (space) {
-      add(' ');
+      hash.Add(' ');
       space = false;
     }
     started = true;
     const bool upper = character >= 'A' && character <= 'Z';
-    add(upper ? static_cast<char>(character - 'A' + 'a') : character);
+    hash.Add(upper ? static_cast<char>(character - 'A' + 'a') : character);
   }
-  return hash;
+  return hash.Value();
 }
 
 void
