Close idle caller connections when new ones are no longer taken

Ruled out: a late readiness answer; the load balancer had left the host 3 s before. Idle connections now close 2.8 s after the signal, with the listener.

--- a/packages/edge/src/EdgeServer.cpp
+++ b/packages/edge/src/EdgeServer.cpp
@@ -26,7 +26,8 @@
  *  already taken: a one-way delay of 3 ms each, and some processing. */
 constexpr Duration kCallerTransit{ 12000 };
 /** The load balancer asks once a second and needs two misses. New connections
- *  are taken for this long after the start of a shutdown. */
+ *  and requests on kept ones are taken for this long after the start of a
+ *  shutdown; what is taken later could not be finished in the grace time. */
 constexpr Duration kAcceptWhileStopping{ 2800000 };
 /** The process ends this long before the platform kills it. */
 constexpr Duration kGraceMargin{ 350000 };
@@ -134,6 +135,7 @@
   void CheckSessions();
   void ArmForwarder();
   void CheckStopped();
+  void CloseIdleSessions();
   bool IsReady() const;
   void ReplyError(CallerSession& aSession,
                   ErrorKind aKind,
@@ -587,6 +589,7 @@
   if (m_listener.IsOpen()) {
     m_acceptable->Stop();
     m_listener.Close();
+    CloseIdleSessions();
   }
   if ((m_sessions.empty() && m_open.empty()) || now >= m_stopAt) {
     m_log.Write(
@@ -598,6 +601,20 @@
   }
 }
 
+void
+EdgeServer::Impl::CloseIdleSessions()
+{
+  std::vector<CallerSession*> idle;
+  for (const auto& [id, session] : m_sessions) {
+    if (session->IsIdle()) {
+      idle.push_back(session.get());
+    }
+  }
+  for (CallerSession* session : idle) {
+    session->Close();
+  }
+}
+
 EdgeServer::EdgeServer(Loop& aLoop,
                        DecisionLog& aLog,
                        const EdgeSettings& aSettings,
