--- a/packages/forward/src/Forwarder.cpp
+++ b/packages/forward/src/Forwarder.cpp
@@ -22,6 +22,11 @@
  *  again. The users' limit for work without a caller is 500 ms. */
 constexpr Duration kAbandonedRun{ 300000 };
 
+/** A caller measures from the start of its connection to the end of the answer:
+ *  four one-way delays of 3 ms, and some processing. What is there of a
+ * gathered answer leaves this long before the target. */
+constexpr Duration kTargetMargin{ 16000 };
+
 bool
 IsSuccess(const ReplicaAnswer& aAnswer)
 {
@@ -120,7 +125,10 @@
   }
   AddTimer(aRequest.m_deadline, ForwardTimer::Deadline, aRequest.m_id);
   if (route.m_gather) {
-    AddTimer(aNow + route.m_target, ForwardTimer::Target, aRequest.m_id);
+    AddTimer(aNow +
+               std::max(route.m_target / 2, route.m_target - kTargetMargin),
+             ForwardTimer::Target,
+             aRequest.m_id);
   }
   for (std::uint32_t leg = 0; leg < services.size(); ++leg) {
     Dispatch(aNow, forward, leg, CopyReason::First);
