--- a/packages/forward/src/BackendPool.cpp
+++ b/packages/forward/src/BackendPool.cpp
@@ -30,6 +30,8 @@
 constexpr double kFailurePenalty = 6;
 /** Factor of the expected time of a replica that has just started. */
 constexpr double kColdFactor = 1.6;
+/** Part of the service time that each request beside it costs a request. */
+constexpr double kBusyFactor = 0.3;
 /** Random part of a score, so that hosts do not all choose the same one. */
 constexpr double kScoreNoise = 0.1;
 /** Latency that is assumed before the first answer, in microseconds. */
@@ -252,10 +254,10 @@
                      });
 }
 
-double
-BackendPool::Score(TimePoint aNow,
-                   const BackendGroup& aGroup,
-                   const PooledReplica& aReplica)
+Duration
+BackendPool::Expected(TimePoint aNow,
+                      const BackendGroup& aGroup,
+                      const PooledReplica& aReplica) const
 {
   const double usual =
     aGroup.m_latency > 0 ? aGroup.m_latency : kFirstLatencyUs;
@@ -273,11 +275,26 @@
   const double others =
     Decayed(std::max(0.0, reported), aNow - aReplica.m_loadAt, kLoadMemoryUs);
   const double slots = std::max(1U, aReplica.m_record.m_slots);
-  const double load = (aReplica.m_inFlight + others) / slots;
+  // A request waits for all that is there beyond the slots but one. Below that,
+  // replicas still slow down as they fill.
+  const double load = aReplica.m_inFlight + others;
+  const double waiting = std::max(0.0, load + 1 - slots);
+  const double expected =
+    latency * (1 + waiting / slots + kBusyFactor * load / slots);
+  return Duration(static_cast<Duration::rep>(expected));
+}
+
+double
+BackendPool::Score(TimePoint aNow,
+                   const BackendGroup& aGroup,
+                   const PooledReplica& aReplica)
+{
+  const double expected =
+    static_cast<double>(Expected(aNow, aGroup, aReplica).count());
   const double failures = Decayed(
     aReplica.m_failures, aNow - aReplica.m_failuresAt, kFailureMemoryUs);
   const double cold = aNow < aReplica.m_warmAt ? kColdFactor : 1;
-  return latency * (1 + load) * (1 + kFailurePenalty * failures) * cold *
+  return expected * (1 + kFailurePenalty * failures) * cold *
          (1 + kScoreNoise * m_random.Unit());
 }
 
@@ -301,6 +318,11 @@
     return;
   }
   double sample = static_cast<double>(aLatency.count());
+  if (aAnswer.m_load && aAnswer.m_load->m_slots > 0) {
+    // What waits behind the request now also waited before it.
+    sample /= 1 + static_cast<double>(aAnswer.m_load->m_waiting) /
+                    aAnswer.m_load->m_slots;
+  }
   if (aReplica.m_latency > 0) {
     sample = std::min(sample, kLargestSample * aReplica.m_latency);
     aReplica.m_latency += kLatencyWeight * (sample - aReplica.m_latency);
--- a/packages/forward/src/BackendPool.h
+++ b/packages/forward/src/BackendPool.h
@@ -48,7 +48,9 @@
   /** The address holds another replica, or another start of this one. */
   bool m_gone = false;
 
-  /** Moving average in microseconds; 0 before the first sample. */
+  /** Moving average of the time that the replica needs for a request that does
+   *  not wait there, the way included, in microseconds; 0 before the first
+   *  sample. */
   double m_latency = 0;
   TimePoint m_latencyAt;
   /** Moving average of the share of copies that failed. */
@@ -127,6 +129,11 @@
     const std::vector<std::string>& aExclude,
     ReplicaTier aWorst);
 
+  /** Time until the answer to a copy that is sent to aReplica now. */
+  Duration Expected(TimePoint aNow,
+                    const BackendGroup& aGroup,
+                    const PooledReplica& aReplica) const;
+
   /** Whether a replica of aGroup could take a request now or soon. */
   static bool IsServed(TimePoint aNow,
                        const BackendGroup& aGroup,
--- a/packages/forward/src/Forwarder.cpp
+++ b/packages/forward/src/Forwarder.cpp
@@ -125,10 +125,9 @@
   }
   AddTimer(aRequest.m_deadline, ForwardTimer::Deadline, aRequest.m_id);
   if (route.m_gather) {
-    AddTimer(aNow +
-               std::max(route.m_target / 2, route.m_target - kTargetMargin),
-             ForwardTimer::Target,
-             aRequest.m_id);
+    forward.m_targetAt =
+      aNow + std::max(route.m_target / 2, route.m_target - kTargetMargin);
+    AddTimer(forward.m_targetAt, ForwardTimer::Target, aRequest.m_id);
   }
   for (std::uint32_t leg = 0; leg < services.size(); ++leg) {
     Dispatch(aNow, forward, leg, CopyReason::First);
@@ -165,9 +164,6 @@
     return;
   }
   ForwardLeg& leg = running->second->m_legs[copy.m_leg];
-  if (leg.m_sent > 0) {
-    copy.m_group->m_budget.AddRepeat(aNow);
-  }
   ++leg.m_sent;
 }
 
@@ -186,7 +182,9 @@
   const Duration latency = aNow - copy.m_sentAt.value_or(copy.m_startedAt);
   BackendPool::RecordAnswer(aNow, *copy.m_group, replica, latency, aAnswer);
   const bool success = IsSuccess(aAnswer);
-  BackendPool::RecordOutcome(aNow, replica, !success);
+  if (aNow < copy.m_deadline) {
+    BackendPool::RecordOutcome(aNow, replica, !success);
+  }
   if (success) {
     copy.m_profile->Add(latency);
   }
--- a/packages/forward/src/ForwarderDispatch.cpp
+++ b/packages/forward/src/ForwarderDispatch.cpp
@@ -89,6 +89,13 @@
   copy.m_profile = aForward.m_profile;
   copy.m_fingerprint = aForward.m_request.m_fingerprint;
   copy.m_startedAt = aNow;
+  copy.m_deadline = aForward.m_request.m_deadline;
+  if (aForward.m_request.m_route->m_gather && !aForward.m_pastTarget) {
+    // The answer leaves without this shard then, if others are enough; work on
+    // it would only delay other requests.
+    copy.m_deadline = std::min(copy.m_deadline, aForward.m_targetAt);
+  }
+  const TimePoint deadline = copy.m_deadline;
   m_copies.emplace(id, copy);
   ++aReplica->m_inFlight;
   leg.m_state = ForwardLeg::State::Running;
@@ -96,6 +103,11 @@
   leg.m_tried.push_back(aReplica->m_record.m_id);
   ++aForward.m_copies;
   ++m_counters.m_copies;
+  if (leg.m_sent > 0) {
+    // Counted before it is sent, so that no other copy takes its place in the
+    // budget meanwhile.
+    leg.m_group->m_budget.AddRepeat(aNow);
+  }
   if (aReason == CopyReason::Hedge) {
     ++m_counters.m_hedges;
   } else if (aReason == CopyReason::Retry) {
@@ -110,10 +122,7 @@
             aNow - aForward.m_startedAt);
   }
   AddTimer(aNow + LateAfter(aForward), ForwardTimer::Late, id);
-  m_sink.SendCopy(id,
-                  aForward.m_request.m_id,
-                  aReplica->m_record,
-                  aForward.m_request.m_deadline);
+  m_sink.SendCopy(id, aForward.m_request.m_id, aReplica->m_record, deadline);
 }
 
 void
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -43,6 +43,8 @@
   LatencyProfile* m_profile = nullptr;
   std::uint64_t m_fingerprint = 0;
   TimePoint m_startedAt;
+  /** When the replica stops working on it. */
+  TimePoint m_deadline;
   std::optional<TimePoint> m_sentAt;
   bool m_late = false;
   /** The result is no longer needed. */
@@ -81,7 +83,9 @@
   std::uint32_t m_answered = 0;
   std::uint32_t m_failed = 0;
   std::uint32_t m_copies = 0;
-  /** The time within which the caller wants the answer has passed. */
+  /** When what is there is sent, if it is enough. */
+  TimePoint m_targetAt;
+  /** m_targetAt has passed. */
   bool m_pastTarget = false;
   LatencyProfile* m_profile = nullptr;
 };
--- a/packages/forward/src/RepeatBudget.cpp
+++ b/packages/forward/src/RepeatBudget.cpp
@@ -6,6 +6,9 @@
 
 /** Parts of the window that are counted together. */
 constexpr int kSlices = 20;
+/** Part of the limit that is used: a slice is counted until its youngest entry
+ *  has left the window, and copies arrive later than they are counted. */
+constexpr double kUsedShare = 0.9;
 
 } // namespace
 
@@ -34,20 +37,22 @@
 RepeatBudget::Allows(TimePoint aNow, double aReserve)
 {
   Current(aNow);
-  const double limit = (m_ratio * m_requests + m_slack) * (1 - aReserve);
+  const double limit =
+    (m_ratio * m_requests + m_slack) * kUsedShare * (1 - aReserve);
   return m_repeats + 1 <= limit;
 }
 
 RepeatBudget::Slice&
 RepeatBudget::Current(TimePoint aNow)
 {
-  while (!m_slices.empty() && m_slices.front().m_start + m_window <= aNow) {
+  const Duration slice = m_window / kSlices;
+  while (!m_slices.empty() &&
+         m_slices.front().m_start + m_window + slice <= aNow) {
     m_requests -= m_slices.front().m_requests;
     m_repeats -= m_slices.front().m_repeats;
     m_slices.pop_front();
   }
-  if (m_slices.empty() ||
-      m_slices.back().m_start + m_window / kSlices <= aNow) {
+  if (m_slices.empty() || m_slices.back().m_start + slice <= aNow) {
     m_slices.push_back({ aNow });
   }
   return m_slices.back();
