Prefer replicas that are near

Replicas of another data centre of the region now count 1.3 times, those of another region 1.8 times their expected time.

--- a/packages/edge/include/goldcrestkeel/edge/EdgeSettings.h
+++ b/packages/edge/include/goldcrestkeel/edge/EdgeSettings.h
@@ -2,6 +2,7 @@
 
 #include <goldcrestkeel/core/Time.h>
 
+#include <map>
 #include <string>
 #include <string_view>
 
@@ -12,6 +13,8 @@
 {
   std::string m_hostId;
   std::string m_dataCentre;
+  /** Region of each data centre. */
+  std::map<std::string, std::string> m_regions;
 
   /** Address that callers connect to. */
   std::string m_callerAddress;
--- a/packages/edge/src/EdgeServer.cpp
+++ b/packages/edge/src/EdgeServer.cpp
@@ -209,6 +209,7 @@
 {
   ForwarderOptions options;
   options.m_dataCentre = aSettings.m_dataCentre;
+  options.m_regions = aSettings.m_regions;
   options.m_repeatRatio = aSettings.m_repeatRatio;
   options.m_repeatSlack = aSettings.m_repeatSlack;
   options.m_repeatWindow = aSettings.m_repeatWindow;
--- a/packages/edge/src/EdgeSettings.cpp
+++ b/packages/edge/src/EdgeSettings.cpp
@@ -37,6 +37,26 @@
     aValue = value->get<std::string>();
   }
 
+  void Texts(const std::string& aPath,
+             std::map<std::string, std::string>& aValues)
+  {
+    const json* value = Find(aPath, false);
+    if (!value) {
+      return;
+    }
+    if (!value->is_object()) {
+      Fault(aPath, "must be an object of texts");
+      return;
+    }
+    for (const auto& [name, member] : value->items()) {
+      if (member.is_string()) {
+        aValues[name] = member.get<std::string>();
+      } else {
+        Fault(aPath + "/" + name, "must be a text");
+      }
+    }
+  }
+
   void Number(const std::string& aPath, double& aValue, double aMax)
   {
     const json* value = Find(aPath, false);
@@ -114,6 +134,7 @@
   Reader reader(document);
   reader.Text("/host/id", settings.m_hostId, true);
   reader.Text("/host/data_centre", settings.m_dataCentre, true);
+  reader.Texts("/regions", settings.m_regions);
   reader.Text("/listen/callers", settings.m_callerAddress, true);
   reader.Text("/listen/readiness", settings.m_readinessAddress, true);
   reader.Text("/listen/metrics", settings.m_metricsAddress, false);
--- a/packages/forward/include/goldcrestkeel/forward/Forwarder.h
+++ b/packages/forward/include/goldcrestkeel/forward/Forwarder.h
@@ -7,6 +7,7 @@
 #include <goldcrestkeel/forward/RoutingTable.h>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -122,6 +123,8 @@
 struct ForwarderOptions
 {
   std::string m_dataCentre;
+  /** Region of each data centre. */
+  std::map<std::string, std::string> m_regions;
   /** Repeats allowed for each service over all hosts: this share of its
    *  requests plus m_repeatSlack in each m_repeatWindow. */
   double m_repeatRatio = 0.2;
--- a/packages/forward/src/BackendPool.cpp
+++ b/packages/forward/src/BackendPool.cpp
@@ -30,6 +30,10 @@
 constexpr double kFailurePenalty = 6;
 /** Factor of the expected time of a replica that has just started. */
 constexpr double kColdFactor = 1.6;
+/** Factors of the expected time of replicas in other data centres: traffic
+ *  between them costs more, most of all between regions. */
+constexpr double kSameRegionFactor = 1.3;
+constexpr double kOtherRegionFactor = 1.8;
 /** Part of the service time that each request beside it costs a request. */
 constexpr double kBusyFactor = 0.3;
 /** Random part of a score, so that hosts do not all choose the same one. */
@@ -42,6 +46,20 @@
 /** A replica that does not answer is tried again after at most this time. */
 constexpr Duration kLongestBlock{ 2000000 };
 
+double
+FarFactor(Distance aDistance)
+{
+  switch (aDistance) {
+    case Distance::SameDataCentre:
+      return 1;
+    case Distance::SameRegion:
+      return kSameRegionFactor;
+    case Distance::OtherRegion:
+      return kOtherRegionFactor;
+  }
+  return 1;
+}
+
 double
 Decayed(double aValue, Duration aAge, double aMemoryUs)
 {
@@ -81,6 +99,20 @@
   }
 }
 
+Distance
+BackendPool::DistanceTo(const std::string& aDataCentre) const
+{
+  if (aDataCentre == m_options.m_dataCentre) {
+    return Distance::SameDataCentre;
+  }
+  const auto here = m_options.m_regions.find(m_options.m_dataCentre);
+  const auto there = m_options.m_regions.find(aDataCentre);
+  const bool same = here != m_options.m_regions.end() &&
+                    there != m_options.m_regions.end() &&
+                    here->second == there->second;
+  return same ? Distance::SameRegion : Distance::OtherRegion;
+}
+
 void
 BackendPool::UpdateShare(BackendGroup& aGroup) const
 {
@@ -114,7 +146,7 @@
   const bool wasDraining = replica->m_listed && replica->m_record.m_draining;
   replica->m_record = aRecord;
   replica->m_listed = true;
-  replica->m_nearDataCentre = aRecord.m_dataCentre == m_options.m_dataCentre;
+  replica->m_distance = DistanceTo(aRecord.m_dataCentre);
   replica->m_warmAt = aNow + aRecord.m_warmupLeft;
   if (!aRecord.m_draining) {
     replica->m_usableUntil.reset();
@@ -266,7 +298,7 @@
     latency += Decayed(aReplica.m_latency - usual,
                        aNow - aReplica.m_latencyAt,
                        kLatencyMemoryUs);
-  } else if (!aReplica.m_nearDataCentre) {
+  } else if (aReplica.m_distance != Distance::SameDataCentre) {
     latency += kFarLatencyUs;
   }
   const double reported = static_cast<double>(aReplica.m_load.m_running) +
@@ -294,7 +326,8 @@
   const double failures = Decayed(
     aReplica.m_failures, aNow - aReplica.m_failuresAt, kFailureMemoryUs);
   const double cold = aNow < aReplica.m_warmAt ? kColdFactor : 1;
-  return expected * (1 + kFailurePenalty * failures) * cold *
+  return expected * FarFactor(aReplica.m_distance) *
+         (1 + kFailurePenalty * failures) * cold *
          (1 + kScoreNoise * m_random.Unit());
 }
 
--- a/packages/forward/src/BackendPool.h
+++ b/packages/forward/src/BackendPool.h
@@ -30,11 +30,19 @@
   Unusable,
 };
 
+/** How far a replica is from this host. */
+enum class Distance
+{
+  SameDataCentre,
+  SameRegion,
+  OtherRegion,
+};
+
 /** What this host knows of one replica. */
 struct PooledReplica
 {
   ReplicaRecord m_record;
-  bool m_nearDataCentre = false;
+  Distance m_distance = Distance::OtherRegion;
 
   /** Copies sent or waiting for a connection, abandoned ones included. */
   std::uint32_t m_inFlight = 0;
@@ -155,6 +163,7 @@
   double Score(TimePoint aNow,
                const BackendGroup& aGroup,
                const PooledReplica& aReplica);
+  Distance DistanceTo(const std::string& aDataCentre) const;
   void UpdateShare(BackendGroup& aGroup) const;
   void Forget(const std::shared_ptr<PooledReplica>& aReplica);
   void ForgetGone(TimePoint aNow);
