--- a/packages/edge/include/goldcrestkeel/edge/TopologySource.h
+++ b/packages/edge/include/goldcrestkeel/edge/TopologySource.h
@@ -32,8 +32,6 @@
   virtual ~TopologySource() = default;
   /** aListener must outlive the source. */
   virtual void Start(TopologyListener& aListener) = 0;
-  /** This host leaves; the others need not wait for its entry to lapse. */
-  virtual void Leave() = 0;
 };
 
 } // namespace goldcrestkeel
--- a/packages/edge/src/EdgeServer.cpp
+++ b/packages/edge/src/EdgeServer.cpp
@@ -32,7 +32,9 @@
 /** The process ends this long before the platform kills it. */
 constexpr Duration kGraceMargin{ 350000 };
 /** Entry hosts that share the replicas' connections until the source tells. */
-constexpr std::uint32_t kAssumedHosts = 9;
+constexpr std::uint32_t kAssumedHosts = 16;
+/** One host in this many may have joined since the hosts were counted. */
+constexpr std::uint32_t kJoiningHosts = 5;
 
 std::string_view
 PathOf(std::string_view aTarget)
@@ -153,7 +155,6 @@
   EdgeFieldNames m_names;
   ReplicaFieldNames m_replicaNames;
   std::unique_ptr<RandomSource> m_random = MakeSystemRandom();
-  TopologySource& m_source;
   ReplicaConnections m_replicas;
   std::unique_ptr<Forwarder> m_forwarder;
   LoopTimer m_forwardTimer;
@@ -161,6 +162,7 @@
 
   std::shared_ptr<const RoutingTable> m_table;
   bool m_replicasKnown = false;
+  bool m_hostsCounted = false;
 
   Socket m_listener;
   std::optional<Watch> m_acceptable;
@@ -192,7 +194,6 @@
   , m_replicaNames{ aNames.m_requestId,      aNames.m_deadlineMs,
                     aNames.m_targetInstance, aNames.m_stamp,
                     aNames.m_load,           aNames.m_notRun }
-  , m_source(aSource)
   , m_replicas(aLoop, m_replicaNames, *this)
   , m_forwardTimer(aLoop,
                    [this] {
@@ -563,7 +564,12 @@
   m_log.Write(LogWeight::Process,
               "live_hosts",
               { { "hosts", static_cast<std::int64_t>(aHosts) } });
-  m_forwarder->SetLiveHosts(aHosts);
+  // Hosts that have just started are not counted by all others yet, and the
+  // first count of a host that starts with them sees few.
+  const std::uint32_t seen =
+    m_hostsCounted ? aHosts : std::max(aHosts, kAssumedHosts);
+  m_hostsCounted = true;
+  m_forwarder->SetLiveHosts(seen + seen / kJoiningHosts);
 }
 
 void
@@ -577,7 +583,6 @@
   m_stopped = std::move(aDone);
   m_stopAcceptingAt = now + kAcceptWhileStopping;
   m_stopAt = now + m_settings.m_grace - kGraceMargin;
-  m_source.Leave();
 }
 
 void
--- a/packages/forward/src/BackendPool.cpp
+++ b/packages/forward/src/BackendPool.cpp
@@ -32,8 +32,8 @@
 constexpr double kColdFactor = 1.6;
 /** Factors of the expected time of replicas in other data centres: traffic
  *  between them costs more, most of all between regions. */
-constexpr double kSameRegionFactor = 1.3;
-constexpr double kOtherRegionFactor = 1.8;
+constexpr double kSameRegionFactor = 1.5;
+constexpr double kOtherRegionFactor = 2.4;
 /** Part of the service time that each request beside it costs a request. */
 constexpr double kBusyFactor = 0.3;
 /** Random part of a score, so that hosts do not all choose the same one. */
