Spend fewer calls of the store

Pauses between watches now follow the limits for draining and configuration in the settings, and at the first start of a deployment the first list may be stale and the first watch waits until the replicas have entered themselves.

--- a/packages/edge/include/goldcrestkeel/edge/EdgeSettings.h
+++ b/packages/edge/include/goldcrestkeel/edge/EdgeSettings.h
@@ -16,6 +16,10 @@
   /** Region of each data centre. */
   std::map<std::string, std::string> m_regions;
 
+  /** The whole deployment starts for the first time, and its replicas with it.
+   */
+  bool m_firstStart = false;
+
   /** Address that callers connect to. */
   std::string m_callerAddress;
   /** Address at which the load balancer asks whether the host is ready. */
@@ -30,6 +34,11 @@
   double m_repeatRatio = 0.1;
   double m_repeatSlack = 0;
   Duration m_repeatWindow{ 10000000 };
+  /** Time in which a replica that leaves must stop getting requests, and in
+   *  which a new configuration must be in force. Changes that come together are
+   *  read together within a part of it. */
+  Duration m_drainLimit{ 3000000 };
+  Duration m_applyLimit{ 3000000 };
   /** Time between the request to stop and the end of the process. */
   Duration m_grace{ 6000000 };
 
--- a/packages/edge/include/goldcrestkeel/edge/TopologySource.h
+++ b/packages/edge/include/goldcrestkeel/edge/TopologySource.h
@@ -25,6 +25,14 @@
   virtual void OnLiveHosts(std::uint32_t aHosts) = 0;
 };
 
+/** Pause between two reads of changes that must be in force within aLimit: what
+ *  changes meanwhile is read with one call, and each call is paid for. */
+constexpr Duration
+ReadPause(Duration aLimit)
+{
+  return aLimit / 4;
+}
+
 /** Where routes, replicas and entry hosts are learned. */
 class TopologySource
 {
--- a/packages/edge/src/EdgeServer.cpp
+++ b/packages/edge/src/EdgeServer.cpp
@@ -31,6 +31,9 @@
 constexpr Duration kAcceptWhileStopping{ 2800000 };
 /** The process ends this long before the platform kills it. */
 constexpr Duration kGraceMargin{ 350000 };
+/** Longest time for which watches of the store report nothing while it forgets
+ *  its history, and some time for requests that are on their way. */
+constexpr Duration kUnheardTime{ 1350000 };
 /** Entry hosts that share the replicas' connections until the source tells. */
 constexpr std::uint32_t kAssumedHosts = 16;
 /** One host in this many may have joined since the hosts were counted. */
@@ -211,6 +214,10 @@
   ForwarderOptions options;
   options.m_dataCentre = aSettings.m_dataCentre;
   options.m_regions = aSettings.m_regions;
+  options.m_drainingUse = std::max(
+    Duration(0),
+    aSettings.m_drainLimit - ReadPause(aSettings.m_drainLimit) - kUnheardTime);
+  options.m_unlistedUse = options.m_drainingUse;
   options.m_repeatRatio = aSettings.m_repeatRatio;
   options.m_repeatSlack = aSettings.m_repeatSlack;
   options.m_repeatWindow = aSettings.m_repeatWindow;
--- a/packages/edge/src/EdgeSettings.cpp
+++ b/packages/edge/src/EdgeSettings.cpp
@@ -57,6 +57,16 @@
     }
   }
 
+  void Flag(const std::string& aPath, bool& aValue)
+  {
+    const json* value = Find(aPath, false);
+    if (value && !value->is_boolean()) {
+      Fault(aPath, "must be true or false");
+    } else if (value) {
+      aValue = value->get<bool>();
+    }
+  }
+
   void Number(const std::string& aPath, double& aValue, double aMax)
   {
     const json* value = Find(aPath, false);
@@ -73,9 +83,12 @@
 
   void Seconds(const std::string& aPath, Duration& aValue)
   {
-    double seconds = static_cast<double>(aValue.count()) / 1e6;
-    Number(aPath, seconds, kMaxSeconds);
-    aValue = Duration(static_cast<Duration::rep>(seconds * 1e6));
+    Time(aPath, 1e6, aValue);
+  }
+
+  void Milliseconds(const std::string& aPath, Duration& aValue)
+  {
+    Time(aPath, 1e3, aValue);
   }
 
   void ThrowFaults() const
@@ -91,6 +104,14 @@
   }
 
 private:
+  /** aUnit is the unit of the setting in microseconds. */
+  void Time(const std::string& aPath, double aUnit, Duration& aValue)
+  {
+    double value = static_cast<double>(aValue.count()) / aUnit;
+    Number(aPath, value, kMaxSeconds * 1e6 / aUnit);
+    aValue = Duration(static_cast<Duration::rep>(value * aUnit));
+  }
+
   const json* Find(const std::string& aPath, bool aRequired)
   {
     const json::json_pointer pointer(aPath);
@@ -134,6 +155,7 @@
   Reader reader(document);
   reader.Text("/host/id", settings.m_hostId, true);
   reader.Text("/host/data_centre", settings.m_dataCentre, true);
+  reader.Flag("/host/first_start", settings.m_firstStart);
   reader.Texts("/regions", settings.m_regions);
   reader.Text("/listen/callers", settings.m_callerAddress, true);
   reader.Text("/listen/readiness", settings.m_readinessAddress, true);
@@ -142,6 +164,8 @@
   reader.Number("/repeats/ratio", settings.m_repeatRatio, 1);
   reader.Number("/repeats/slack", settings.m_repeatSlack, kMaxSlack);
   reader.Seconds("/repeats/window_s", settings.m_repeatWindow);
+  reader.Milliseconds("/limits/drain_ms", settings.m_drainLimit);
+  reader.Milliseconds("/limits/apply_ms", settings.m_applyLimit);
   reader.Seconds("/shutdown/grace_s", settings.m_grace);
   reader.ThrowFaults();
   return settings;
--- a/packages/forward/src/BackendPool.cpp
+++ b/packages/forward/src/BackendPool.cpp
@@ -7,13 +7,6 @@
 
 namespace {
 
-/** A draining replica is used this long if its service has no other. The
- *  users' limit is 3 s from the time of its report, which can be known here
- *  1.7 s late: 1 s while the store's watches hear nothing, and the pause
- * between two of them. */
-constexpr Duration kDrainingUse{ 900000 };
-/** The same for a replica that is not listed any more. */
-constexpr Duration kUnlistedUse{ 1200000 };
 /** Weight of one latency sample. */
 constexpr double kLatencyWeight = 0.2;
 /** A sample counts at most this multiple of the average: a pause of a replica
@@ -152,7 +145,7 @@
   if (!aRecord.m_draining) {
     replica->m_usableUntil.reset();
   } else if (!wasDraining) {
-    replica->m_usableUntil = aNow + kDrainingUse;
+    replica->m_usableUntil = aNow + m_options.m_drainingUse;
   }
 }
 
@@ -165,8 +158,9 @@
   }
   PooledReplica& replica = *found->second;
   replica.m_listed = false;
-  replica.m_usableUntil = std::min(
-    replica.m_usableUntil.value_or(aNow + kUnlistedUse), aNow + kUnlistedUse);
+  replica.m_usableUntil =
+    std::min(replica.m_usableUntil.value_or(aNow + m_options.m_unlistedUse),
+             aNow + m_options.m_unlistedUse);
   ForgetGone(aNow);
 }
 
--- a/packages/goldcrestkeeld/src/PlatformHost.cpp
+++ b/packages/goldcrestkeeld/src/PlatformHost.cpp
@@ -47,7 +47,7 @@
   Loop loop(clock);
   DecisionLog log(loop, STDOUT_FILENO, settings.m_hostId);
   HttpCaller store(loop, settings.m_storeAddress);
-  platform::StoreTopology topology(loop, store, log, settings.m_hostId);
+  platform::StoreTopology topology(loop, store, log, settings);
   EdgeServer server(loop, log, settings, platform::FieldNames(), topology);
   log.Write(LogWeight::Process,
             "started",
