Wait for full replicas instead of giving the shard up

A refusing replica now counts as full for 20 ms and may be tried again, and one that reports more than 3 waiting requests a slot gets no more while the report is fresh; requests wait here by priority. Ruled out: silent replicas (none was logged).

--- a/packages/edge/src/EdgeServer.cpp
+++ b/packages/edge/src/EdgeServer.cpp
@@ -29,8 +29,12 @@
  *  and requests on kept ones are taken for this long after the start of a
  *  shutdown; what is taken later could not be finished in the grace time. */
 constexpr Duration kAcceptWhileStopping{ 2800000 };
-/** The process ends this long before the platform kills it. */
-constexpr Duration kGraceMargin{ 350000 };
+/** The process ends this long before the platform kills it; sessions are
+ *  checked 0.25 s apart, and a slow host is late. */
+constexpr Duration kGraceMargin{ 750000 };
+/** Retry-After while the host has no routing table: the store that has it is
+ *  away for seconds. */
+constexpr Duration kNotReadyRetry{ 2000000 };
 /** Longest time for which watches of the store report nothing while it forgets
  *  its history, and some time for requests that are on their way. */
 constexpr Duration kUnheardTime{ 1350000 };
@@ -338,10 +342,8 @@
     return;
   }
   if (!m_table || !m_replicasKnown) {
-    ReplyError(aSession,
-               ErrorKind::NotReady,
-               "no routing table yet",
-               std::chrono::milliseconds(500));
+    ReplyError(
+      aSession, ErrorKind::NotReady, "no routing table yet", kNotReadyRetry);
     return;
   }
   const Route* route = m_table->Find(host, PathOf(aRequest.m_target));
--- a/packages/forward/src/BackendPool.cpp
+++ b/packages/forward/src/BackendPool.cpp
@@ -17,6 +17,12 @@
 constexpr double kLatencyMemoryUs = 5e6;
 constexpr double kFailureMemoryUs = 3e6;
 constexpr double kLoadMemoryUs = 300e3;
+/** A replica with more waiting requests than this for each slot gets no further
+ *  ones while its report is this fresh. */
+constexpr std::uint32_t kLongQueue = 3;
+constexpr Duration kLoadReportValid{ 60000 };
+/** Pause after a replica refused for lack of room. */
+constexpr Duration kFullPause{ 20000 };
 constexpr double kFailureWeight = 0.15;
 /** Share of failures from which on other replicas are preferred. */
 constexpr double kDoubtfulFailures = 0.3;
@@ -60,6 +66,18 @@
   return aValue * std::exp(-static_cast<double>(aAge.count()) / aMemoryUs);
 }
 
+// Requests that wait here can still go to another replica, or be left out.
+bool
+HasLongQueue(TimePoint aNow, const PooledReplica& aReplica)
+{
+  if (aNow < aReplica.m_fullUntil) {
+    return true;
+  }
+  return aNow - aReplica.m_loadAt < kLoadReportValid &&
+         aReplica.m_load.m_waiting >
+           kLongQueue * std::max(1U, aReplica.m_load.m_slots);
+}
+
 bool
 Contains(const std::vector<std::string>& aIds, const std::string& aId)
 {
@@ -229,7 +247,7 @@
   if (aReplica.m_usableUntil && aNow >= *aReplica.m_usableUntil) {
     return ReplicaTier::Unusable;
   }
-  if (aReplica.m_inFlight >= aGroup.m_share) {
+  if (aReplica.m_inFlight >= aGroup.m_share || HasLongQueue(aNow, aReplica)) {
     return probing ? ReplicaTier::Unusable : ReplicaTier::Full;
   }
   if (aReplica.m_usableUntil) {
@@ -343,6 +361,7 @@
     aReplica.m_loadAt = aNow;
   }
   if (aAnswer.m_notRun) {
+    aReplica.m_fullUntil = aNow + kFullPause;
     return;
   }
   double sample = static_cast<double>(aLatency.count());
--- a/packages/forward/src/BackendPool.h
+++ b/packages/forward/src/BackendPool.h
@@ -70,6 +70,9 @@
   std::uint32_t m_ownAtReport = 0;
   TimePoint m_loadAt;
 
+  /** The replica has refused a request for lack of room. */
+  TimePoint m_fullUntil;
+
   TimePoint m_warmAt;
 
   /** A silent replica gets one copy at a time until it answers. */
--- a/packages/forward/src/Forwarder.cpp
+++ b/packages/forward/src/Forwarder.cpp
@@ -16,8 +16,6 @@
                                                         "retry",
                                                         "move" };
 
-/** Pause after a replica refused for lack of room. */
-constexpr Duration kFullBlock{ 20000 };
 /** Time that an abandoned copy may run on so that its connection can be used
  *  again. The users' limit for work without a caller is 500 ms. */
 constexpr Duration kAbandonedRun{ 300000 };
@@ -190,8 +188,6 @@
   }
   if (aAnswer.m_otherInstance) {
     replica.m_gone = true;
-  } else if (aAnswer.m_notRun) {
-    BackendPool::Block(aNow, replica, kFullBlock);
   }
   const auto running = m_running.find(copy.m_request);
   if (running != m_running.end() && !copy.m_abandoned) {
@@ -202,6 +198,8 @@
     } else {
       if (aAnswer.m_notRun || aAnswer.m_otherInstance) {
         ++leg.m_notRun;
+        // It may have room again before others have.
+        std::erase(leg.m_tried, replica.m_record.m_id);
       } else {
         leg.m_hasFailureAnswer = !aAnswer.m_stamp.empty();
         leg.m_answer = std::move(aAnswer);
@@ -288,6 +286,9 @@
         }
         continue;
       }
+      case ForwardTimer::Wait:
+        LookAgain(aNow, timer.m_id);
+        continue;
       case ForwardTimer::Target:
       case ForwardTimer::Deadline:
         break;
--- a/packages/forward/src/ForwarderDispatch.cpp
+++ b/packages/forward/src/ForwarderDispatch.cpp
@@ -23,6 +23,8 @@
 /** Copies beyond the attempts of the route, for those that replicas proved not
  *  to have run. */
 constexpr std::uint32_t kExtraSends = 2;
+/** Waiting requests look for a replica at each answer, and this often. */
+constexpr Duration kLookAgain{ 20000 };
 /** First pause after a replica was found to be silent. */
 constexpr Duration kSilentBlock{ 250000 };
 
@@ -126,7 +128,9 @@
 }
 
 void
-ForwarderImpl::Wait(TimePoint, RunningForward& aForward, std::uint32_t aLeg)
+ForwarderImpl::Wait(TimePoint aNow,
+                    RunningForward& aForward,
+                    std::uint32_t aLeg)
 {
   ForwardLeg& leg = aForward.m_legs[aLeg];
   if (leg.m_state == ForwardLeg::State::Waiting) {
@@ -144,6 +148,26 @@
              std::pair(entry.m_priority, entry.m_deadline);
     });
   waiting.insert(after, entry);
+  AddTimer(aNow + kLookAgain, ForwardTimer::Wait, aForward.m_request.m_id);
+}
+
+void
+ForwarderImpl::LookAgain(TimePoint aNow, ForwardId aRequest)
+{
+  const auto running = m_running.find(aRequest);
+  if (running == m_running.end()) {
+    return;
+  }
+  bool waits = false;
+  for (const ForwardLeg& leg : running->second->m_legs) {
+    if (leg.m_state == ForwardLeg::State::Waiting) {
+      ServeWaiting(aNow, *leg.m_group);
+      waits = waits || leg.m_state == ForwardLeg::State::Waiting;
+    }
+  }
+  if (waits) {
+    AddTimer(aNow + kLookAgain, ForwardTimer::Wait, aRequest);
+  }
 }
 
 void
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -98,6 +98,8 @@
   Silent,
   /** The abandoned copy is closed. */
   Abandon,
+  /** The legs of the request that wait for a replica look again. */
+  Wait,
   Target,
   Deadline,
 };
@@ -164,6 +166,7 @@
                  const ForwardLeg& aLeg,
                  CopyReason aReason);
   Duration LateAfter(const RunningForward& aForward) const;
+  void LookAgain(TimePoint aNow, ForwardId aRequest);
   void CopyIsLate(TimePoint aNow, CopyId aCopy);
   void CopyIsSilent(TimePoint aNow, CopyId aCopy);
   std::string ChooseService(const Route& aRoute);
--- a/packages/forward/tests/ForwarderTest.cpp
+++ b/packages/forward/tests/ForwarderTest.cpp
@@ -115,7 +115,9 @@
   {
     for (std::size_t i = 0; i < fixture.m_sent.size(); ++i) {
       fixture.AnswerWith(fixture.m_sent[i].m_copy, Failure(503, true));
+      fixture.Advance(45ms);
     }
+    REQUIRE(fixture.m_sent.size() == 4);
     const ForwardResult& result = fixture.m_results.at(request);
     REQUIRE(result.m_error == ErrorKind::NoReplica);
     REQUIRE(result.m_retryAfter);
@@ -411,6 +413,38 @@
   }
 }
 
+// Plays a shard that is overloaded: its only replica refuses for lack of room.
+// Such shards used to be given up at once, and with them the request.
+TEST_CASE("A replica that is full is tried again", "[forwarder]")
+{
+  ForwarderFixture fixture;
+  fixture.Use(fixture.SingleRoute(true), 1);
+  const ForwardId request = fixture.Start();
+
+  SECTION("shortly after it refused")
+  {
+    fixture.AnswerWith(fixture.m_sent.back().m_copy, Failure(503, true));
+    REQUIRE(fixture.m_results.empty());
+    fixture.Advance(45ms);
+    REQUIRE(fixture.m_sent.size() == 2);
+    fixture.Answer(fixture.m_sent.back().m_copy);
+    REQUIRE_FALSE(fixture.m_results.at(request).m_error);
+  }
+
+  SECTION("and gets nothing while it reports a long queue")
+  {
+    ReplicaAnswer answer;
+    answer.m_status = 200;
+    answer.m_stamp = "stamp";
+    answer.m_load = LoadReport{ 3, 10, 3 };
+    fixture.AnswerWith(fixture.m_sent.back().m_copy, answer);
+    fixture.Start();
+    REQUIRE(fixture.m_sent.size() == 1);
+    fixture.Advance(85ms);
+    REQUIRE(fixture.m_sent.size() == 2);
+  }
+}
+
 TEST_CASE("Replicas that are near are preferred", "[forwarder]")
 {
   ForwarderFixture fixture;
