--- /dev/null
+++ b/packages/edge/src/EdgeMetrics.cpp
@@ -0,0 +1,103 @@
+#include "EdgeMetrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace goldcrestkeel {
+
+namespace {
+
+/** Around the targets of the users' requests, 0.12 to 0.6 s. */
+const prometheus::Histogram::BucketBoundaries kLatencyBounds{
+  0.01, 0.02, 0.04, 0.08, 0.12, 0.15, 0.2, 0.25, 0.4, 0.6, 1, 2, 4, 8
+};
+
+} // namespace
+
+class EdgeMetrics::Impl
+{
+public:
+  void Set(const std::string& aName, const std::string& aHelp, double aValue)
+  {
+    prometheus::BuildGauge()
+      .Name("goldcrestkeel_edge_" + aName)
+      .Help(aHelp)
+      .Register(m_registry)
+      .Add({})
+      .Set(aValue);
+  }
+
+  prometheus::Registry m_registry;
+  prometheus::Family<prometheus::Counter>& m_answers =
+    prometheus::BuildCounter()
+      .Name("goldcrestkeel_edge_answers_total")
+      .Help("Answers to callers by outcome")
+      .Register(m_registry);
+  prometheus::Family<prometheus::Histogram>& m_latency =
+    prometheus::BuildHistogram()
+      .Name("goldcrestkeel_edge_answer_seconds")
+      .Help("Time from the arrival of a request to its answer")
+      .Register(m_registry);
+};
+
+EdgeMetrics::EdgeMetrics()
+  : m_impl(std::make_unique<Impl>())
+{
+}
+
+EdgeMetrics::~EdgeMetrics() = default;
+
+void
+EdgeMetrics::CountAnswer(std::string_view aOutcome, Duration aTime)
+{
+  const std::map<std::string, std::string> labels{ { "outcome",
+                                                     std::string(aOutcome) } };
+  m_impl->m_answers.Add(labels).Increment();
+  m_impl->m_latency.Add(labels, kLatencyBounds)
+    .Observe(static_cast<double>(aTime.count()) / 1e6);
+}
+
+std::string
+EdgeMetrics::Text(const ForwarderCounters& aCounters, const EdgeGauges& aGauges)
+{
+  Impl& impl = *m_impl;
+  impl.Set(
+    "requests", "Requests forwarded since the start", aCounters.m_requests);
+  impl.Set("copies", "Copies sent to replicas", aCounters.m_copies);
+  impl.Set(
+    "hedges", "Copies sent because others were late", aCounters.m_hedges);
+  impl.Set("retries", "Copies sent because others failed", aCounters.m_retries);
+  impl.Set("hedges_without_budget",
+           "Hedges left out for lack of budget",
+           aCounters.m_hedgesWithoutBudget);
+  impl.Set("partial_answers",
+           "Answers that left shards out",
+           aCounters.m_partialAnswers);
+  impl.Set(
+    "refused", "Requests refused without having run", aCounters.m_refused);
+  impl.Set("table_version", "Routing table in force", aGauges.m_tableVersion);
+  impl.Set(
+    "live_hosts", "Entry hosts counted in the store", aGauges.m_liveHosts);
+  impl.Set("running_requests",
+           "Requests without an answer",
+           static_cast<double>(aGauges.m_runningRequests));
+  impl.Set("caller_connections",
+           "Open connections of callers",
+           static_cast<double>(aGauges.m_callerConnections));
+  impl.Set("replica_connections",
+           "Open connections to replicas",
+           static_cast<double>(aGauges.m_replicaConnections));
+  impl.Set("replica_connections_opened",
+           "Connections to replicas since the start",
+           aGauges.m_replicaConnectionsOpened);
+  impl.Set("log_lines_left_out",
+           "Log lines that were not written",
+           aGauges.m_logLinesLeftOut);
+  impl.Set("ready", "1 while the host reports itself ready", aGauges.m_ready);
+  return prometheus::TextSerializer().Serialize(impl.m_registry.Collect());
+}
+
+} // namespace goldcrestkeel
--- /dev/null
+++ b/packages/edge/src/EdgeMetrics.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <goldcrestkeel/forward/Forwarder.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace goldcrestkeel {
+
+/** Current values that are read when the metrics are asked for. */
+struct EdgeGauges
+{
+  RoutingVersion m_tableVersion = 0;
+  std::uint32_t m_liveHosts = 0;
+  std::size_t m_runningRequests = 0;
+  std::size_t m_callerConnections = 0;
+  std::size_t m_replicaConnections = 0;
+  std::uint64_t m_replicaConnectionsOpened = 0;
+  std::uint64_t m_logLinesLeftOut = 0;
+  bool m_ready = false;
+};
+
+/** Metrics of an entry host in the Prometheus text format. */
+class EdgeMetrics
+{
+public:
+  EdgeMetrics();
+  ~EdgeMetrics();
+
+  /** aOutcome is "ok", "partial" or the name of an error kind. */
+  void CountAnswer(std::string_view aOutcome, Duration aTime);
+
+  std::string Text(const ForwarderCounters& aCounters,
+                   const EdgeGauges& aGauges);
+
+private:
+  class Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace goldcrestkeel
--- a/packages/edge/src/EdgeServer.cpp
+++ b/packages/edge/src/EdgeServer.cpp
@@ -1,7 +1,8 @@
 #include "CallerSession.h"
 #include "CopyWriter.h"
-#include "ReadinessServer.h"
+#include "EdgeMetrics.h"
 #include "ReplicaConnections.h"
+#include "StatusServer.h"
 
 #include <goldcrestkeel/core/StableHash.h>
 #include <goldcrestkeel/edge/EdgeServer.h>
@@ -146,6 +147,8 @@
   void CheckStopped();
   void CloseIdleSessions();
   bool IsReady() const;
+  CallerReply ReadinessReply() const;
+  CallerReply MetricsReply();
   void ReplyError(CallerSession& aSession,
                   ErrorKind aKind,
                   const std::string& aDetail,
@@ -186,7 +189,10 @@
   TimePoint m_stopAt;
   TimePoint m_stopAcceptingAt;
   std::function<void()> m_stopped;
-  ReadinessServer m_readiness;
+  EdgeMetrics m_metrics;
+  StatusServer m_readiness;
+  std::optional<StatusServer> m_metricsServer;
+  std::uint32_t m_liveHosts = 0;
 };
 
 EdgeServer::Impl::Impl(Loop& aLoop,
@@ -212,7 +218,7 @@
   , m_cleanUp(aLoop, [this] { m_endedSessions.clear(); })
   , m_sessionTimer(aLoop, [this] { CheckSessions(); })
   , m_readiness(aLoop, aSettings.m_readinessAddress, [this] {
-    return IsReady();
+    return ReadinessReply();
   })
 {
   ForwarderOptions options;
@@ -227,6 +233,10 @@
   options.m_repeatWindow = aSettings.m_repeatWindow;
   m_forwarder = MakeForwarder(options, *m_random, *this);
   m_forwarder->SetLiveHosts(kAssumedHosts);
+  if (!aSettings.m_metricsAddress.empty()) {
+    m_metricsServer.emplace(
+      aLoop, aSettings.m_metricsAddress, [this] { return MetricsReply(); });
+  }
   m_acceptable.emplace(
     aLoop, m_listener.Get(), Watch::On::Readable, [this] { Accept(); });
   m_acceptable->Start();
@@ -240,6 +250,32 @@
   return m_table && m_replicasKnown && !m_stopping;
 }
 
+CallerReply
+EdgeServer::Impl::ReadinessReply() const
+{
+  CallerReply reply;
+  reply.m_status = IsReady() ? 200 : 503;
+  return reply;
+}
+
+CallerReply
+EdgeServer::Impl::MetricsReply()
+{
+  EdgeGauges gauges;
+  gauges.m_tableVersion = m_table ? m_table->m_version : 0;
+  gauges.m_liveHosts = m_liveHosts;
+  gauges.m_runningRequests = m_open.size();
+  gauges.m_callerConnections = m_sessions.size();
+  gauges.m_replicaConnections = m_replicas.Open();
+  gauges.m_replicaConnectionsOpened = m_replicas.Opened();
+  gauges.m_logLinesLeftOut = m_log.LeftOut();
+  gauges.m_ready = IsReady();
+  CallerReply reply;
+  reply.m_body = m_metrics.Text(m_forwarder->Counters(), gauges);
+  reply.m_fields.emplace_back("Content-Type", "text/plain; version=0.0.4");
+  return reply;
+}
+
 void
 EdgeServer::Impl::Accept()
 {
@@ -429,6 +465,10 @@
                             const ForwardResult& aResult)
 {
   const Duration age = m_loop.Now() - aOpen.m_arrivedAt;
+  m_metrics.CountAnswer(aResult.m_error ? InfoOf(*aResult.m_error).m_name
+                        : aResult.m_missingShards > 0 ? "partial"
+                                                      : "ok",
+                        age);
   m_log.Write(
     LogWeight::Request,
     "answer",
@@ -444,6 +484,8 @@
                         : std::string_view() },
       { "copies", static_cast<std::int64_t>(aResult.m_copies) },
       { "missing_shards", static_cast<std::int64_t>(aResult.m_missingShards) },
+      { "missing", std::string_view(aResult.m_missingNames) },
+      { "detail", std::string_view(aResult.m_detail) },
       { "age_ms", age.count() / 1000.0 } });
 }
 
@@ -573,6 +615,7 @@
   m_log.Write(LogWeight::Process,
               "live_hosts",
               { { "hosts", static_cast<std::int64_t>(aHosts) } });
+  m_liveHosts = aHosts;
   // Hosts that have just started are not counted by all others yet, and the
   // first count of a host that starts with them sees few.
   const std::uint32_t seen =
--- a/packages/edge/src/ReadinessServer.cpp
+++ b/packages/edge/src/StatusServer.cpp
@@ -1,14 +1,14 @@
-#include "ReadinessServer.h"
+#include "StatusServer.h"
 
 #include <utility>
 
 namespace goldcrestkeel {
 
-ReadinessServer::ReadinessServer(Loop& aLoop,
-                                 const std::string& aAddress,
-                                 std::function<bool()> aIsReady)
+StatusServer::StatusServer(Loop& aLoop,
+                           const std::string& aAddress,
+                           std::function<CallerReply()> aAnswer)
   : m_loop(aLoop)
-  , m_isReady(std::move(aIsReady))
+  , m_answer(std::move(aAnswer))
   , m_listener(ListenOn(aAddress))
   , m_acceptable(aLoop,
                  m_listener.Get(),
@@ -20,7 +20,7 @@
 }
 
 void
-ReadinessServer::Accept()
+StatusServer::Accept()
 {
   while (true) {
     Socket socket = AcceptFrom(m_listener);
@@ -35,15 +35,13 @@
 }
 
 void
-ReadinessServer::OnRequest(CallerSession& aSession, WireRequest&&)
+StatusServer::OnRequest(CallerSession& aSession, WireRequest&&)
 {
-  CallerReply reply;
-  reply.m_status = m_isReady() ? 200 : 503;
-  aSession.Reply(std::move(reply));
+  aSession.Reply(m_answer());
 }
 
 void
-ReadinessServer::OnEnd(CallerSession& aSession)
+StatusServer::OnEnd(CallerSession& aSession)
 {
   const auto found = m_sessions.find(aSession.Id());
   if (found != m_sessions.end()) {
--- a/packages/edge/src/ReadinessServer.h
+++ b/packages/edge/src/StatusServer.h
@@ -10,16 +10,15 @@
 
 namespace goldcrestkeel {
 
-/** Answers every GET at its address with 200 while the host is ready, else
- *  with 503. */
-class ReadinessServer : public CallerSession::Owner
+/** Answers every request at its address with what a function returns. */
+class StatusServer : public CallerSession::Owner
 {
 public:
   /** aLoop must outlive the server. Throws std::system_error if the address
    *  cannot be used. */
-  ReadinessServer(Loop& aLoop,
-                  const std::string& aAddress,
-                  std::function<bool()> aIsReady);
+  StatusServer(Loop& aLoop,
+               const std::string& aAddress,
+               std::function<CallerReply()> aAnswer);
 
   CallerLimits Limits() const override { return {}; }
   bool IsStopping() const override { return false; }
@@ -31,7 +30,7 @@
   void Accept();
 
   Loop& m_loop;
-  std::function<bool()> m_isReady;
+  std::function<CallerReply()> m_answer;
   Socket m_listener;
   Watch m_acceptable;
   SessionId m_nextSession = 1;
--- a/packages/forward/include/goldcrestkeel/forward/Forwarder.h
+++ b/packages/forward/include/goldcrestkeel/forward/Forwarder.h
@@ -85,6 +85,9 @@
   bool m_gathered = false;
   std::vector<std::string> m_stamps;
   std::uint32_t m_missingShards = 0;
+  /** Services without a part in the answer, or that failed before an error,
+   *  with commas between them. */
+  std::string m_missingNames;
   std::uint32_t m_copies = 0;
 };
 
--- a/packages/forward/src/ForwarderDispatch.cpp
+++ b/packages/forward/src/ForwarderDispatch.cpp
@@ -300,6 +300,12 @@
   }
   if (!MayRepeat(aNow, forward, leg, CopyReason::Hedge)) {
     ++m_counters.m_hedgesWithoutBudget;
+    Decided("no_hedge",
+            forward,
+            copy.m_group->m_name,
+            copy.m_replica->m_record.m_id,
+            "attempts or budget used",
+            age);
     return;
   }
   SendTo(aNow, forward, position, other, CopyReason::Hedge);
--- a/packages/forward/src/ForwarderFinish.cpp
+++ b/packages/forward/src/ForwarderFinish.cpp
@@ -20,6 +20,18 @@
 /** Tolerance for the product of a share and a number of shards. */
 constexpr double kShareTolerance = 1e-9;
 
+std::string
+UnansweredNames(const RunningForward& aForward)
+{
+  std::string names;
+  for (const ForwardLeg& leg : aForward.m_legs) {
+    if (leg.m_state != ForwardLeg::State::Answered) {
+      names.append(names.empty() ? "" : ",").append(leg.m_group->m_name);
+    }
+  }
+  return names;
+}
+
 } // namespace
 
 std::uint32_t
@@ -177,6 +189,9 @@
                           ForwardResult&& aResult)
 {
   aResult.m_copies = aForward.m_copies;
+  if (aResult.m_missingShards > 0 || aResult.m_error) {
+    aResult.m_missingNames = UnansweredNames(aForward);
+  }
   for (ForwardLeg& leg : aForward.m_legs) {
     AbandonCopies(aNow, leg, kLoserRun);
   }
