Tell the story of a request from logs with gkctl explain

On-call engineers have only logs: explain collects the lines of one request over all hosts, with what happened to the replicas and hosts that they name, in order of time.

--- /dev/null
+++ b/packages/gkctl/src/LogStory.cpp
@@ -0,0 +1,117 @@
+#include "LogStory.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <set>
+
+namespace goldcrestkeel::gkctl {
+
+namespace {
+
+using nlohmann::json;
+
+std::string
+TextOf(const json& aLine, const char* aMember)
+{
+  const auto member = aLine.find(aMember);
+  return member != aLine.end() && member->is_string()
+           ? member->get<std::string>()
+           : std::string();
+}
+
+double
+TimeOf(const json& aLine)
+{
+  return aLine.value("time_ms", 0.0);
+}
+
+} // namespace
+
+LogStory::LogStory(std::string aRequest)
+  : m_request(std::move(aRequest))
+{
+}
+
+void
+LogStory::Read(std::istream& aLog)
+{
+  std::string text;
+  while (std::getline(aLog, text)) {
+    const std::size_t start = text.find('{');
+    if (start == std::string::npos) {
+      continue;
+    }
+    json line = json::parse(text.begin() + static_cast<std::ptrdiff_t>(start),
+                            text.end(),
+                            nullptr,
+                            false);
+    const auto time = line.is_object() ? line.find("time_ms") : line.end();
+    if (line.is_object() && time != line.end() && time->is_number()) {
+      m_lines.push_back(std::move(line));
+    }
+  }
+}
+
+bool
+LogStory::IsOwn(const json& aLine) const
+{
+  return TextOf(aLine, "request") == m_request;
+}
+
+std::vector<json>
+LogStory::Lines(double aMarginMs) const
+{
+  std::set<std::string> replicas;
+  std::set<std::string> hosts;
+  double first = 0;
+  double last = 0;
+  for (const json& line : m_lines) {
+    if (!IsOwn(line)) {
+      continue;
+    }
+    first = hosts.empty() ? TimeOf(line) : std::min(first, TimeOf(line));
+    last = std::max(last, TimeOf(line));
+    hosts.insert(TextOf(line, "host"));
+    replicas.insert(TextOf(line, "replica"));
+  }
+  replicas.erase("");
+  std::vector<json> story;
+  for (const json& line : m_lines) {
+    const bool near =
+      TimeOf(line) >= first - aMarginMs && TimeOf(line) <= last + aMarginMs;
+    const bool ofOther = !TextOf(line, "request").empty();
+    const std::string replica = TextOf(line, "replica");
+    const bool context = !ofOther && hosts.contains(TextOf(line, "host")) &&
+                         (replica.empty() || replicas.contains(replica));
+    if (IsOwn(line) || (near && !hosts.empty() && context)) {
+      story.push_back(line);
+    }
+  }
+  std::stable_sort(
+    story.begin(), story.end(), [](const json& aLeft, const json& aRight) {
+      return TimeOf(aLeft) < TimeOf(aRight);
+    });
+  return story;
+}
+
+std::string
+FormatStoryLine(const json& aLine, double aStartMs)
+{
+  std::array<char, 32> time{};
+  std::snprintf(
+    time.data(), time.size(), "%+10.0f ms  ", TimeOf(aLine) - aStartMs);
+  std::string text(time.data());
+  text += TextOf(aLine, "host") + "  " + TextOf(aLine, "event");
+  for (const auto& [name, value] : aLine.items()) {
+    const bool shown =
+      name != "time_ms" && name != "host" && name != "event" && value != "";
+    if (shown) {
+      text.append("  ").append(name).append("=").append(
+        value.is_string() ? value.get<std::string>() : value.dump());
+    }
+  }
+  return text;
+}
+
+} // namespace goldcrestkeel::gkctl
--- a/packages/gkctl/src/SubCommand.cpp
+++ b/packages/gkctl/src/SubCommand.cpp
@@ -83,6 +83,10 @@
       "SERVICE TEXT...",
       "Send searches or commands at a fixed rate and measure.",
       MakeLoadCommand },
+    { "explain",
+      "REQUEST LOG...",
+      "Tell from the logs of entry hosts what became of a request.",
+      MakeExplainCommand },
   };
   return kTable;
 }
--- a/packages/gkctl/src/SubCommand.h
+++ b/packages/gkctl/src/SubCommand.h
@@ -51,6 +51,8 @@
 MakeAuditCommand();
 std::unique_ptr<SubCommand>
 MakeLoadCommand();
+std::unique_ptr<SubCommand>
+MakeExplainCommand();
 
 /** Runs gkctl with the arguments after the program's name. */
 ExitCode
