--- a/packages/edge/include/goldcrestkeel/edge/HttpCaller.h
+++ b/packages/edge/include/goldcrestkeel/edge/HttpCaller.h
@@ -42,22 +42,30 @@
   std::string m_body;
 };
 
-/** Calls one HTTP/1.1 server, each call on a connection of its own while it
- *  runs. Connections are used again. */
-class HttpCaller
+/** Calls of one HTTP/1.1 service. */
+class HttpService
 {
 public:
   using Done = std::function<void(const HttpCallResult&)>;
 
+  virtual ~HttpService() = default;
+  /** aDone is called once, and never before Call() has returned. */
+  virtual void Call(const HttpCall& aCall, Done aDone) = 0;
+};
+
+/** Calls a server over TCP, each call on a connection of its own while it runs.
+ *  Connections are used again. */
+class HttpCaller : public HttpService
+{
+public:
   /** aLoop must outlive the caller. Throws std::runtime_error if aAddress is no
    *  "IP:port". */
   HttpCaller(Loop& aLoop, std::string aAddress);
-  ~HttpCaller();
+  ~HttpCaller() override;
   HttpCaller(const HttpCaller&) = delete;
   HttpCaller& operator=(const HttpCaller&) = delete;
 
-  /** aDone is called once, and never before Call() has returned. */
-  void Call(const HttpCall& aCall, Done aDone);
+  void Call(const HttpCall& aCall, Done aDone) override;
 
 private:
   class Exchange;
