Leave overloaded shards out of some requests

A shard that more than 15% of the requests missed is now left out of 1.2 times that share of them, as far as the route allows, which brings the load below what it can answer.

--- a/packages/forward/src/BackendPool.cpp
+++ b/packages/forward/src/BackendPool.cpp
@@ -23,6 +23,16 @@
 constexpr Duration kLoadReportValid{ 60000 };
 /** Pause after a replica refused for lack of room. */
 constexpr Duration kFullPause{ 20000 };
+/** Weight of one gathered request in the share of those that miss a shard, and
+ *  the time in which that share is forgotten without new requests. */
+constexpr double kMissedWeight = 0.06;
+constexpr double kMissedMemoryUs = 2e6;
+/** Pauses of single replicas make about a twentieth of the requests miss a
+ *  shard; above this share the shard has too many requests. */
+constexpr double kOverloaded = 0.15;
+/** Requests left out for each one that missed the shard, and the most. */
+constexpr double kSkipFactor = 1.2;
+constexpr double kMostSkipped = 0.85;
 constexpr double kFailureWeight = 0.15;
 /** Share of failures from which on other replicas are preferred. */
 constexpr double kDoubtfulFailures = 0.3;
@@ -396,6 +406,24 @@
   aReplica.m_failuresAt = aNow;
 }
 
+void
+BackendPool::RecordGathered(TimePoint aNow, BackendGroup& aGroup, bool aMissed)
+{
+  const double before =
+    Decayed(aGroup.m_missed, aNow - aGroup.m_missedAt, kMissedMemoryUs);
+  aGroup.m_missed = before + kMissedWeight * ((aMissed ? 1.0 : 0.0) - before);
+  aGroup.m_missedAt = aNow;
+}
+
+double
+BackendPool::SkipShare(TimePoint aNow, const BackendGroup& aGroup)
+{
+  const double missed =
+    Decayed(aGroup.m_missed, aNow - aGroup.m_missedAt, kMissedMemoryUs);
+  return missed < kOverloaded ? 0
+                              : std::min(kMostSkipped, kSkipFactor * missed);
+}
+
 void
 BackendPool::Block(TimePoint aNow, PooledReplica& aReplica, Duration aFirst)
 {
--- a/packages/forward/src/BackendPool.h
+++ b/packages/forward/src/BackendPool.h
@@ -102,6 +102,10 @@
   /** Moving average over all replicas, in microseconds. */
   double m_latency = 0;
   std::uint32_t m_share = 1;
+  /** Moving average of the share of gathered requests that left without this
+   *  shard although they had asked it. */
+  double m_missed = 0;
+  TimePoint m_missedAt;
 
   BackendGroup(std::string aName, const ForwarderOptions& aOptions)
     : m_name(std::move(aName))
@@ -159,6 +163,14 @@
   static void RecordOutcome(TimePoint aNow,
                             PooledReplica& aReplica,
                             bool aFailed);
+  /** A gathered request was answered with or without aGroup, which it had
+   *  asked. */
+  static void RecordGathered(TimePoint aNow,
+                             BackendGroup& aGroup,
+                             bool aMissed);
+  /** Probability with which a request that can do without aGroup should not ask
+   *  it: 0 unless aGroup has more requests than it can answer in time. */
+  static double SkipShare(TimePoint aNow, const BackendGroup& aGroup);
   /** Keeps new copies away for a time that grows while nothing is heard. */
   static void Block(TimePoint aNow, PooledReplica& aReplica, Duration aFirst);
 
--- a/packages/forward/src/Forwarder.cpp
+++ b/packages/forward/src/Forwarder.cpp
@@ -126,8 +126,12 @@
     forward.m_targetAt =
       aNow + std::max(route.m_target / 2, route.m_target - kTargetMargin);
     AddTimer(forward.m_targetAt, ForwardTimer::Target, aRequest.m_id);
+    SkipOverloaded(aNow, forward);
   }
   for (std::uint32_t leg = 0; leg < services.size(); ++leg) {
+    if (forward.m_legs[leg].m_state == ForwardLeg::State::Skipped) {
+      continue;
+    }
     Dispatch(aNow, forward, leg, CopyReason::First);
     if (!m_running.contains(aRequest.m_id)) {
       return;
--- a/packages/forward/src/ForwarderDispatch.cpp
+++ b/packages/forward/src/ForwarderDispatch.cpp
@@ -151,6 +151,36 @@
   AddTimer(aNow + kLookAgain, ForwardTimer::Wait, aForward.m_request.m_id);
 }
 
+void
+ForwarderImpl::SkipOverloaded(TimePoint aNow, RunningForward& aForward)
+{
+  std::vector<std::pair<double, std::uint32_t>> overloaded;
+  std::uint32_t unserved = 0;
+  for (std::uint32_t leg = 0; leg < aForward.m_legs.size(); ++leg) {
+    const BackendGroup& group = *aForward.m_legs[leg].m_group;
+    const double share = BackendPool::SkipShare(aNow, group);
+    if (!BackendPool::IsServed(aNow, group, {})) {
+      ++unserved;
+    } else if (m_random.Unit() < share) {
+      overloaded.emplace_back(share, leg);
+    }
+  }
+  std::sort(overloaded.rbegin(), overloaded.rend());
+  const std::uint32_t allowed = aForward.m_legs.size() - NeededShards(aForward);
+  for (const auto& [share, leg] : overloaded) {
+    if (aForward.m_failed + unserved >= allowed) {
+      return;
+    }
+    aForward.m_legs[leg].m_state = ForwardLeg::State::Skipped;
+    ++aForward.m_failed;
+    Decided("skip_shard",
+            aForward,
+            aForward.m_legs[leg].m_group->m_name,
+            {},
+            "overloaded");
+  }
+}
+
 void
 ForwarderImpl::LookAgain(TimePoint aNow, ForwardId aRequest)
 {
--- a/packages/forward/src/ForwarderFinish.cpp
+++ b/packages/forward/src/ForwarderFinish.cpp
@@ -183,11 +183,31 @@
   FinishWith(aNow, aForward, std::move(result));
 }
 
+void
+ForwarderImpl::RecordGathered(TimePoint aNow, const RunningForward& aForward)
+{
+  for (const ForwardLeg& leg : aForward.m_legs) {
+    if (leg.m_state != ForwardLeg::State::Skipped) {
+      BackendPool::RecordGathered(
+        aNow, *leg.m_group, leg.m_state != ForwardLeg::State::Answered);
+    }
+  }
+}
+
 void
 ForwarderImpl::FinishWith(TimePoint aNow,
                           RunningForward& aForward,
                           ForwardResult&& aResult)
 {
+  if (aForward.m_pastTarget) {
+    RecordGathered(aNow, aForward);
+  } else if (aResult.m_gathered) {
+    for (const ForwardLeg& leg : aForward.m_legs) {
+      if (leg.m_state == ForwardLeg::State::Answered) {
+        BackendPool::RecordGathered(aNow, *leg.m_group, false);
+      }
+    }
+  }
   aResult.m_copies = aForward.m_copies;
   if (aResult.m_missingShards > 0 || aResult.m_error) {
     aResult.m_missingNames = UnansweredNames(aForward);
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -60,6 +60,8 @@
     Waiting,
     Answered,
     Failed,
+    /** Not asked, because the shard is overloaded and others are enough. */
+    Skipped,
   };
 
   BackendGroup* m_group = nullptr;
@@ -166,6 +168,9 @@
                  const ForwardLeg& aLeg,
                  CopyReason aReason);
   Duration LateAfter(const RunningForward& aForward) const;
+  /** Takes load off overloaded shards: leaves them out of some of the requests
+   *  that the route allows to do without them. */
+  void SkipOverloaded(TimePoint aNow, RunningForward& aForward);
   void LookAgain(TimePoint aNow, ForwardId aRequest);
   void CopyIsLate(TimePoint aNow, CopyId aCopy);
   void CopyIsSilent(TimePoint aNow, CopyId aCopy);
@@ -195,6 +200,8 @@
                std::string_view aReplica,
                std::string_view aReason,
                Duration aAge = Duration(0));
+  /** Tells the shards which of them the request missed. */
+  static void RecordGathered(TimePoint aNow, const RunningForward& aForward);
   static std::uint32_t NeededShards(const RunningForward& aForward);
 
   ForwarderOptions m_options;
--- a/packages/forward/tests/ForwarderTest.cpp
+++ b/packages/forward/tests/ForwarderTest.cpp
@@ -445,6 +445,54 @@
   }
 }
 
+// Plays a shard that answers a third of its requests, as one with too few sound
+// replicas does. Without skipping, each request waits for it until the target.
+TEST_CASE("An overloaded shard is left out of some requests", "[forwarder]")
+{
+  ForwarderFixture fixture;
+  const auto play = [&](std::size_t aRequests) {
+    std::size_t early = 0;
+    for (std::size_t i = 0; i < aRequests; ++i) {
+      const std::size_t first = fixture.m_sent.size();
+      const ForwardId request = fixture.Start();
+      const std::size_t last = fixture.m_sent.size();
+      fixture.Advance(10ms);
+      for (std::size_t copy = first; copy < last; ++copy) {
+        if (fixture.m_sent[copy].m_service != "shard0" || i % 3 == 0) {
+          fixture.Answer(fixture.m_sent[copy].m_copy);
+        }
+      }
+      early += fixture.m_results.contains(request) ? 1 : 0;
+      fixture.Advance(190ms);
+    }
+    return early;
+  };
+
+  SECTION("if the route allows it, so that these are answered at once")
+  {
+    fixture.Use(fixture.GatherRoute(4, 0.75), 2);
+    REQUIRE(play(60) < 60);
+    const std::size_t before = fixture.SentTo("shard0");
+    REQUIRE(play(60) > 30);
+    const std::size_t asked = fixture.SentTo("shard0") - before;
+    REQUIRE(asked > 5);
+    REQUIRE(asked < 60);
+  }
+
+  SECTION("and of none that needs all shards")
+  {
+    fixture.Use(fixture.GatherRoute(4, 1), 2);
+    play(60);
+    // Some find both replicas silent and are refused.
+    std::size_t refused = 0;
+    for (const auto& [request, result] : fixture.m_results) {
+      refused += result.m_error == ErrorKind::NoReplica ? 1 : 0;
+      REQUIRE((result.m_error || result.m_missingShards == 0));
+    }
+    REQUIRE(fixture.SentTo("shard0") + refused >= 60);
+  }
+}
+
 TEST_CASE("Replicas that are near are preferred", "[forwarder]")
 {
   ForwarderFixture fixture;
