Fuzz the codec and the decoders; bound what they accept

The first runs found two faults: an answer that claims a huge length made the parser reserve memory for it, which ended the process (std::bad_alloc), and a replica entry with 2^32 slots was read as one with none.

--- /dev/null
+++ b/fuzz/StoreItemsFuzz.cpp
@@ -0,0 +1,62 @@
+#include "FuzzTarget.h"
+
+#include <goldcrestkeel/Platform.h>
+
+#include <exception>
+#include <optional>
+#include <string_view>
+
+using namespace goldcrestkeel;
+
+namespace {
+
+/** What aDecode returns, or nothing if it refuses its input. */
+template<typename Decode>
+auto
+Attempt(const Decode& aDecode) -> std::optional<decltype(aDecode())>
+{
+  try {
+    return aDecode();
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+} // namespace
+
+std::vector<std::string>
+fuzz::Seeds()
+{
+  return {
+    R"({"items":[{"key":"a/b","value":"bm9kZS0x","revision":4}],)"
+    R"("has_more":true,"current_rev":9})",
+    R"({"events":[{"key":"a","revision":5,"deleted":true}],"current_rev":5})",
+    R"({"service":"s","address":"10.0.0.9:80","zone":"a","version":"v1",)"
+    R"("max_concurrency":3,"state":"ready","warmup_left_ms":0,"sequence":4})",
+    R"({"version":7,"routes":[{"name":"g","host":"h","path_prefix":"/g/",)"
+    R"("type":"idempotent","timeout_ms":600,"gather":["x"],"top_k":5}],)"
+    R"("services":[{"name":"x","max_connections":31}],)"
+    R"("limits":{"idle_timeout_ms":15000}})",
+  };
+}
+
+/** What is unusable is refused by an exception; what is decoded can be used. */
+int
+LLVMFuzzerTestOneInput(const std::uint8_t* aData, std::size_t aSize)
+{
+  const std::string_view text(reinterpret_cast<const char*>(aData), aSize);
+  Attempt([&] { return platform::DecodeList(text); });
+  Attempt([&] { return platform::DecodeEvents(text); });
+  const auto replica =
+    Attempt([&] { return platform::DecodeReplica("i", text); });
+  fuzz::Require(!replica || replica->m_slots > 0, "a replica has slots");
+  const auto table = Attempt([&] { return platform::DecodeTable(text); });
+  if (table) {
+    for (const Route& route : (*table)->m_routes) {
+      fuzz::Require(route.m_gather ? !route.m_gather->m_shards.empty()
+                                   : !route.m_services.empty(),
+                    "a route has a service");
+    }
+  }
+  return 0;
+}
--- a/packages/edge/src/HttpMessage.cpp
+++ b/packages/edge/src/HttpMessage.cpp
@@ -65,14 +65,17 @@
   return ReadState::Malformed;
 }
 
-// Gives the parser what it takes from the front of aBytes.
+// Gives the parser what it takes from the front of aBytes. The length of the
+// body is checked between the header and the body, because the parser reserves
+// memory for whatever length an answer claims.
 template<typename Parser>
 ReadState
-Feed(Parser& aParser, std::string& aBytes)
+Feed(Parser& aParser, std::string& aBytes, std::uint64_t aBodyLimit)
 {
   std::size_t taken = 0;
   ReadState state = ReadState::Partial;
   while (taken < aBytes.size() && !aParser.is_done()) {
+    aParser.eager(aParser.is_header_done());
     beast::error_code error;
     const std::size_t used = aParser.put(
       boost::asio::buffer(aBytes.data() + taken, aBytes.size() - taken), error);
@@ -81,6 +84,11 @@
       state = StateOf(error);
       break;
     }
+    if (aParser.is_header_done() &&
+        aParser.content_length().value_or(0) > aBodyLimit) {
+      state = ReadState::BodyTooLarge;
+      break;
+    }
     if (used == 0) {
       break;
     }
@@ -160,6 +168,7 @@
 {
 public:
   http::request_parser<http::string_body> m_parser;
+  std::uint64_t m_bodyLimit = 0;
   bool m_started = false;
   bool m_continueTaken = false;
 };
@@ -169,7 +178,7 @@
 {
   m_impl->m_parser.header_limit(static_cast<std::uint32_t>(aHeaderLimit));
   m_impl->m_parser.body_limit(aBodyLimit);
-  m_impl->m_parser.eager(true);
+  m_impl->m_bodyLimit = aBodyLimit;
 }
 
 RequestReader::~RequestReader() = default;
@@ -180,7 +189,7 @@
   if (!aBytes.empty()) {
     m_impl->m_started = true;
   }
-  return Feed(m_impl->m_parser, aBytes);
+  return Feed(m_impl->m_parser, aBytes, m_impl->m_bodyLimit);
 }
 
 bool
@@ -237,7 +246,6 @@
     m_parser = std::make_unique<Parser>();
     m_parser->header_limit(kAnswerHeaderLimit);
     m_parser->body_limit(kAnswerBodyLimit);
-    m_parser->eager(true);
     m_parser->skip(m_head);
   }
 
@@ -260,7 +268,7 @@
     if (!aBytes.empty()) {
       m_impl->m_started = true;
     }
-    const ReadState state = Feed(*m_impl->m_parser, aBytes);
+    const ReadState state = Feed(*m_impl->m_parser, aBytes, kAnswerBodyLimit);
     const bool interim = state == ReadState::Complete &&
                          m_impl->m_parser->get().result_int() / 100 == 1;
     if (!interim) {
--- a/packages/edge/tests/HttpMessageTest.cpp
+++ b/packages/edge/tests/HttpMessageTest.cpp
@@ -86,6 +86,14 @@
     REQUIRE(reader.Read(bytes) == ReadState::Complete);
     REQUIRE(reader.Take().m_status == 204);
   }
+  // Found by the fuzz target: memory for the claimed length was reserved, which
+  // ended the process.
+  SECTION("and one that claims a huge length is none")
+  {
+    std::string bytes =
+      "HTTP/1.1 200 OK\r\nContent-Length: 4294967296294967296\r\n\r\nok";
+    REQUIRE(reader.Read(bytes) == ReadState::BodyTooLarge);
+  }
   SECTION("and other bytes are none")
   {
     std::string bytes = "SSH-2.0-server\r\n\r\n";
