Remove what nothing uses from the forwarding path; one set of field names

Read as a newcomer: the fingerprint of requests, two accessors and a closing flag had no use (a guard against requests that crash replicas is not built on this path, docs/platform.md says so); header names stood in two structures.

--- a/packages/edge/include/goldcrestkeel/edge/EdgeServer.h
+++ b/packages/edge/include/goldcrestkeel/edge/EdgeServer.h
@@ -2,6 +2,7 @@
 
 #include <goldcrestkeel/edge/DecisionLog.h>
 #include <goldcrestkeel/edge/EdgeSettings.h>
+#include <goldcrestkeel/edge/FieldNames.h>
 #include <goldcrestkeel/edge/Loop.h>
 #include <goldcrestkeel/edge/TopologySource.h>
 
@@ -11,27 +12,6 @@
 
 namespace goldcrestkeel {
 
-/** Names of the header fields that callers and replicas use. */
-struct EdgeFieldNames
-{
-  /** Number of one try of a caller; replicas echo it. */
-  std::string m_requestId;
-  /** Time that the sender will wait, in milliseconds. */
-  std::string m_deadlineMs;
-  /** Id of the replica that is meant. */
-  std::string m_targetInstance;
-  /** Proof of a replica that it made the answer. */
-  std::string m_stamp;
-  /** Load of a replica, "running,waiting,slots". */
-  std::string m_load;
-  /** Present if the replica did not run the request. */
-  std::string m_notRun;
-  /** Stamps of the shards in a gathered answer. */
-  std::string m_shardStamps;
-  /** Number of shards that a gathered answer leaves out. */
-  std::string m_missingShards;
-};
-
 /** An entry host: takes requests of callers, forwards them and answers. */
 class EdgeServer
 {
--- a/packages/edge/src/CopyWriter.cpp
+++ b/packages/edge/src/CopyWriter.cpp
@@ -14,7 +14,7 @@
 
 std::string
 WriteCopy(const WireRequest& aRequest,
-          const ReplicaFieldNames& aNames,
+          const EdgeFieldNames& aNames,
           const std::string& aReplica,
           Duration aTimeLeft)
 {
--- a/packages/edge/src/CopyWriter.h
+++ b/packages/edge/src/CopyWriter.h
@@ -13,7 +13,7 @@
  *  may use. */
 std::string
 WriteCopy(const WireRequest& aRequest,
-          const ReplicaFieldNames& aNames,
+          const EdgeFieldNames& aNames,
           const std::string& aReplica,
           Duration aTimeLeft);
 
--- a/packages/edge/src/EdgeServer.cpp
+++ b/packages/edge/src/EdgeServer.cpp
@@ -4,7 +4,6 @@
 #include "ReplicaConnections.h"
 #include "StatusServer.h"
 
-#include <goldcrestkeel/core/StableHash.h>
 #include <goldcrestkeel/edge/EdgeServer.h>
 
 #include <nlohmann/json.hpp>
@@ -76,15 +75,6 @@
   return std::to_string(milliseconds / 1000) + "." + fraction;
 }
 
-std::uint64_t
-FingerprintOf(const WireRequest& aRequest, std::string_view aHost)
-{
-  StableHash hash;
-  hash.Add(aRequest.m_method).Add('\n').Add(aHost).Add('\n');
-  hash.Add(aRequest.m_target).Add('\n').Add(aRequest.m_body);
-  return hash.Mixed();
-}
-
 } // namespace
 
 class EdgeServer::Impl
@@ -163,7 +153,6 @@
   DecisionLog& m_log;
   EdgeSettings m_settings;
   EdgeFieldNames m_names;
-  ReplicaFieldNames m_replicaNames;
   std::unique_ptr<RandomSource> m_random = MakeSystemRandom();
   ReplicaConnections m_replicas;
   std::unique_ptr<Forwarder> m_forwarder;
@@ -204,10 +193,7 @@
   , m_log(aLog)
   , m_settings(aSettings)
   , m_names(aNames)
-  , m_replicaNames{ aNames.m_requestId,      aNames.m_deadlineMs,
-                    aNames.m_targetInstance, aNames.m_stamp,
-                    aNames.m_load,           aNames.m_notRun }
-  , m_replicas(aLoop, m_replicaNames, *this)
+  , m_replicas(aLoop, m_names, *this)
   , m_forwardTimer(aLoop,
                    [this] {
                      m_forwardTimerAt.reset();
@@ -338,8 +324,8 @@
   copy.m_copy = aCopy;
   copy.m_requestId = open.m_requestId;
   copy.m_head = open.m_request.m_method == "HEAD";
-  copy.m_bytes = WriteCopy(
-    open.m_request, m_replicaNames, aReplica.m_id, aDeadline - m_loop.Now());
+  copy.m_bytes =
+    WriteCopy(open.m_request, m_names, aReplica.m_id, aDeadline - m_loop.Now());
   m_replicas.Send(aReplica, std::move(copy));
 }
 
@@ -392,7 +378,6 @@
   forward.m_id = m_nextRequest++;
   forward.m_table = m_table;
   forward.m_route = route;
-  forward.m_fingerprint = FingerprintOf(aRequest, host);
   const auto wait =
     ParseMilliseconds(FieldOf(aRequest.m_fields, m_names.m_deadlineMs));
   const Duration patience =
--- a/packages/edge/src/ReplicaConnections.cpp
+++ b/packages/edge/src/ReplicaConnections.cpp
@@ -178,7 +178,7 @@
 };
 
 ReplicaConnections::ReplicaConnections(Loop& aLoop,
-                                       const ReplicaFieldNames& aNames,
+                                       const EdgeFieldNames& aNames,
                                        CopyListener& aListener)
   : m_loop(aLoop)
   , m_names(aNames)
@@ -290,7 +290,6 @@
   answer.m_otherInstance = aAnswer.m_status == kMisdirected;
   answer.m_notRun = answer.m_otherInstance ||
                     !FieldOf(aAnswer.m_fields, m_names.m_notRun).empty();
-  answer.m_closing = !aAnswer.m_keepAlive;
   answer.m_load = ParseLoad(FieldOf(aAnswer.m_fields, m_names.m_load));
   answer.m_body = std::move(aAnswer.m_body);
   answer.m_fields = EndToEndFields(std::move(aAnswer.m_fields));
--- a/packages/edge/src/ReplicaConnections.h
+++ b/packages/edge/src/ReplicaConnections.h
@@ -2,6 +2,7 @@
 
 #include "ClientConnection.h"
 
+#include <goldcrestkeel/edge/FieldNames.h>
 #include <goldcrestkeel/forward/Forwarder.h>
 
 #include <cstdint>
@@ -13,21 +14,6 @@
 
 namespace goldcrestkeel {
 
-/** Names of the header fields between this host and replicas. */
-struct ReplicaFieldNames
-{
-  std::string m_requestId;
-  std::string m_deadlineMs;
-  /** Id of the replica that is meant. */
-  std::string m_targetInstance;
-  /** Proof of the replica that it made the answer. */
-  std::string m_stamp;
-  /** "running,waiting,slots". */
-  std::string m_load;
-  /** Present if the replica did not run the request. */
-  std::string m_notRun;
-};
-
 /** Receives what happens to the copies. */
 class CopyListener
 {
@@ -54,7 +40,7 @@
 public:
   /** All arguments must outlive the object. */
   ReplicaConnections(Loop& aLoop,
-                     const ReplicaFieldNames& aNames,
+                     const EdgeFieldNames& aNames,
                      CopyListener& aListener);
   ~ReplicaConnections();
 
@@ -78,7 +64,7 @@
   ReplicaAnswer ToAnswer(WireAnswer&& aAnswer) const;
 
   Loop& m_loop;
-  const ReplicaFieldNames& m_names;
+  const EdgeFieldNames& m_names;
   CopyListener& m_listener;
   std::unordered_map<std::string, Host> m_hosts;
   std::unordered_map<CopyId, Link*> m_byCopy;
--- a/packages/edge/tests/HttpMessageTest.cpp
+++ b/packages/edge/tests/HttpMessageTest.cpp
@@ -103,7 +103,8 @@
 
 TEST_CASE("A copy keeps what belongs to the request", "[http]")
 {
-  const ReplicaFieldNames names{ "Id", "Wait-Ms", "To", "Stamp", "Load", "No" };
+  const EdgeFieldNames names{ "Id",   "Wait-Ms", "To",     "Stamp",
+                              "Load", "No",      "Stamps", "Missing" };
   WireRequest request;
   request.m_method = "POST";
   request.m_target = "/p/?q=1";
--- a/packages/forward/include/goldcrestkeel/forward/Forwarder.h
+++ b/packages/forward/include/goldcrestkeel/forward/Forwarder.h
@@ -33,8 +33,6 @@
   const Route* m_route = nullptr;
   /** When the caller stops waiting. */
   TimePoint m_deadline;
-  /** Equal for requests that have the same effect on a replica. */
-  std::uint64_t m_fingerprint = 0;
 };
 
 /** A complete answer of a replica. */
@@ -50,8 +48,6 @@
   bool m_notRun = false;
   /** The replica says that it is not the one that was meant. */
   bool m_otherInstance = false;
-  /** The replica is about to leave or to close its connections. */
-  bool m_closing = false;
   std::optional<LoadReport> m_load;
 };
 
@@ -104,8 +100,8 @@
   Duration m_age{ 0 };
 };
 
-/** Carries out what the forwarder decides. The forwarder may be called again
- *  only after the call has returned. */
+/** Carries out what the forwarder decides. Of the forwarder, only CopySent()
+ * may be called before the call has returned. */
 class ForwardSink
 {
 public:
@@ -167,7 +163,6 @@
   virtual void UpdateReplica(TimePoint aNow, const ReplicaRecord& aRecord) = 0;
   /** The replica is no longer listed. */
   virtual void RemoveReplica(TimePoint aNow, const std::string& aId) = 0;
-  virtual std::vector<std::string> ReplicaIds() const = 0;
 
   virtual void Start(TimePoint aNow, const ForwardRequest& aRequest) = 0;
   /** The caller has gone away; Finish() is not called. */
@@ -186,8 +181,6 @@
   virtual std::optional<TimePoint> NextTimer() const = 0;
   virtual void OnTimer(TimePoint aNow) = 0;
 
-  /** Connections to one replica that this host may hold. */
-  virtual std::uint32_t ConnectionShare(const std::string& aService) const = 0;
   virtual std::size_t Running() const = 0;
   virtual const ForwarderCounters& Counters() const = 0;
 };
--- a/packages/forward/src/BackendPool.cpp
+++ b/packages/forward/src/BackendPool.cpp
@@ -214,18 +214,6 @@
   }
 }
 
-std::vector<std::string>
-BackendPool::Ids() const
-{
-  std::vector<std::string> ids;
-  for (const auto& [id, replica] : m_byId) {
-    if (replica->m_listed) {
-      ids.push_back(id);
-    }
-  }
-  return ids;
-}
-
 BackendGroup&
 BackendPool::Group(const std::string& aService)
 {
@@ -237,13 +225,6 @@
   return *group;
 }
 
-const BackendGroup*
-BackendPool::Find(const std::string& aService) const
-{
-  const auto found = m_groups.find(aService);
-  return found == m_groups.end() ? nullptr : found->second.get();
-}
-
 ReplicaTier
 BackendPool::TierOf(TimePoint aNow,
                     const BackendGroup& aGroup,
--- a/packages/forward/src/BackendPool.h
+++ b/packages/forward/src/BackendPool.h
@@ -126,11 +126,9 @@
   void Update(TimePoint aNow, const ReplicaRecord& aRecord);
   /** The replica is not listed any more. */
   void Remove(TimePoint aNow, const std::string& aId);
-  std::vector<std::string> Ids() const;
 
   /** Made on first use; stays where it is. */
   BackendGroup& Group(const std::string& aService);
-  const BackendGroup* Find(const std::string& aService) const;
 
   static ReplicaTier TierOf(TimePoint aNow,
                             const BackendGroup& aGroup,
--- a/packages/forward/src/Forwarder.cpp
+++ b/packages/forward/src/Forwarder.cpp
@@ -89,12 +89,6 @@
   m_pool.Remove(aNow, aId);
 }
 
-std::vector<std::string>
-ForwarderImpl::ReplicaIds() const
-{
-  return m_pool.Ids();
-}
-
 void
 ForwarderImpl::Start(TimePoint aNow, const ForwardRequest& aRequest)
 {
@@ -179,7 +173,7 @@
     return;
   }
   const ForwardCopy copy = found->second;
-  EndCopy(aNow, aCopy);
+  EndCopy(aCopy);
   PooledReplica& replica = *copy.m_replica;
   const Duration latency = aNow - copy.m_sentAt.value_or(copy.m_startedAt);
   BackendPool::RecordAnswer(aNow, *copy.m_group, replica, latency, aAnswer);
@@ -222,7 +216,7 @@
     return;
   }
   const ForwardCopy copy = found->second;
-  EndCopy(aNow, aCopy);
+  EndCopy(aCopy);
   PooledReplica& replica = *copy.m_replica;
   if (aFailure == CopyFailure::Refused || aFailure == CopyFailure::NotSent) {
     BackendPool::Block(aNow, replica, kUnreachableBlock);
@@ -243,7 +237,7 @@
 }
 
 void
-ForwarderImpl::EndCopy(TimePoint, CopyId aCopy)
+ForwarderImpl::EndCopy(CopyId aCopy)
 {
   const auto found = m_copies.find(aCopy);
   ForwardCopy& copy = found->second;
@@ -284,7 +278,7 @@
         const auto copy = m_copies.find(timer.m_id);
         if (copy != m_copies.end()) {
           BackendGroup& group = *copy->second.m_group;
-          EndCopy(aNow, timer.m_id);
+          EndCopy(timer.m_id);
           m_sink.AbortCopy(timer.m_id);
           ServeWaiting(aNow, group);
         }
@@ -310,13 +304,6 @@
   }
 }
 
-std::uint32_t
-ForwarderImpl::ConnectionShare(const std::string& aService) const
-{
-  const BackendGroup* group = m_pool.Find(aService);
-  return group ? group->m_share : 1;
-}
-
 void
 ForwarderImpl::AddTimer(TimePoint aAt, ForwardTimer aKind, std::uint64_t aId)
 {
--- a/packages/forward/src/ForwarderDispatch.cpp
+++ b/packages/forward/src/ForwarderDispatch.cpp
@@ -89,7 +89,6 @@
   copy.m_group = leg.m_group;
   copy.m_replica = aReplica;
   copy.m_profile = aForward.m_profile;
-  copy.m_fingerprint = aForward.m_request.m_fingerprint;
   copy.m_startedAt = aNow;
   copy.m_deadline = aForward.m_request.m_deadline;
   if (aForward.m_request.m_route->m_gather && !aForward.m_pastTarget) {
@@ -318,7 +317,7 @@
   if (!copy.m_sentAt) {
     if (other) {
       BackendPool::Block(aNow, *copy.m_replica, kUnreachableBlock);
-      EndCopy(aNow, aCopy);
+      EndCopy(aCopy);
       m_sink.AbortCopy(aCopy);
       SendTo(aNow, forward, position, other, CopyReason::Move);
     }
--- a/packages/forward/src/ForwarderFinish.cpp
+++ b/packages/forward/src/ForwarderFinish.cpp
@@ -231,7 +231,7 @@
     if (copy.m_sentAt) {
       AddTimer(aNow + aDelay, ForwardTimer::Abandon, id);
     } else {
-      EndCopy(aNow, id);
+      EndCopy(id);
       m_sink.AbortCopy(id);
     }
   }
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -41,7 +41,6 @@
   std::shared_ptr<PooledReplica> m_replica;
   /** Profile of the route; legs of one route take equally long. */
   LatencyProfile* m_profile = nullptr;
-  std::uint64_t m_fingerprint = 0;
   TimePoint m_startedAt;
   /** When the replica stops working on it. */
   TimePoint m_deadline;
@@ -126,7 +125,6 @@
   void SetLiveHosts(std::uint32_t aHosts) override;
   void UpdateReplica(TimePoint aNow, const ReplicaRecord& aRecord) override;
   void RemoveReplica(TimePoint aNow, const std::string& aId) override;
-  std::vector<std::string> ReplicaIds() const override;
   void Start(TimePoint aNow, const ForwardRequest& aRequest) override;
   void Cancel(TimePoint aNow, ForwardId aRequest) override;
   void CopySent(TimePoint aNow, CopyId aCopy) override;
@@ -136,7 +134,6 @@
   void CopyFailed(TimePoint aNow, CopyId aCopy, CopyFailure aFailure) override;
   std::optional<TimePoint> NextTimer() const override;
   void OnTimer(TimePoint aNow) override;
-  std::uint32_t ConnectionShare(const std::string& aService) const override;
   std::size_t Running() const override { return m_running.size(); }
   const ForwarderCounters& Counters() const override { return m_counters; }
 
@@ -191,7 +188,7 @@
                   ForwardResult&& aResult);
   void AbandonCopies(TimePoint aNow, ForwardLeg& aLeg, Duration aDelay);
 
-  void EndCopy(TimePoint aNow, CopyId aCopy);
+  void EndCopy(CopyId aCopy);
   void Retry(TimePoint aNow, RunningForward& aForward, std::uint32_t aLeg);
   void AddTimer(TimePoint aAt, ForwardTimer aKind, std::uint64_t aId);
   void Decided(std::string_view aWhat,
