Test that a stuck reader of the log costs lines only

The log was built not to block and to bound its volume, without a test. The new one fills a pipe that nobody reads, then reads it and checks the count of lines that were left out.

--- /dev/null
+++ b/packages/edge/tests/DecisionLogTest.cpp
@@ -0,0 +1,75 @@
+#include <goldcrestkeel/Edge.h>
+#include <goldcrestkeel/Net.h>
+
+#include <catch2/catch.hpp>
+#include <fcntl.h>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+#include <array>
+#include <string>
+
+using namespace goldcrestkeel;
+
+// Guards against a log that blocks the loop: a stuck reader costs lines only.
+TEST_CASE("A log whose reader is stuck leaves lines out", "[log]")
+{
+  constexpr int kLines = 20000;
+  std::array<int, 2> ends{};
+  REQUIRE(pipe(ends.data()) == 0);
+  const SystemClock clock;
+  Loop loop(clock);
+  DecisionLog log(loop, ends[1], "h1");
+  for (int i = 0; i < kLines; ++i) {
+    log.Write(LogWeight::Process, "event", { { "number", std::int64_t{ i } } });
+    if (i % 100 == 0) {
+      log.Flush();
+    }
+  }
+  REQUIRE(log.LeftOut() > 0);
+
+  SECTION("and says how many when it is read again")
+  {
+    REQUIRE(fcntl(ends[0], F_SETFL, O_NONBLOCK) == 0);
+    std::string text;
+    std::array<char, 4096> part{};
+    const auto drain = [&] {
+      log.Flush();
+      ssize_t count = 0;
+      while ((count = read(ends[0], part.data(), part.size())) > 0) {
+        text.append(part.data(), static_cast<std::size_t>(count));
+      }
+    };
+    for (int round = 0; round < 20; ++round) {
+      drain();
+    }
+    const std::size_t before = text.size();
+    log.Write(LogWeight::Process,
+              "again",
+              { { "text", std::string_view("a \"quote\"") } });
+    drain();
+    const auto line = nlohmann::json::parse(text.substr(before));
+    REQUIRE(line.at("event") == "again");
+    REQUIRE(line.at("text") == "a \"quote\"");
+    REQUIRE(line.at("lines_left_out") == log.LeftOut());
+  }
+
+  close(ends[0]);
+  close(ends[1]);
+}
+
+TEST_CASE("Lines on requests are limited, others are not", "[log]")
+{
+  const int null = open("/dev/null", O_WRONLY);
+  const SystemClock clock;
+  Loop loop(clock);
+  DecisionLog log(loop, null, "h1");
+  for (int i = 0; i < 1000; ++i) {
+    log.Write(LogWeight::Request, "answer", {});
+  }
+  const std::uint64_t leftOut = log.LeftOut();
+  REQUIRE(leftOut > 0);
+  log.Write(LogWeight::Process, "stopping", {});
+  REQUIRE(log.LeftOut() == leftOut);
+  close(null);
+}
