--- a/packages/edge/src/Socket.cpp
+++ b/packages/edge/src/Socket.cpp
@@ -1,13 +1,13 @@
 #include "Socket.h"
 
-#include <arpa/inet.h>
+#include <goldcrestkeel/net/Address.h>
+
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
 #include <cerrno>
-#include <charconv>
 #include <stdexcept>
 #include <system_error>
 
@@ -68,25 +68,12 @@
 sockaddr_in
 ParseAddress(const std::string& aText)
 {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  const std::size_t colon = aText.rfind(':');
-  std::uint16_t port = 0;
-  bool valid = colon != std::string::npos;
-  if (valid) {
-    const char* end = aText.data() + aText.size();
-    const auto parsed = std::from_chars(aText.data() + colon + 1, end, port);
-    valid = parsed.ec == std::errc() && parsed.ptr == end &&
-            inet_pton(
-              AF_INET, aText.substr(0, colon).c_str(), &address.sin_addr) == 1;
-  }
-  if (!valid) {
+  const auto address = ReadAddress(aText);
+  if (!address) {
     throw std::runtime_error("\"" + aText +
-                             "\" is no address of the form "
-                             "IP:port");
+                             "\" is no address of the form IP:port");
   }
-  address.sin_port = htons(port);
-  return address;
+  return *address;
 }
 
 Socket
--- a/packages/net/include/goldcrestkeel/Net.h
+++ b/packages/net/include/goldcrestkeel/Net.h
@@ -2,6 +2,7 @@
  *  Include this header only, not its parts. */
 #pragma once
 
+#include <goldcrestkeel/net/Address.h>
 #include <goldcrestkeel/net/Api.h>
 #include <goldcrestkeel/net/BackendClient.h>
 #include <goldcrestkeel/net/CommandDriver.h>
--- a/packages/net/src/Settings.cpp
+++ b/packages/net/src/Settings.cpp
@@ -1,10 +1,9 @@
 #include <goldcrestkeel/core/Errors.h>
+#include <goldcrestkeel/net/Address.h>
 #include <goldcrestkeel/net/Settings.h>
 
-#include <arpa/inet.h>
 #include <nlohmann/json.hpp>
 
-#include <charconv>
 #include <fstream>
 #include <set>
 #include <sstream>
@@ -20,24 +19,6 @@
 constexpr std::size_t kMaxSecretLength = 256;
 constexpr std::size_t kMaxPeerKeys = 2;
 
-bool
-IsAddress(const std::string& aText)
-{
-  const std::size_t colon = aText.rfind(':');
-  if (colon == std::string::npos) {
-    return false;
-  }
-  const std::string host = aText.substr(0, colon);
-  in_addr address{};
-  if (inet_pton(AF_INET, host.c_str(), &address) != 1) {
-    return false;
-  }
-  std::uint16_t port = 0;
-  const char* end = aText.data() + aText.size();
-  const auto parsed = std::from_chars(aText.data() + colon + 1, end, port);
-  return parsed.ec == std::errc() && parsed.ptr == end;
-}
-
 // Reads the members of one object and collects all faults.
 class ObjectReader
 {
@@ -98,7 +79,7 @@
     if (value == nullptr) {
       return;
     }
-    if (!value->is_string() || !IsAddress(value->get<std::string>())) {
+    if (!value->is_string() || !ReadAddress(value->get<std::string>())) {
       Fault(PathOf(aName), "must be \"IP:port\" with a port from 0 to 65535");
       return;
     }
