Check the budget of repeats when a waiting request is sent

A request that a replica had refused passed the budget, waited for room, and was sent without another look: several waiting requests could use the same place in the budget. Ruled out: counting, which is right since each repeat is counted before it is sent. A waiting request without budget now fails like one that did not wait.

--- a/packages/forward/src/ForwarderDispatch.cpp
+++ b/packages/forward/src/ForwarderDispatch.cpp
@@ -187,15 +187,19 @@
   if (running == m_running.end()) {
     return;
   }
-  bool waits = false;
+  std::vector<BackendGroup*> groups;
   for (const ForwardLeg& leg : running->second->m_legs) {
     if (leg.m_state == ForwardLeg::State::Waiting) {
-      ServeWaiting(aNow, *leg.m_group);
-      waits = waits || leg.m_state == ForwardLeg::State::Waiting;
+      groups.push_back(leg.m_group);
     }
   }
-  if (waits) {
-    AddTimer(aNow + kLookAgain, ForwardTimer::Wait, aRequest);
+  if (groups.empty()) {
+    return;
+  }
+  AddTimer(aNow + kLookAgain, ForwardTimer::Wait, aRequest);
+  for (BackendGroup* group : groups) {
+    // May end the request.
+    ServeWaiting(aNow, *group);
   }
 }
 
@@ -225,6 +229,11 @@
     }
     const std::uint32_t position = entry->m_leg;
     entry = aGroup.m_waiting.erase(entry);
+    // Others may have used the budget while this one waited.
+    if (!MayRepeat(aNow, forward, leg, CopyReason::Retry)) {
+      LegFailed(aNow, forward, position);
+      continue;
+    }
     SendTo(aNow,
            forward,
            position,
--- a/packages/forward/tests/ForwarderTest.cpp
+++ b/packages/forward/tests/ForwarderTest.cpp
@@ -212,6 +212,26 @@
   REQUIRE(repeats <= 40);
 }
 
+// Guards against requests that passed the budget before they waited, and are
+// all sent when their replica has room again.
+TEST_CASE("Requests that wait after a refusal keep the budget", "[forwarder]")
+{
+  ForwarderOptions options = ForwarderFixture::Options();
+  options.m_repeatRatio = 0;
+  options.m_repeatSlack = 6;
+  ForwarderFixture fixture(options);
+  fixture.Use(fixture.SingleRoute(true), 1);
+  // 8 connections and 6 repeats over 2 hosts: 4 requests, 2 repeats.
+  for (int i = 0; i < 4; ++i) {
+    fixture.Start();
+  }
+  for (int i = 0; i < 4; ++i) {
+    fixture.AnswerWith(fixture.m_sent[i].m_copy, Failure(503, true));
+  }
+  fixture.Advance(300ms);
+  REQUIRE(fixture.m_sent.size() == 4 + 2);
+}
+
 TEST_CASE("A gathered answer", "[forwarder]")
 {
   ForwarderFixture fixture;
