Let one piece of code serve where logic stood twice

- SessionSet accepts and owns the connections for callers, readiness and metrics.
- FadingShare holds the share of failed copies and of missed shards.
- RecordGathered states its rule once; CheckGather returned a value that nobody used; two settings for leaving replicas always had the same value.

--- a/packages/edge/src/EdgeServer.cpp
+++ b/packages/edge/src/EdgeServer.cpp
@@ -1,7 +1,7 @@
-#include "CallerSession.h"
 #include "CopyWriter.h"
 #include "EdgeMetrics.h"
 #include "ReplicaConnections.h"
+#include "SessionSet.h"
 #include "StatusServer.h"
 
 #include <goldcrestkeel/edge/EdgeServer.h>
@@ -131,7 +131,6 @@
     RoutingVersion m_version = 0;
   };
 
-  void Accept();
   void CheckSessions();
   void ArmForwarder();
   void CheckStopped();
@@ -163,12 +162,7 @@
   bool m_replicasKnown = false;
   bool m_hostsCounted = false;
 
-  Socket m_listener;
-  std::optional<Watch> m_acceptable;
-  SessionId m_nextSession = 1;
-  std::unordered_map<SessionId, std::unique_ptr<CallerSession>> m_sessions;
-  std::vector<std::unique_ptr<CallerSession>> m_endedSessions;
-  LoopTimer m_cleanUp;
+  SessionSet m_sessions;
   LoopTimer m_sessionTimer;
   std::unordered_map<ForwardId, OpenRequest> m_open;
   std::unordered_map<SessionId, ForwardId> m_bySession;
@@ -200,8 +194,7 @@
                      m_forwarder->OnTimer(m_loop.Now());
                      ArmForwarder();
                    })
-  , m_listener(ListenOn(aSettings.m_callerAddress))
-  , m_cleanUp(aLoop, [this] { m_endedSessions.clear(); })
+  , m_sessions(aLoop, aSettings.m_callerAddress, kMaxSessions, *this)
   , m_sessionTimer(aLoop, [this] { CheckSessions(); })
   , m_readiness(aLoop, aSettings.m_readinessAddress, [this] {
     return ReadinessReply();
@@ -210,10 +203,9 @@
   ForwarderOptions options;
   options.m_dataCentre = aSettings.m_dataCentre;
   options.m_regions = aSettings.m_regions;
-  options.m_drainingUse = std::max(
+  options.m_leavingUse = std::max(
     Duration(0),
     aSettings.m_drainLimit - ReadPause(aSettings.m_drainLimit) - kUnheardTime);
-  options.m_unlistedUse = options.m_drainingUse;
   options.m_repeatRatio = aSettings.m_repeatRatio;
   options.m_repeatSlack = aSettings.m_repeatSlack;
   options.m_repeatWindow = aSettings.m_repeatWindow;
@@ -223,9 +215,6 @@
     m_metricsServer.emplace(
       aLoop, aSettings.m_metricsAddress, [this] { return MetricsReply(); });
   }
-  m_acceptable.emplace(
-    aLoop, m_listener.Get(), Watch::On::Readable, [this] { Accept(); });
-  m_acceptable->Start();
   m_sessionTimer.SetAfter(kSessionCheck);
   aSource.Start(*this);
 }
@@ -262,40 +251,20 @@
   return reply;
 }
 
-void
-EdgeServer::Impl::Accept()
-{
-  while (m_sessions.size() < kMaxSessions) {
-    Socket socket = AcceptFrom(m_listener);
-    if (!socket.IsOpen()) {
-      return;
-    }
-    const SessionId id = m_nextSession++;
-    m_sessions.emplace(
-      id,
-      std::make_unique<CallerSession>(m_loop, id, std::move(socket), *this));
-  }
-  m_log.Write(LogWeight::Request,
-              "callers_full",
-              { { "connections", static_cast<std::int64_t>(kMaxSessions) } });
-  m_acceptable->Stop();
-}
-
 void
 EdgeServer::Impl::CheckSessions()
 {
   const TimePoint now = m_loop.Now();
-  std::vector<CallerSession*> sessions;
-  for (const auto& [id, session] : m_sessions) {
-    sessions.push_back(session.get());
-  }
-  for (CallerSession* session : sessions) {
+  for (CallerSession* session : m_sessions.List()) {
     session->CheckTime(now);
   }
+  if (m_sessions.size() >= kMaxSessions) {
+    m_log.Write(LogWeight::Request,
+                "callers_full",
+                { { "connections", static_cast<std::int64_t>(kMaxSessions) } });
+  }
   if (m_stopping) {
     CheckStopped();
-  } else if (m_sessions.size() < kMaxSessions) {
-    m_acceptable->Start();
   }
   m_sessionTimer.SetAfter(kSessionCheck);
 }
@@ -420,12 +389,7 @@
 void
 EdgeServer::Impl::OnEnd(CallerSession& aSession)
 {
-  const auto found = m_sessions.find(aSession.Id());
-  if (found != m_sessions.end()) {
-    m_endedSessions.push_back(std::move(found->second));
-    m_sessions.erase(found);
-    m_cleanUp.SetAfter(Duration(0));
-  }
+  m_sessions.Remove(aSession);
 }
 
 void
@@ -439,9 +403,8 @@
   m_open.erase(found);
   m_bySession.erase(open.m_session);
   LogFinish(open, aResult);
-  const auto session = m_sessions.find(open.m_session);
-  if (session != m_sessions.end()) {
-    session->second->Reply(ToReply(std::move(aResult)));
+  if (CallerSession* session = m_sessions.Find(open.m_session)) {
+    session->Reply(ToReply(std::move(aResult)));
   }
 }
 
@@ -629,12 +592,11 @@
   if (now < m_stopAcceptingAt) {
     return;
   }
-  if (m_listener.IsOpen()) {
-    m_acceptable->Stop();
-    m_listener.Close();
+  if (m_sessions.IsAccepting()) {
+    m_sessions.StopAccepting();
     CloseIdleSessions();
   }
-  if ((m_sessions.empty() && m_open.empty()) || now >= m_stopAt) {
+  if ((m_sessions.size() == 0 && m_open.empty()) || now >= m_stopAt) {
     m_log.Write(
       LogWeight::Process,
       "stopped",
@@ -647,15 +609,11 @@
 void
 EdgeServer::Impl::CloseIdleSessions()
 {
-  std::vector<CallerSession*> idle;
-  for (const auto& [id, session] : m_sessions) {
+  for (CallerSession* session : m_sessions.List()) {
     if (session->IsIdle()) {
-      idle.push_back(session.get());
+      session->Close();
     }
   }
-  for (CallerSession* session : idle) {
-    session->Close();
-  }
 }
 
 EdgeServer::EdgeServer(Loop& aLoop,
--- /dev/null
+++ b/packages/edge/src/SessionSet.cpp
@@ -0,0 +1,80 @@
+#include "SessionSet.h"
+
+#include <utility>
+
+namespace goldcrestkeel {
+
+SessionSet::SessionSet(Loop& aLoop,
+                       const std::string& aAddress,
+                       std::size_t aLimit,
+                       CallerSession::Owner& aOwner)
+  : m_loop(aLoop)
+  , m_limit(aLimit)
+  , m_owner(aOwner)
+  , m_listener(ListenOn(aAddress))
+  , m_acceptable(aLoop,
+                 m_listener.Get(),
+                 Watch::On::Readable,
+                 [this] { Accept(); })
+  , m_cleanUp(aLoop, [this] { m_ended.clear(); })
+{
+  m_acceptable.Start();
+}
+
+CallerSession*
+SessionSet::Find(SessionId aId) const
+{
+  const auto found = m_sessions.find(aId);
+  return found == m_sessions.end() ? nullptr : found->second.get();
+}
+
+std::vector<CallerSession*>
+SessionSet::List() const
+{
+  std::vector<CallerSession*> sessions;
+  for (const auto& [id, session] : m_sessions) {
+    sessions.push_back(session.get());
+  }
+  return sessions;
+}
+
+void
+SessionSet::Remove(CallerSession& aSession)
+{
+  const auto found = m_sessions.find(aSession.Id());
+  if (found == m_sessions.end()) {
+    return;
+  }
+  m_ended.push_back(std::move(found->second));
+  m_sessions.erase(found);
+  m_cleanUp.SetAfter(Duration(0));
+  if (IsAccepting()) {
+    m_acceptable.Start();
+  }
+}
+
+void
+SessionSet::StopAccepting()
+{
+  m_acceptable.Stop();
+  m_listener.Close();
+}
+
+void
+SessionSet::Accept()
+{
+  while (m_sessions.size() < m_limit) {
+    Socket socket = AcceptFrom(m_listener);
+    if (!socket.IsOpen()) {
+      return;
+    }
+    const SessionId id = m_nextSession++;
+    m_sessions.emplace(
+      id,
+      std::make_unique<CallerSession>(m_loop, id, std::move(socket), m_owner));
+  }
+  // The next session that ends makes room again.
+  m_acceptable.Stop();
+}
+
+} // namespace goldcrestkeel
--- a/packages/edge/src/StatusServer.h
+++ b/packages/edge/src/StatusServer.h
@@ -1,12 +1,9 @@
 #pragma once
 
-#include "CallerSession.h"
+#include "SessionSet.h"
 
 #include <functional>
-#include <memory>
 #include <string>
-#include <unordered_map>
-#include <vector>
 
 namespace goldcrestkeel {
 
@@ -24,19 +21,11 @@
   bool IsStopping() const override { return false; }
   void OnRequest(CallerSession& aSession, WireRequest&& aRequest) override;
   void OnGone(CallerSession&) override {}
-  void OnEnd(CallerSession& aSession) override;
+  void OnEnd(CallerSession& aSession) override { m_sessions.Remove(aSession); }
 
 private:
-  void Accept();
-
-  Loop& m_loop;
   std::function<CallerReply()> m_answer;
-  Socket m_listener;
-  Watch m_acceptable;
-  SessionId m_nextSession = 1;
-  std::unordered_map<SessionId, std::unique_ptr<CallerSession>> m_sessions;
-  std::vector<std::unique_ptr<CallerSession>> m_ended;
-  LoopTimer m_cleanUp;
+  SessionSet m_sessions;
 };
 
 } // namespace goldcrestkeel
--- a/packages/forward/include/goldcrestkeel/forward/Forwarder.h
+++ b/packages/forward/include/goldcrestkeel/forward/Forwarder.h
@@ -126,8 +126,7 @@
   std::map<std::string, std::string> m_regions;
   /** How long a replica may be used, if its service has no other, once it is
    *  known to drain or is no longer listed. */
-  Duration m_drainingUse{ 900000 };
-  Duration m_unlistedUse{ 1200000 };
+  Duration m_leavingUse{ 900000 };
   /** Repeats allowed for each service over all hosts: this share of its
    *  requests plus m_repeatSlack in each m_repeatWindow. */
   double m_repeatRatio = 0.2;
--- a/packages/forward/src/BackendPool.cpp
+++ b/packages/forward/src/BackendPool.cpp
@@ -12,10 +12,9 @@
 /** A sample counts at most this multiple of the average: a pause of a replica
  *  is over when its answer comes and says little about the next request. */
 constexpr double kLargestSample = 3;
-/** Time in which what is known of a replica's latency, failures and load loses
- *  most of its weight; a slow replica is then tried again. */
+/** Time in which what is known of a replica's latency and load loses most of
+ * its weight; a slow replica is then tried again. */
 constexpr double kLatencyMemoryUs = 5e6;
-constexpr double kFailureMemoryUs = 3e6;
 constexpr double kLoadMemoryUs = 300e3;
 /** A replica with more waiting requests than this for each slot gets no further
  *  ones while its report is this fresh. */
@@ -23,17 +22,12 @@
 constexpr Duration kLoadReportValid{ 60000 };
 /** Pause after a replica refused for lack of room. */
 constexpr Duration kFullPause{ 20000 };
-/** Weight of one gathered request in the share of those that miss a shard, and
- *  the time in which that share is forgotten without new requests. */
-constexpr double kMissedWeight = 0.06;
-constexpr double kMissedMemoryUs = 2e6;
 /** Pauses of single replicas make about a twentieth of the requests miss a
  *  shard; above this share the shard has too many requests. */
 constexpr double kOverloaded = 0.15;
 /** Requests left out for each one that missed the shard, and the most. */
 constexpr double kSkipFactor = 1.2;
 constexpr double kMostSkipped = 0.85;
-constexpr double kFailureWeight = 0.15;
 /** Share of failures from which on other replicas are preferred. */
 constexpr double kDoubtfulFailures = 0.3;
 /** Factor of the expected time of a replica that always fails. */
@@ -70,12 +64,6 @@
   return 1;
 }
 
-double
-Decayed(double aValue, Duration aAge, double aMemoryUs)
-{
-  return aValue * std::exp(-static_cast<double>(aAge.count()) / aMemoryUs);
-}
-
 // Requests that wait here can still go to another replica, or be left out.
 bool
 HasLongQueue(TimePoint aNow, const PooledReplica& aReplica)
@@ -173,7 +161,7 @@
   if (!aRecord.m_draining) {
     replica->m_usableUntil.reset();
   } else if (!wasDraining) {
-    replica->m_usableUntil = aNow + m_options.m_drainingUse;
+    replica->m_usableUntil = aNow + m_options.m_leavingUse;
   }
 }
 
@@ -187,8 +175,8 @@
   PooledReplica& replica = *found->second;
   replica.m_listed = false;
   replica.m_usableUntil =
-    std::min(replica.m_usableUntil.value_or(aNow + m_options.m_unlistedUse),
-             aNow + m_options.m_unlistedUse);
+    std::min(replica.m_usableUntil.value_or(aNow + m_options.m_leavingUse),
+             aNow + m_options.m_leavingUse);
   ForgetGone(aNow);
 }
 
@@ -244,8 +232,7 @@
   if (aReplica.m_usableUntil) {
     return ReplicaTier::Leaving;
   }
-  const double failures = Decayed(
-    aReplica.m_failures, aNow - aReplica.m_failuresAt, kFailureMemoryUs);
+  const double failures = aReplica.m_failures.At(aNow);
   if (aReplica.m_late > 0 || probing || failures > kDoubtfulFailures) {
     return ReplicaTier::Doubtful;
   }
@@ -327,8 +314,7 @@
 {
   const double expected =
     static_cast<double>(Expected(aNow, aGroup, aReplica).count());
-  const double failures = Decayed(
-    aReplica.m_failures, aNow - aReplica.m_failuresAt, kFailureMemoryUs);
+  const double failures = aReplica.m_failures.At(aNow);
   const double cold = aNow < aReplica.m_warmAt ? kColdFactor : 1;
   return expected * FarFactor(aReplica.m_distance) *
          (1 + kFailurePenalty * failures) * cold *
@@ -375,32 +361,10 @@
   }
 }
 
-void
-BackendPool::RecordOutcome(TimePoint aNow,
-                           PooledReplica& aReplica,
-                           bool aFailed)
-{
-  const double before = Decayed(
-    aReplica.m_failures, aNow - aReplica.m_failuresAt, kFailureMemoryUs);
-  aReplica.m_failures =
-    before + kFailureWeight * ((aFailed ? 1.0 : 0.0) - before);
-  aReplica.m_failuresAt = aNow;
-}
-
-void
-BackendPool::RecordGathered(TimePoint aNow, BackendGroup& aGroup, bool aMissed)
-{
-  const double before =
-    Decayed(aGroup.m_missed, aNow - aGroup.m_missedAt, kMissedMemoryUs);
-  aGroup.m_missed = before + kMissedWeight * ((aMissed ? 1.0 : 0.0) - before);
-  aGroup.m_missedAt = aNow;
-}
-
 double
 BackendPool::SkipShare(TimePoint aNow, const BackendGroup& aGroup)
 {
-  const double missed =
-    Decayed(aGroup.m_missed, aNow - aGroup.m_missedAt, kMissedMemoryUs);
+  const double missed = aGroup.m_missed.At(aNow);
   return missed < kOverloaded ? 0
                               : std::min(kMostSkipped, kSkipFactor * missed);
 }
--- a/packages/forward/src/BackendPool.h
+++ b/packages/forward/src/BackendPool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "FadingShare.h"
 #include "RepeatBudget.h"
 
 #include <goldcrestkeel/core/Random.h>
@@ -16,6 +17,14 @@
 
 namespace goldcrestkeel {
 
+/** Weight of one copy in the share of those that fail, and the time in which
+ *  that share is forgotten; a replica that failed is then tried again. */
+inline constexpr double kFailureWeight = 0.15;
+inline constexpr double kFailureMemoryUs = 3e6;
+/** The same for gathered requests that miss a shard. */
+inline constexpr double kMissedWeight = 0.06;
+inline constexpr double kMissedMemoryUs = 2e6;
+
 /** How usable a replica is now; a lower value is preferred. */
 enum class ReplicaTier
 {
@@ -61,9 +70,8 @@
    *  sample. */
   double m_latency = 0;
   TimePoint m_latencyAt;
-  /** Moving average of the share of copies that failed. */
-  double m_failures = 0;
-  TimePoint m_failuresAt;
+  /** Copies that failed. */
+  FadingShare m_failures{ kFailureWeight, kFailureMemoryUs };
 
   LoadReport m_load;
   /** Copies of this host that m_load includes. */
@@ -102,10 +110,9 @@
   /** Moving average over all replicas, in microseconds. */
   double m_latency = 0;
   std::uint32_t m_share = 1;
-  /** Moving average of the share of gathered requests that left without this
-   *  shard although they had asked it. */
-  double m_missed = 0;
-  TimePoint m_missedAt;
+  /** Gathered requests that left without this shard although they had asked
+   *  it. */
+  FadingShare m_missed{ kMissedWeight, kMissedMemoryUs };
 
   BackendGroup(std::string aName, const ForwarderOptions& aOptions)
     : m_name(std::move(aName))
@@ -158,14 +165,6 @@
                            PooledReplica& aReplica,
                            Duration aLatency,
                            const ReplicaAnswer& aAnswer);
-  static void RecordOutcome(TimePoint aNow,
-                            PooledReplica& aReplica,
-                            bool aFailed);
-  /** A gathered request was answered with or without aGroup, which it had
-   *  asked. */
-  static void RecordGathered(TimePoint aNow,
-                             BackendGroup& aGroup,
-                             bool aMissed);
   /** Probability with which a request that can do without aGroup should not ask
    *  it: 0 unless aGroup has more requests than it can answer in time. */
   static double SkipShare(TimePoint aNow, const BackendGroup& aGroup);
--- a/packages/forward/src/Forwarder.cpp
+++ b/packages/forward/src/Forwarder.cpp
@@ -179,7 +179,7 @@
   BackendPool::RecordAnswer(aNow, *copy.m_group, replica, latency, aAnswer);
   const bool success = IsSuccess(aAnswer);
   if (aNow < copy.m_deadline) {
-    BackendPool::RecordOutcome(aNow, replica, !success);
+    replica.m_failures.Add(aNow, !success);
   }
   if (success) {
     copy.m_profile->Add(latency);
@@ -221,7 +221,7 @@
   if (aFailure == CopyFailure::Refused || aFailure == CopyFailure::NotSent) {
     BackendPool::Block(aNow, replica, kUnreachableBlock);
   } else {
-    BackendPool::RecordOutcome(aNow, replica, true);
+    replica.m_failures.Add(aNow, true);
   }
   const auto running = m_running.find(copy.m_request);
   if (running != m_running.end() && !copy.m_abandoned) {
--- a/packages/forward/src/ForwarderFinish.cpp
+++ b/packages/forward/src/ForwarderFinish.cpp
@@ -105,22 +105,20 @@
   CheckGather(aNow, aForward);
 }
 
-bool
+void
 ForwarderImpl::CheckGather(TimePoint aNow, RunningForward& aForward)
 {
   const std::uint32_t shards = aForward.m_legs.size();
   const std::uint32_t needed = NeededShards(aForward);
   if (aForward.m_failed > shards - needed) {
     FinishFailed(aNow, aForward, false);
-    return true;
+    return;
   }
   const bool allEnded = aForward.m_answered + aForward.m_failed == shards;
   const bool enough = aForward.m_answered >= needed;
   if (allEnded || (aForward.m_pastTarget && enough)) {
     FinishGathered(aNow, aForward);
-    return true;
   }
-  return false;
 }
 
 void
@@ -187,9 +185,12 @@
 ForwarderImpl::RecordGathered(TimePoint aNow, const RunningForward& aForward)
 {
   for (const ForwardLeg& leg : aForward.m_legs) {
-    if (leg.m_state != ForwardLeg::State::Skipped) {
-      BackendPool::RecordGathered(
-        aNow, *leg.m_group, leg.m_state != ForwardLeg::State::Answered);
+    const bool answered = leg.m_state == ForwardLeg::State::Answered;
+    const bool asked = leg.m_state != ForwardLeg::State::Skipped;
+    // A request that ended before its target says nothing of the shards that
+    // it did not wait for.
+    if (answered || (asked && aForward.m_pastTarget)) {
+      leg.m_group->m_missed.Add(aNow, !answered);
     }
   }
 }
@@ -199,14 +200,8 @@
                           RunningForward& aForward,
                           ForwardResult&& aResult)
 {
-  if (aForward.m_pastTarget) {
+  if (aForward.m_pastTarget || aResult.m_gathered) {
     RecordGathered(aNow, aForward);
-  } else if (aResult.m_gathered) {
-    for (const ForwardLeg& leg : aForward.m_legs) {
-      if (leg.m_state == ForwardLeg::State::Answered) {
-        BackendPool::RecordGathered(aNow, *leg.m_group, false);
-      }
-    }
   }
   aResult.m_copies = aForward.m_copies;
   if (aResult.m_missingShards > 0 || aResult.m_error) {
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -180,7 +180,7 @@
                    std::uint32_t aLeg,
                    ReplicaAnswer&& aAnswer);
   void LegFailed(TimePoint aNow, RunningForward& aForward, std::uint32_t aLeg);
-  bool CheckGather(TimePoint aNow, RunningForward& aForward);
+  void CheckGather(TimePoint aNow, RunningForward& aForward);
   void FinishGathered(TimePoint aNow, RunningForward& aForward);
   void FinishFailed(TimePoint aNow, RunningForward& aForward, bool aTimedOut);
   void FinishWith(TimePoint aNow,
@@ -197,7 +197,7 @@
                std::string_view aReplica,
                std::string_view aReason,
                Duration aAge = Duration(0));
-  /** Tells the shards which of them the request missed. */
+  /** Tells the shards whether the request left with or without them. */
   static void RecordGathered(TimePoint aNow, const RunningForward& aForward);
   static std::uint32_t NeededShards(const RunningForward& aForward);
 
