--- a/packages/edge/include/goldcrestkeel/edge/EdgeSettings.h
+++ b/packages/edge/include/goldcrestkeel/edge/EdgeSettings.h
@@ -24,6 +24,10 @@
   std::string m_callerAddress;
   /** Address at which the load balancer asks whether the host is ready. */
   std::string m_readinessAddress;
+  /** Address at which other entry hosts hand requests over; empty for none. */
+  std::string m_relayAddress;
+  /** Part of a processor core that this host may use. */
+  double m_cores = 1;
   /** Address of the metrics; empty for none. */
   std::string m_metricsAddress;
   /** Address of the store. */
--- a/packages/edge/include/goldcrestkeel/edge/TopologySource.h
+++ b/packages/edge/include/goldcrestkeel/edge/TopologySource.h
@@ -1,11 +1,12 @@
 #pragma once
 
+#include <goldcrestkeel/forward/HostRecord.h>
 #include <goldcrestkeel/forward/ReplicaRecord.h>
 #include <goldcrestkeel/forward/RoutingTable.h>
 
-#include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace goldcrestkeel {
 
@@ -21,8 +22,8 @@
   virtual void OnReplicaGone(const std::string& aId) = 0;
   /** All replicas that are listed now have been reported once. */
   virtual void OnReplicasComplete() = 0;
-  /** Live entry hosts, this one included. */
-  virtual void OnLiveHosts(std::uint32_t aHosts) = 0;
+  /** Live entry hosts, also this one once it is listed. */
+  virtual void OnHosts(const std::vector<HostRecord>& aHosts) = 0;
 };
 
 /** Pause between two reads of changes that must be in force within aLimit: what
--- a/packages/edge/src/CallerSession.cpp
+++ b/packages/edge/src/CallerSession.cpp
@@ -28,10 +28,12 @@
 
 CallerSession::CallerSession(Loop& aLoop,
                              SessionId aId,
+                             SessionPeer aPeer,
                              Socket aSocket,
                              Owner& aOwner)
   : m_loop(aLoop)
   , m_id(aId)
+  , m_peer(aPeer)
   , m_socket(std::move(aSocket))
   , m_owner(aOwner)
   , m_since(aLoop.Now())
@@ -109,7 +111,7 @@
   m_parsing = true;
   while (m_state == State::Reading && !m_closeAfter && !m_in.empty()) {
     if (!m_reader) {
-      const CallerLimits limits = m_owner.Limits();
+      const CallerLimits limits = m_owner.Limits(m_peer);
       m_reader = std::make_unique<RequestReader>(limits.m_headerBytes,
                                                  limits.m_bodyBytes);
     }
@@ -235,7 +237,7 @@
   if (m_state != State::Reading || m_written < m_out.size()) {
     return;
   }
-  const CallerLimits limits = m_owner.Limits();
+  const CallerLimits limits = m_owner.Limits(m_peer);
   if (m_reader && m_reader->HasStarted()) {
     const Duration limit =
       m_reader->HasHeader() ? kBodyTimeout : limits.m_headerTimeout;
--- a/packages/edge/src/CallerSession.h
+++ b/packages/edge/src/CallerSession.h
@@ -25,6 +25,14 @@
   std::string m_body;
 };
 
+/** Who is at the other end of a session. */
+enum class SessionPeer
+{
+  Caller,
+  /** Another entry host, which hands requests over. */
+  Host,
+};
+
 /** One connection of a caller, with one request at a time. */
 class CallerSession
 {
@@ -33,7 +41,7 @@
   {
   public:
     virtual ~Owner() = default;
-    virtual CallerLimits Limits() const = 0;
+    virtual CallerLimits Limits(SessionPeer aPeer) const = 0;
     /** Answers ask the caller to close the connection. */
     virtual bool IsStopping() const = 0;
     /** A whole request has been read. Reply() follows, possibly at once. */
@@ -44,9 +52,14 @@
     virtual void OnEnd(CallerSession& aSession) = 0;
   };
 
-  CallerSession(Loop& aLoop, SessionId aId, Socket aSocket, Owner& aOwner);
+  CallerSession(Loop& aLoop,
+                SessionId aId,
+                SessionPeer aPeer,
+                Socket aSocket,
+                Owner& aOwner);
 
   SessionId Id() const { return m_id; }
+  SessionPeer Peer() const { return m_peer; }
   void Reply(CallerReply&& aReply);
   /** Closes what is idle or late. */
   void CheckTime(TimePoint aNow);
@@ -75,6 +88,7 @@
 
   Loop& m_loop;
   SessionId m_id;
+  SessionPeer m_peer;
   Socket m_socket;
   Owner& m_owner;
   State m_state = State::Reading;
--- a/packages/edge/src/CopyWriter.cpp
+++ b/packages/edge/src/CopyWriter.cpp
@@ -10,12 +10,18 @@
 /** Room for the fields that this host adds, in bytes. */
 constexpr std::size_t kAddedBytes = 768;
 
-} // namespace
+std::string
+FormatMilliseconds(Duration aTime)
+{
+  const auto left =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+  return std::to_string(std::max<std::int64_t>(1, left));
+}
 
+// Request line and fields, without the empty line behind them.
 std::string
-WriteCopy(const WireRequest& aRequest,
+WriteHead(const WireRequest& aRequest,
           const EdgeFieldNames& aNames,
-          const std::string& aReplica,
           Duration aTimeLeft)
 {
   std::string bytes;
@@ -31,17 +37,43 @@
       AppendField(bytes, name, value);
     }
   }
-  const auto left =
-    std::chrono::duration_cast<std::chrono::milliseconds>(aTimeLeft).count();
-  AppendField(bytes,
-              aNames.m_deadlineMs,
-              std::to_string(std::max<std::int64_t>(1, left)));
-  AppendField(bytes, aNames.m_targetInstance, aReplica);
+  AppendField(bytes, aNames.m_deadlineMs, FormatMilliseconds(aTimeLeft));
+  return bytes;
+}
+
+void
+AppendBody(std::string& aBytes, const WireRequest& aRequest)
+{
   if (aRequest.m_hasBody || !aRequest.m_body.empty()) {
     AppendField(
-      bytes, "Content-Length", std::to_string(aRequest.m_body.size()));
+      aBytes, "Content-Length", std::to_string(aRequest.m_body.size()));
   }
-  bytes.append("\r\n").append(aRequest.m_body);
+  aBytes.append("\r\n").append(aRequest.m_body);
+}
+
+} // namespace
+
+std::string
+WriteCopy(const WireRequest& aRequest,
+          const EdgeFieldNames& aNames,
+          const std::string& aReplica,
+          Duration aTimeLeft)
+{
+  std::string bytes = WriteHead(aRequest, aNames, aTimeLeft);
+  AppendField(bytes, aNames.m_targetInstance, aReplica);
+  AppendBody(bytes, aRequest);
+  return bytes;
+}
+
+std::string
+WriteRelay(const WireRequest& aRequest,
+           const EdgeFieldNames& aNames,
+           const RelayTerms& aTerms,
+           Duration aTimeLeft)
+{
+  std::string bytes = WriteHead(aRequest, aNames, aTimeLeft);
+  AppendRelayTerms(bytes, aTerms);
+  AppendBody(bytes, aRequest);
   return bytes;
 }
 
--- a/packages/edge/src/CopyWriter.h
+++ b/packages/edge/src/CopyWriter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "RelayFields.h"
 #include "ReplicaConnections.h"
 
 #include <goldcrestkeel/edge/HttpMessage.h>
@@ -17,4 +18,12 @@
           const std::string& aReplica,
           Duration aTimeLeft);
 
+/** aRequest as it goes to another entry host, which answers within aTimeLeft,
+ *  and with what it has there after aTerms.m_untilTarget. */
+std::string
+WriteRelay(const WireRequest& aRequest,
+           const EdgeFieldNames& aNames,
+           const RelayTerms& aTerms,
+           Duration aTimeLeft);
+
 } // namespace goldcrestkeel
--- a/packages/edge/src/EdgeServer.cpp
+++ b/packages/edge/src/EdgeServer.cpp
@@ -1,5 +1,6 @@
 #include "CopyWriter.h"
 #include "EdgeMetrics.h"
+#include "RelayFields.h"
 #include "ReplicaConnections.h"
 #include "SessionSet.h"
 #include "StatusServer.h"
@@ -22,6 +23,10 @@
 /** Connections of callers; the rest of the usual 4,000 descriptors is for
  *  replicas. */
 constexpr std::size_t kMaxSessions = 2500;
+/** Connections of other entry hosts. */
+constexpr std::size_t kMaxHostSessions = 500;
+/** Room for the fields that another entry host adds, in bytes. */
+constexpr std::uint32_t kRelayFieldBytes = 512;
 /** Time that an answer needs to the caller and that the caller's request has
  *  already taken: a one-way delay of 3 ms each, and some processing. */
 constexpr Duration kCallerTransit{ 12000 };
@@ -97,6 +102,11 @@
                 ForwardId aRequest,
                 const ReplicaRecord& aReplica,
                 TimePoint aDeadline) override;
+  void SendRelay(CopyId aCopy,
+                 ForwardId aRequest,
+                 const ReplicaRecord& aHost,
+                 TimePoint aDeadline,
+                 const RelayedPart& aPart) override;
   void AbortCopy(CopyId aCopy) override { m_replicas.Abort(aCopy); }
   void Finish(ForwardId aRequest, ForwardResult&& aResult) override;
   void Decided(const ForwardDecision& aDecision) override;
@@ -107,7 +117,7 @@
   void OnCopyFailed(CopyId aCopy, CopyFailure aFailure) override;
 
   // CallerSession::Owner
-  CallerLimits Limits() const override;
+  CallerLimits Limits(SessionPeer aPeer) const override;
   bool IsStopping() const override { return m_stopping; }
   void OnRequest(CallerSession& aSession, WireRequest&& aRequest) override;
   void OnGone(CallerSession& aSession) override;
@@ -118,7 +128,7 @@
   void OnReplica(const ReplicaRecord& aReplica) override;
   void OnReplicaGone(const std::string& aId) override;
   void OnReplicasComplete() override;
-  void OnLiveHosts(std::uint32_t aHosts) override;
+  void OnHosts(const std::vector<HostRecord>& aHosts) override;
 
 private:
   struct OpenRequest
@@ -135,6 +145,10 @@
   void ArmForwarder();
   void CheckStopped();
   void CloseIdleSessions();
+  CallerSession* FindSession(SessionId aId) const;
+  /** Whether a request of another entry host is taken. */
+  bool MayServe(const std::optional<RelayTerms>& aTerms,
+                const Route& aRoute) const;
   bool IsReady() const;
   CallerReply ReadinessReply() const;
   CallerReply MetricsReply();
@@ -162,7 +176,10 @@
   bool m_replicasKnown = false;
   bool m_hostsCounted = false;
 
+  SessionId m_nextSession = 1;
   SessionSet m_sessions;
+  /** Sessions of other entry hosts. */
+  std::optional<SessionSet> m_hostSessions;
   LoopTimer m_sessionTimer;
   std::unordered_map<ForwardId, OpenRequest> m_open;
   std::unordered_map<SessionId, ForwardId> m_bySession;
@@ -194,13 +211,27 @@
                      m_forwarder->OnTimer(m_loop.Now());
                      ArmForwarder();
                    })
-  , m_sessions(aLoop, aSettings.m_callerAddress, kMaxSessions, *this)
+  , m_sessions(aLoop,
+               SessionPeer::Caller,
+               m_nextSession,
+               aSettings.m_callerAddress,
+               kMaxSessions,
+               *this)
   , m_sessionTimer(aLoop, [this] { CheckSessions(); })
   , m_readiness(aLoop, aSettings.m_readinessAddress, [this] {
     return ReadinessReply();
   })
 {
+  if (!aSettings.m_relayAddress.empty()) {
+    m_hostSessions.emplace(aLoop,
+                           SessionPeer::Host,
+                           m_nextSession,
+                           aSettings.m_relayAddress,
+                           kMaxHostSessions,
+                           *this);
+  }
   ForwarderOptions options;
+  options.m_hostId = aSettings.m_hostId;
   options.m_dataCentre = aSettings.m_dataCentre;
   options.m_regions = aSettings.m_regions;
   options.m_leavingUse = std::max(
@@ -258,6 +289,11 @@
   for (CallerSession* session : m_sessions.List()) {
     session->CheckTime(now);
   }
+  if (m_hostSessions) {
+    for (CallerSession* session : m_hostSessions->List()) {
+      session->CheckTime(now);
+    }
+  }
   if (m_sessions.size() >= kMaxSessions) {
     m_log.Write(LogWeight::Request,
                 "callers_full",
@@ -298,6 +334,27 @@
   m_replicas.Send(aReplica, std::move(copy));
 }
 
+void
+EdgeServer::Impl::SendRelay(CopyId aCopy,
+                            ForwardId aRequest,
+                            const ReplicaRecord& aHost,
+                            TimePoint aDeadline,
+                            const RelayedPart& aPart)
+{
+  const OpenRequest& open = m_open.at(aRequest);
+  const TimePoint now = m_loop.Now();
+  OutgoingCopy copy;
+  copy.m_copy = aCopy;
+  copy.m_requestId = open.m_requestId;
+  copy.m_head = open.m_request.m_method == "HEAD";
+  copy.m_bytes = WriteRelay(
+    open.m_request,
+    m_names,
+    { open.m_version, aPart.m_shards, aPart.m_mayMiss, aPart.m_targetAt - now },
+    aDeadline - now);
+  m_replicas.Send(aHost, std::move(copy));
+}
+
 void
 EdgeServer::Impl::OnCopySent(CopyId aCopy)
 {
@@ -319,9 +376,13 @@
 }
 
 CallerLimits
-EdgeServer::Impl::Limits() const
+EdgeServer::Impl::Limits(SessionPeer aPeer) const
 {
-  return m_table ? m_table->m_limits : CallerLimits();
+  CallerLimits limits = m_table ? m_table->m_limits : CallerLimits();
+  if (aPeer == SessionPeer::Host) {
+    limits.m_headerBytes += kRelayFieldBytes;
+  }
+  return limits;
 }
 
 void
@@ -342,15 +403,32 @@
     ReplyError(aSession, ErrorKind::NotFound, "no such route", std::nullopt);
     return;
   }
+  const bool fromHost = aSession.Peer() == SessionPeer::Host;
+  const auto terms = fromHost ? TakeRelayTerms(aRequest) : std::nullopt;
+  if (fromHost && !MayServe(terms, *route)) {
+    ReplyError(aSession,
+               ErrorKind::NotReady,
+               "requests of other hosts are not taken now, or not by this "
+               "version of the routing table",
+               std::nullopt);
+    return;
+  }
   const TimePoint now = m_loop.Now();
   ForwardRequest forward;
+  if (terms) {
+    forward.m_part = { terms->m_shards,
+                       terms->m_mayMiss,
+                       now + terms->m_untilTarget };
+  }
   forward.m_id = m_nextRequest++;
   forward.m_table = m_table;
   forward.m_route = route;
   const auto wait =
     ParseMilliseconds(FieldOf(aRequest.m_fields, m_names.m_deadlineMs));
+  // Another entry host has taken the way off.
+  const Duration transit = fromHost ? Duration(0) : kCallerTransit;
   const Duration patience =
-    std::max(Duration(0), wait.value_or(route->m_timeout) - kCallerTransit);
+    std::max(Duration(0), wait.value_or(route->m_timeout) - transit);
   forward.m_deadline = now + std::min(route->m_timeout, patience);
   OpenRequest open;
   open.m_session = aSession.Id();
@@ -389,7 +467,11 @@
 void
 EdgeServer::Impl::OnEnd(CallerSession& aSession)
 {
-  m_sessions.Remove(aSession);
+  if (aSession.Peer() == SessionPeer::Host) {
+    m_hostSessions->Remove(aSession);
+  } else {
+    m_sessions.Remove(aSession);
+  }
 }
 
 void
@@ -403,11 +485,41 @@
   m_open.erase(found);
   m_bySession.erase(open.m_session);
   LogFinish(open, aResult);
-  if (CallerSession* session = m_sessions.Find(open.m_session)) {
-    session->Reply(ToReply(std::move(aResult)));
+  if (CallerSession* session = FindSession(open.m_session)) {
+    const std::string copies = std::to_string(aResult.m_copies);
+    const std::string shards = FormatNumbers(aResult.m_shards);
+    CallerReply reply = ToReply(std::move(aResult));
+    if (session->Peer() == SessionPeer::Host) {
+      reply.m_fields.emplace_back(shards.empty() ? kCopiesField : kShardsField,
+                                  shards.empty() ? copies : shards);
+    }
+    session->Reply(std::move(reply));
   }
 }
 
+CallerSession*
+EdgeServer::Impl::FindSession(SessionId aId) const
+{
+  CallerSession* const session = m_sessions.Find(aId);
+  return session || !m_hostSessions ? session : m_hostSessions->Find(aId);
+}
+
+bool
+EdgeServer::Impl::MayServe(const std::optional<RelayTerms>& aTerms,
+                           const Route& aRoute) const
+{
+  // A request is handled by one version only: that of the host that has taken
+  // it from the caller.
+  if (m_stopping || !aTerms || !aRoute.m_gather ||
+      aTerms->m_version != m_table->m_version) {
+    return false;
+  }
+  const std::size_t shards = aRoute.m_gather->m_shards.size();
+  return std::all_of(aTerms->m_shards.begin(),
+                     aTerms->m_shards.end(),
+                     [&](std::uint32_t aShard) { return aShard < shards; });
+}
+
 void
 EdgeServer::Impl::LogFinish(const OpenRequest& aOpen,
                             const ForwardResult& aResult)
@@ -511,7 +623,11 @@
       { "reason", std::string_view(aDetail) },
       { "version",
         static_cast<std::int64_t>(m_table ? m_table->m_version : 0) } });
-  aSession.Reply(ToErrorReply(aKind, aDetail, aRetryAfter));
+  CallerReply reply = ToErrorReply(aKind, aDetail, aRetryAfter);
+  if (aSession.Peer() == SessionPeer::Host) {
+    reply.m_fields.emplace_back(kCopiesField, "0");
+  }
+  aSession.Reply(std::move(reply));
 }
 
 void
@@ -558,18 +674,20 @@
 }
 
 void
-EdgeServer::Impl::OnLiveHosts(std::uint32_t aHosts)
+EdgeServer::Impl::OnHosts(const std::vector<HostRecord>& aHosts)
 {
   m_log.Write(LogWeight::Process,
               "live_hosts",
-              { { "hosts", static_cast<std::int64_t>(aHosts) } });
-  m_liveHosts = aHosts;
+              { { "hosts", static_cast<std::int64_t>(aHosts.size()) } });
+  // This host may not be listed yet.
+  m_liveHosts = std::max(1U, static_cast<std::uint32_t>(aHosts.size()));
   // Hosts that have just started are not counted by all others yet, and the
   // first count of a host that starts with them sees few.
   const std::uint32_t seen =
-    m_hostsCounted ? aHosts : std::max(aHosts, kAssumedHosts);
+    m_hostsCounted ? m_liveHosts : std::max(m_liveHosts, kAssumedHosts);
   m_hostsCounted = true;
   m_forwarder->SetLiveHosts(seen + seen / kJoiningHosts);
+  m_forwarder->SetHosts(m_loop.Now(), aHosts);
 }
 
 void
--- a/packages/edge/src/EdgeSettings.cpp
+++ b/packages/edge/src/EdgeSettings.cpp
@@ -150,6 +150,7 @@
 ParseEdgeSettings(std::string_view aText)
 {
   constexpr double kMaxSlack = 1e6;
+  constexpr double kMaxCores = 1024;
   const json document = ParseDocument(aText);
   EdgeSettings settings;
   Reader reader(document);
@@ -159,6 +160,8 @@
   reader.Texts("/regions", settings.m_regions);
   reader.Text("/listen/callers", settings.m_callerAddress, true);
   reader.Text("/listen/readiness", settings.m_readinessAddress, true);
+  reader.Text("/listen/hosts", settings.m_relayAddress, false);
+  reader.Number("/host/cores", settings.m_cores, kMaxCores);
   reader.Text("/listen/metrics", settings.m_metricsAddress, false);
   reader.Text("/store/address", settings.m_storeAddress, true);
   reader.Number("/repeats/ratio", settings.m_repeatRatio, 1);
--- /dev/null
+++ b/packages/edge/src/RelayFields.cpp
@@ -0,0 +1,97 @@
+#include "RelayFields.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace goldcrestkeel {
+
+namespace {
+
+/** Longest time until the target that is accepted, in milliseconds. */
+constexpr std::uint64_t kLongestTargetMs = 3600000;
+
+std::string
+TakeField(WireRequest& aRequest, std::string_view aName)
+{
+  std::string text(FieldOf(aRequest.m_fields, aName));
+  std::erase_if(aRequest.m_fields, [&](const HeaderField& aField) {
+    return SameName(aField.first, aName);
+  });
+  return text;
+}
+
+template<typename Number>
+std::optional<Number>
+ParseNumber(std::string_view aText)
+{
+  Number value = 0;
+  const char* const end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data(), end, value);
+  if (aText.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+} // namespace
+
+std::string
+FormatNumbers(const std::vector<std::uint32_t>& aNumbers)
+{
+  std::string text;
+  for (const std::uint32_t number : aNumbers) {
+    text.append(text.empty() ? "" : ",").append(std::to_string(number));
+  }
+  return text;
+}
+
+std::optional<std::vector<std::uint32_t>>
+ParseNumbers(std::string_view aText)
+{
+  std::vector<std::uint32_t> numbers;
+  while (true) {
+    const std::size_t comma = aText.find(',');
+    const auto number = ParseNumber<std::uint32_t>(aText.substr(0, comma));
+    if (!number) {
+      return std::nullopt;
+    }
+    numbers.push_back(*number);
+    if (comma == std::string_view::npos) {
+      return numbers;
+    }
+    aText.remove_prefix(comma + 1);
+  }
+}
+
+void
+AppendRelayTerms(std::string& aOut, const RelayTerms& aTerms)
+{
+  const auto target = std::chrono::duration_cast<std::chrono::milliseconds>(
+    std::max(Duration(0), aTerms.m_untilTarget));
+  AppendField(aOut, kTableVersionField, std::to_string(aTerms.m_version));
+  AppendField(aOut, kShardsField, FormatNumbers(aTerms.m_shards));
+  AppendField(aOut, kMayMissField, std::to_string(aTerms.m_mayMiss));
+  AppendField(aOut, kTargetMsField, std::to_string(target.count()));
+}
+
+std::optional<RelayTerms>
+TakeRelayTerms(WireRequest& aRequest)
+{
+  const auto version =
+    ParseNumber<RoutingVersion>(TakeField(aRequest, kTableVersionField));
+  auto shards = ParseNumbers(TakeField(aRequest, kShardsField));
+  const auto mayMiss =
+    ParseNumber<std::uint32_t>(TakeField(aRequest, kMayMissField));
+  const auto target =
+    ParseNumber<std::uint64_t>(TakeField(aRequest, kTargetMsField));
+  if (!version || !shards || !mayMiss || !target) {
+    return std::nullopt;
+  }
+  return RelayTerms{ *version,
+                     std::move(*shards),
+                     *mayMiss,
+                     std::chrono::milliseconds(
+                       std::min(*target, kLongestTargetMs)) };
+}
+
+} // namespace goldcrestkeel
--- a/packages/edge/src/ReplicaConnections.cpp
+++ b/packages/edge/src/ReplicaConnections.cpp
@@ -1,5 +1,7 @@
 #include "ReplicaConnections.h"
 
+#include "RelayFields.h"
+
 #include <algorithm>
 #include <charconv>
 #include <utility>
@@ -58,6 +60,21 @@
   return std::max(kShortestIdle, std::chrono::seconds(seconds) - kIdleMargin);
 }
 
+// Parts of a list with commas and spaces between them.
+std::vector<std::string>
+SplitList(std::string_view aText)
+{
+  std::vector<std::string> parts;
+  while (!aText.empty()) {
+    const std::size_t end = std::min(aText.find_first_of(", "), aText.size());
+    if (end > 0) {
+      parts.emplace_back(aText.substr(0, end));
+    }
+    aText.remove_prefix(std::min(end + 1, aText.size()));
+  }
+  return parts;
+}
+
 CopyFailure
 FailureOf(ConnectionEnd aEnd)
 {
@@ -290,6 +307,14 @@
   answer.m_otherInstance = aAnswer.m_status == kMisdirected;
   answer.m_notRun = answer.m_otherInstance ||
                     !FieldOf(aAnswer.m_fields, m_names.m_notRun).empty();
+  if (const auto shards =
+        ParseNumbers(FieldOf(aAnswer.m_fields, kShardsField))) {
+    answer.m_shards = *shards;
+    answer.m_shardStamps =
+      SplitList(FieldOf(aAnswer.m_fields, m_names.m_shardStamps));
+  }
+  answer.m_notRun =
+    answer.m_notRun || FieldOf(aAnswer.m_fields, kCopiesField) == "0";
   answer.m_load = ParseLoad(FieldOf(aAnswer.m_fields, m_names.m_load));
   answer.m_body = std::move(aAnswer.m_body);
   answer.m_fields = EndToEndFields(std::move(aAnswer.m_fields));
--- a/packages/edge/src/SessionSet.cpp
+++ b/packages/edge/src/SessionSet.cpp
@@ -5,10 +5,14 @@
 namespace goldcrestkeel {
 
 SessionSet::SessionSet(Loop& aLoop,
+                       SessionPeer aPeer,
+                       SessionId& aNextId,
                        const std::string& aAddress,
                        std::size_t aLimit,
                        CallerSession::Owner& aOwner)
   : m_loop(aLoop)
+  , m_peer(aPeer)
+  , m_nextId(aNextId)
   , m_limit(aLimit)
   , m_owner(aOwner)
   , m_listener(ListenOn(aAddress))
@@ -68,10 +72,10 @@
     if (!socket.IsOpen()) {
       return;
     }
-    const SessionId id = m_nextSession++;
-    m_sessions.emplace(
-      id,
-      std::make_unique<CallerSession>(m_loop, id, std::move(socket), m_owner));
+    const SessionId id = m_nextId++;
+    m_sessions.emplace(id,
+                       std::make_unique<CallerSession>(
+                         m_loop, id, m_peer, std::move(socket), m_owner));
   }
   // The next session that ends makes room again.
   m_acceptable.Stop();
--- a/packages/edge/src/SessionSet.h
+++ b/packages/edge/src/SessionSet.h
@@ -14,9 +14,12 @@
 class SessionSet
 {
 public:
-  /** aLoop and aOwner must outlive the set. At most aLimit sessions are open.
-   *  Throws std::system_error if the address cannot be used. */
+  /** aLoop, aNextId and aOwner must outlive the set; aNextId numbers the
+   *  sessions of all sets. At most aLimit sessions are open. Throws
+   *  std::system_error if the address cannot be used. */
   SessionSet(Loop& aLoop,
+             SessionPeer aPeer,
+             SessionId& aNextId,
              const std::string& aAddress,
              std::size_t aLimit,
              CallerSession::Owner& aOwner);
@@ -36,11 +39,12 @@
   void Accept();
 
   Loop& m_loop;
+  SessionPeer m_peer;
+  SessionId& m_nextId;
   std::size_t m_limit;
   CallerSession::Owner& m_owner;
   Socket m_listener;
   Watch m_acceptable;
-  SessionId m_nextSession = 1;
   std::unordered_map<SessionId, std::unique_ptr<CallerSession>> m_sessions;
   std::vector<std::unique_ptr<CallerSession>> m_ended;
   LoopTimer m_cleanUp;
--- a/packages/edge/src/StatusServer.cpp
+++ b/packages/edge/src/StatusServer.cpp
@@ -9,7 +9,12 @@
                            const std::string& aAddress,
                            std::function<CallerReply()> aAnswer)
   : m_answer(std::move(aAnswer))
-  , m_sessions(aLoop, aAddress, std::numeric_limits<std::size_t>::max(), *this)
+  , m_sessions(aLoop,
+               SessionPeer::Caller,
+               m_nextSession,
+               aAddress,
+               std::numeric_limits<std::size_t>::max(),
+               *this)
 {
 }
 
--- a/packages/edge/src/StatusServer.h
+++ b/packages/edge/src/StatusServer.h
@@ -17,7 +17,7 @@
                const std::string& aAddress,
                std::function<CallerReply()> aAnswer);
 
-  CallerLimits Limits() const override { return {}; }
+  CallerLimits Limits(SessionPeer) const override { return {}; }
   bool IsStopping() const override { return false; }
   void OnRequest(CallerSession& aSession, WireRequest&& aRequest) override;
   void OnGone(CallerSession&) override {}
@@ -25,6 +25,7 @@
 
 private:
   std::function<CallerReply()> m_answer;
+  SessionId m_nextSession = 1;
   SessionSet m_sessions;
 };
 
--- /dev/null
+++ b/packages/edge/tests/RelayFieldsTest.cpp
@@ -0,0 +1,46 @@
+#include "RelayFields.h"
+
+#include <catch2/catch.hpp>
+
+using namespace goldcrestkeel;
+using namespace std::chrono_literals;
+
+TEST_CASE("What one host asks another one for", "[relay]")
+{
+  std::string text;
+  AppendRelayTerms(text, { 7, { 0, 3, 12 }, 2, 85500us });
+  REQUIRE(text == "Goldcrestkeel-Table-Version: 7\r\n"
+                  "Goldcrestkeel-Shards: 0,3,12\r\n"
+                  "Goldcrestkeel-May-Miss: 2\r\n"
+                  "Goldcrestkeel-Target-Ms: 85\r\n");
+  WireRequest request;
+  request.m_fields = { { "X-Other", "kept" },
+                       { "goldcrestkeel-table-version", "7" },
+                       { "Goldcrestkeel-Shards", "0,3,12" },
+                       { "Goldcrestkeel-May-Miss", "2" },
+                       { "Goldcrestkeel-Target-Ms", "85" } };
+
+  SECTION("is taken out of the request, so that no replica sees it")
+  {
+    const auto terms = TakeRelayTerms(request);
+    REQUIRE(terms);
+    REQUIRE(terms->m_version == 7);
+    REQUIRE(terms->m_shards == std::vector<std::uint32_t>{ 0, 3, 12 });
+    REQUIRE(terms->m_mayMiss == 2);
+    REQUIRE(terms->m_untilTarget == 85ms);
+    REQUIRE(request.m_fields.size() == 1);
+  }
+  SECTION("is refused if a part is missing")
+  {
+    request.m_fields.pop_back();
+    REQUIRE_FALSE(TakeRelayTerms(request));
+  }
+  SECTION("is refused if the list of shards cannot be read")
+  {
+    for (const char* list : { "", "1,", ",1", "1,x", "-1", "99999999999" }) {
+      request.m_fields[2].second = list;
+      auto copy = request;
+      REQUIRE_FALSE(TakeRelayTerms(copy));
+    }
+  }
+}
--- a/packages/forward/include/goldcrestkeel/Forward.h
+++ b/packages/forward/include/goldcrestkeel/Forward.h
@@ -4,5 +4,6 @@
  *  the parts of several shards. No input or output. */
 
 #include <goldcrestkeel/forward/Forwarder.h>
+#include <goldcrestkeel/forward/HostRecord.h>
 #include <goldcrestkeel/forward/ReplicaRecord.h>
 #include <goldcrestkeel/forward/RoutingTable.h>
--- a/packages/forward/include/goldcrestkeel/forward/Forwarder.h
+++ b/packages/forward/include/goldcrestkeel/forward/Forwarder.h
@@ -3,6 +3,7 @@
 #include <goldcrestkeel/core/Errors.h>
 #include <goldcrestkeel/core/Random.h>
 #include <goldcrestkeel/core/Time.h>
+#include <goldcrestkeel/forward/HostRecord.h>
 #include <goldcrestkeel/forward/ReplicaRecord.h>
 #include <goldcrestkeel/forward/RoutingTable.h>
 
@@ -24,6 +25,17 @@
 
 using HeaderField = std::pair<std::string, std::string>;
 
+/** What one entry host gathers for another one. */
+struct RelayedPart
+{
+  /** Positions in the route's list of shards. */
+  std::vector<std::uint32_t> m_shards;
+  /** Shards that the answer may lack. */
+  std::uint32_t m_mayMiss = 0;
+  /** When what is there of the answer is sent. */
+  TimePoint m_targetAt;
+};
+
 /** A caller's request to be forwarded. */
 struct ForwardRequest
 {
@@ -33,6 +45,8 @@
   const Route* m_route = nullptr;
   /** When the caller stops waiting. */
   TimePoint m_deadline;
+  /** Set if another entry host has taken the request from the caller. */
+  std::optional<RelayedPart> m_part;
 };
 
 /** A complete answer of a replica. */
@@ -49,6 +63,10 @@
   /** The replica says that it is not the one that was meant. */
   bool m_otherInstance = false;
   std::optional<LoadReport> m_load;
+  /** For the answer of another entry host: the shards that it holds, as
+   *  positions in the route's list, and their stamps. */
+  std::vector<std::uint32_t> m_shards;
+  std::vector<std::string> m_shardStamps;
 };
 
 /** Why a copy ended without an answer. */
@@ -80,6 +98,8 @@
   ReplicaAnswer m_answer;
   bool m_gathered = false;
   std::vector<std::string> m_stamps;
+  /** Shards that m_stamps belong to, as positions in the route's list. */
+  std::vector<std::uint32_t> m_shards;
   std::uint32_t m_missingShards = 0;
   /** Services without a part in the answer, or that failed before an error,
    *  with commas between them. */
@@ -112,6 +132,12 @@
                         ForwardId aRequest,
                         const ReplicaRecord& aReplica,
                         TimePoint aDeadline) = 0;
+  /** Has another entry host gather some of the shards until aDeadline. */
+  virtual void SendRelay(CopyId aCopy,
+                         ForwardId aRequest,
+                         const ReplicaRecord& aHost,
+                         TimePoint aDeadline,
+                         const RelayedPart& aPart) = 0;
   /** Closes the copy's connection. No event of the copy follows. */
   virtual void AbortCopy(CopyId aCopy) = 0;
   /** Ends a request; called once for each that was not cancelled. */
@@ -121,6 +147,7 @@
 
 struct ForwarderOptions
 {
+  std::string m_hostId;
   std::string m_dataCentre;
   /** Region of each data centre. */
   std::map<std::string, std::string> m_regions;
@@ -143,6 +170,10 @@
   std::uint64_t m_hedgesWithoutBudget = 0;
   std::uint64_t m_partialAnswers = 0;
   std::uint64_t m_refused = 0;
+  /** Parts of requests that other entry hosts were to gather. */
+  std::uint64_t m_relays = 0;
+  /** Of these, parts that this host gathered instead. */
+  std::uint64_t m_relaysRefused = 0;
 };
 
 /** Forwards requests to replicas: chooses replicas, repeats what may be
@@ -158,6 +189,9 @@
                         std::shared_ptr<const RoutingTable> aTable) = 0;
   /** Hosts that share the replicas' connections, this one included. */
   virtual void SetLiveHosts(std::uint32_t aHosts) = 0;
+  /** Hosts that may gather for this one. */
+  virtual void SetHosts(TimePoint aNow,
+                        const std::vector<HostRecord>& aHosts) = 0;
 
   virtual void UpdateReplica(TimePoint aNow, const ReplicaRecord& aRecord) = 0;
   /** The replica is no longer listed. */
--- a/packages/forward/src/Forwarder.cpp
+++ b/packages/forward/src/Forwarder.cpp
@@ -61,6 +61,7 @@
   , m_random(aRandom)
   , m_sink(aSink)
   , m_pool(aOptions, aRandom)
+  , m_relays(aOptions)
 {
 }
 
@@ -76,6 +77,12 @@
   m_pool.SetLiveHosts(aHosts);
 }
 
+void
+ForwarderImpl::SetHosts(TimePoint aNow, const std::vector<HostRecord>& aHosts)
+{
+  m_relays.SetHosts(aNow, aHosts);
+}
+
 void
 ForwarderImpl::UpdateReplica(TimePoint aNow, const ReplicaRecord& aRecord)
 {
@@ -99,17 +106,13 @@
   forward.m_startedAt = aNow;
   const Route& route = *aRequest.m_route;
   forward.m_profile = &m_routes[route.m_name].m_profile;
-  std::vector<std::string> services;
-  if (route.m_gather) {
-    services = route.m_gather->m_shards;
-  } else {
-    services.push_back(ChooseService(route));
-  }
-  for (const std::string& service : services) {
-    ForwardLeg leg;
-    leg.m_group = &m_pool.Group(service);
-    leg.m_group->m_budget.AddRequest(aNow);
-    forward.m_legs.push_back(std::move(leg));
+  MakeLegs(forward);
+  const std::vector<RelayPool::Part> parts = DivideLegs(aNow, forward);
+  for (const ForwardLeg& leg : forward.m_legs) {
+    // The other host counts the requests to shards that it gathers.
+    if (leg.m_state != ForwardLeg::State::Relayed) {
+      leg.m_group->m_budget.AddRequest(aNow);
+    }
   }
   m_running.emplace(aRequest.m_id, std::move(owned));
   if (Refuse(aNow, forward)) {
@@ -118,12 +121,17 @@
   AddTimer(aRequest.m_deadline, ForwardTimer::Deadline, aRequest.m_id);
   if (route.m_gather) {
     forward.m_targetAt =
-      aNow + std::max(route.m_target / 2, route.m_target - kTargetMargin);
+      aRequest.m_part
+        ? aRequest.m_part->m_targetAt
+        : aNow + std::max(route.m_target / 2, route.m_target - kTargetMargin);
     AddTimer(forward.m_targetAt, ForwardTimer::Target, aRequest.m_id);
     SkipOverloaded(aNow, forward);
   }
-  for (std::uint32_t leg = 0; leg < services.size(); ++leg) {
-    if (forward.m_legs[leg].m_state == ForwardLeg::State::Skipped) {
+  for (const RelayPool::Part& part : parts) {
+    SendRelay(aNow, forward, part);
+  }
+  for (std::uint32_t leg = 0; leg < forward.m_legs.size(); ++leg) {
+    if (forward.m_legs[leg].m_state != ForwardLeg::State::Running) {
       continue;
     }
     Dispatch(aNow, forward, leg, CopyReason::First);
@@ -133,6 +141,32 @@
   }
 }
 
+void
+ForwarderImpl::MakeLegs(RunningForward& aForward)
+{
+  const Route& route = *aForward.m_request.m_route;
+  const auto add = [&](const std::string& aService, std::uint32_t aShard) {
+    ForwardLeg leg;
+    leg.m_group = &m_pool.Group(aService);
+    leg.m_shard = aShard;
+    aForward.m_legs.push_back(std::move(leg));
+  };
+  if (!route.m_gather) {
+    add(ChooseService(route), 0);
+    return;
+  }
+  const std::vector<std::string>& shards = route.m_gather->m_shards;
+  if (aForward.m_request.m_part) {
+    for (const std::uint32_t shard : aForward.m_request.m_part->m_shards) {
+      add(shards.at(shard), shard);
+    }
+    return;
+  }
+  for (std::uint32_t shard = 0; shard < shards.size(); ++shard) {
+    add(shards[shard], shard);
+  }
+}
+
 void
 ForwarderImpl::Cancel(TimePoint aNow, ForwardId aRequest)
 {
@@ -143,6 +177,7 @@
   for (ForwardLeg& leg : found->second->m_legs) {
     AbandonCopies(aNow, leg, kAbandonedRun);
   }
+  AbandonRelays(*found->second);
   m_running.erase(found);
 }
 
@@ -159,6 +194,10 @@
   if (running == m_running.end() || copy.m_abandoned) {
     return;
   }
+  if (copy.IsRelay()) {
+    ++running->second->m_relaysSent;
+    return;
+  }
   ForwardLeg& leg = running->second->m_legs[copy.m_leg];
   ++leg.m_sent;
 }
@@ -174,6 +213,10 @@
   }
   const ForwardCopy copy = found->second;
   EndCopy(aCopy);
+  if (copy.IsRelay()) {
+    RelayAnswered(aNow, copy, std::move(aAnswer));
+    return;
+  }
   PooledReplica& replica = *copy.m_replica;
   const Duration latency = aNow - copy.m_sentAt.value_or(copy.m_startedAt);
   BackendPool::RecordAnswer(aNow, *copy.m_group, replica, latency, aAnswer);
@@ -217,6 +260,10 @@
   }
   const ForwardCopy copy = found->second;
   EndCopy(aCopy);
+  if (copy.IsRelay()) {
+    RelayFailed(aNow, copy, aFailure);
+    return;
+  }
   PooledReplica& replica = *copy.m_replica;
   if (aFailure == CopyFailure::Refused || aFailure == CopyFailure::NotSent) {
     BackendPool::Block(aNow, replica, kUnreachableBlock);
@@ -247,7 +294,10 @@
   }
   const auto running = m_running.find(copy.m_request);
   if (running != m_running.end()) {
-    std::erase(running->second->m_legs[copy.m_leg].m_copies, aCopy);
+    RunningForward& forward = *running->second;
+    std::erase(copy.IsRelay() ? forward.m_relays
+                              : forward.m_legs[copy.m_leg].m_copies,
+               aCopy);
   }
   m_copies.erase(found);
 }
--- a/packages/forward/src/ForwarderDispatch.cpp
+++ b/packages/forward/src/ForwarderDispatch.cpp
@@ -158,6 +158,9 @@
   for (std::uint32_t leg = 0; leg < aForward.m_legs.size(); ++leg) {
     const BackendGroup& group = *aForward.m_legs[leg].m_group;
     const double share = BackendPool::SkipShare(aNow, group);
+    if (aForward.m_legs[leg].m_state == ForwardLeg::State::Relayed) {
+      continue;
+    }
     if (!BackendPool::IsServed(aNow, group, {})) {
       ++unserved;
     } else if (m_random.Unit() < share) {
@@ -165,7 +168,7 @@
     }
   }
   std::sort(overloaded.rbegin(), overloaded.rend());
-  const std::uint32_t allowed = aForward.m_legs.size() - NeededShards(aForward);
+  const std::uint32_t allowed = MayMiss(aForward);
   for (const auto& [share, leg] : overloaded) {
     if (aForward.m_failed + unserved >= allowed) {
       return;
@@ -304,6 +307,10 @@
   }
   ForwardCopy& copy = found->second;
   const Duration age = aNow - copy.m_startedAt;
+  if (copy.IsRelay() && (!copy.m_sentAt || aNow < copy.m_relayTargetAt)) {
+    RelayIsLate(aNow, aCopy);
+    return;
+  }
   if (!copy.m_late) {
     copy.m_late = true;
     ++copy.m_replica->m_late;
@@ -312,7 +319,7 @@
              aCopy);
   }
   const auto running = m_running.find(copy.m_request);
-  if (running == m_running.end() || copy.m_abandoned) {
+  if (running == m_running.end() || copy.m_abandoned || copy.IsRelay()) {
     return;
   }
   RunningForward& forward = *running->second;
--- a/packages/forward/src/ForwarderFinish.cpp
+++ b/packages/forward/src/ForwarderFinish.cpp
@@ -41,8 +41,11 @@
   if (!gather) {
     return 1;
   }
-  const double needed =
-    gather->m_minShare * static_cast<double>(aForward.m_legs.size());
+  const std::uint32_t shards = aForward.m_legs.size();
+  if (const auto& part = aForward.m_request.m_part) {
+    return std::max(1U, shards - std::min(shards, part->m_mayMiss));
+  }
+  const double needed = gather->m_minShare * static_cast<double>(shards);
   return std::max(
     1U, static_cast<std::uint32_t>(std::ceil(needed - kShareTolerance)));
 }
@@ -130,6 +133,7 @@
   for (const ForwardLeg& leg : aForward.m_legs) {
     if (leg.m_state == ForwardLeg::State::Answered) {
       result.m_stamps.push_back(leg.m_answer.m_stamp);
+      result.m_shards.push_back(leg.m_shard);
       parts.push_back(leg.m_answer.m_body);
     }
   }
@@ -157,10 +161,12 @@
     return;
   }
   ForwardResult result;
-  const bool mayHaveRun = std::any_of(
-    aForward.m_legs.begin(), aForward.m_legs.end(), [](const ForwardLeg& aLeg) {
-      return aLeg.m_sent > aLeg.m_notRun;
-    });
+  const bool mayHaveRun = aForward.m_relaysSent > 0 ||
+                          std::any_of(aForward.m_legs.begin(),
+                                      aForward.m_legs.end(),
+                                      [](const ForwardLeg& aLeg) {
+                                        return aLeg.m_sent > aLeg.m_notRun;
+                                      });
   ForwardLeg& first = aForward.m_legs.front();
   if (!gather && first.m_hasFailureAnswer && first.m_copies.empty()) {
     result.m_answer = std::move(first.m_answer);
@@ -189,6 +195,10 @@
     const bool asked = leg.m_state != ForwardLeg::State::Skipped;
     // A request that ended before its target says nothing of the shards that
     // it did not wait for.
+    if (leg.m_wasRelayed) {
+      // The host that gathers them knows how its shards do.
+      continue;
+    }
     if (answered || (asked && aForward.m_pastTarget)) {
       leg.m_group->m_missed.Add(aNow, !answered);
     }
@@ -210,12 +220,24 @@
   for (ForwardLeg& leg : aForward.m_legs) {
     AbandonCopies(aNow, leg, kLoserRun);
   }
+  AbandonRelays(aForward);
   const ForwardId id = aForward.m_request.m_id;
   // The request must not be found any more when the sink is called.
   const auto node = m_running.extract(id);
   m_sink.Finish(id, std::move(aResult));
 }
 
+void
+ForwarderImpl::AbandonRelays(RunningForward& aForward)
+{
+  // The other host lets its copies end in its own time.
+  const std::vector<CopyId> relays = aForward.m_relays;
+  for (const CopyId id : relays) {
+    EndCopy(id);
+    m_sink.AbortCopy(id);
+  }
+}
+
 void
 ForwarderImpl::AbandonCopies(TimePoint aNow, ForwardLeg& aLeg, Duration aDelay)
 {
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -2,6 +2,7 @@
 
 #include "BackendPool.h"
 #include "LatencyProfile.h"
+#include "RelayPool.h"
 
 #include <goldcrestkeel/forward/Forwarder.h>
 
@@ -48,6 +49,12 @@
   bool m_late = false;
   /** The result is no longer needed. */
   bool m_abandoned = false;
+  /** Shards that another entry host gathers, as positions of legs; m_replica
+   *  stands for this host then. Empty for a copy to a replica. */
+  std::vector<std::uint32_t> m_relayedLegs;
+  TimePoint m_relayTargetAt;
+
+  bool IsRelay() const { return !m_relayedLegs.empty(); }
 };
 
 /** The part of a request that one service answers. */
@@ -56,6 +63,8 @@
   enum class State
   {
     Running,
+    /** Another entry host asks the shard. */
+    Relayed,
     Waiting,
     Answered,
     Failed,
@@ -64,6 +73,8 @@
   };
 
   BackendGroup* m_group = nullptr;
+  /** Position of the shard in the route's list. */
+  std::uint32_t m_shard = 0;
   State m_state = State::Running;
   std::vector<CopyId> m_copies;
   /** Replicas that were chosen before. */
@@ -74,6 +85,8 @@
   std::uint32_t m_notRun = 0;
   ReplicaAnswer m_answer;
   bool m_hasFailureAnswer = false;
+  /** Another entry host has asked the shard, or may have. */
+  bool m_wasRelayed = false;
 };
 
 struct RunningForward
@@ -89,6 +102,10 @@
   /** m_targetAt has passed. */
   bool m_pastTarget = false;
   LatencyProfile* m_profile = nullptr;
+  /** Copies to other entry hosts that are open. */
+  std::vector<CopyId> m_relays;
+  /** Copies to other entry hosts that may have asked their shards. */
+  std::uint32_t m_relaysSent = 0;
 };
 
 enum class ForwardTimer
@@ -123,6 +140,7 @@
   void SetTable(TimePoint aNow,
                 std::shared_ptr<const RoutingTable> aTable) override;
   void SetLiveHosts(std::uint32_t aHosts) override;
+  void SetHosts(TimePoint aNow, const std::vector<HostRecord>& aHosts) override;
   void UpdateReplica(TimePoint aNow, const ReplicaRecord& aRecord) override;
   void RemoveReplica(TimePoint aNow, const std::string& aId) override;
   void Start(TimePoint aNow, const ForwardRequest& aRequest) override;
@@ -148,6 +166,35 @@
     bool operator<(const Timer& aOther) const { return m_at > aOther.m_at; }
   };
 
+  /** Makes the legs of the request: its service, or its shards. */
+  void MakeLegs(RunningForward& aForward);
+
+  // ForwarderRelay.cpp: shards that other entry hosts gather.
+  /** Marks the legs that other hosts are to gather. */
+  std::vector<RelayPool::Part> DivideLegs(TimePoint aNow,
+                                          RunningForward& aForward);
+  void SendRelay(TimePoint aNow,
+                 RunningForward& aForward,
+                 const RelayPool::Part& aPart);
+  void RelayAnswered(TimePoint aNow,
+                     const ForwardCopy& aCopy,
+                     ReplicaAnswer&& aAnswer);
+  void RelayFailed(TimePoint aNow,
+                   const ForwardCopy& aCopy,
+                   CopyFailure aFailure);
+  /** Asks the shards directly if nothing was sent. */
+  void RelayIsLate(TimePoint aNow, CopyId aCopy);
+  void AskInstead(TimePoint aNow,
+                  RunningForward& aForward,
+                  const ForwardCopy& aCopy,
+                  std::string_view aReason);
+  /** Whether aAnswer is one to aCopy that can be used. */
+  static bool FitsRelay(const ForwardCopy& aCopy, const ReplicaAnswer& aAnswer);
+  /** Ends the legs of aCopy that are not answered. */
+  void FailRelayedLegs(TimePoint aNow,
+                       RunningForward& aForward,
+                       const ForwardCopy& aCopy);
+
   // ForwarderDispatch.cpp: which replica gets a copy, and when.
   void Dispatch(TimePoint aNow,
                 RunningForward& aForward,
@@ -186,6 +233,7 @@
   void FinishWith(TimePoint aNow,
                   RunningForward& aForward,
                   ForwardResult&& aResult);
+  void AbandonRelays(RunningForward& aForward);
   void AbandonCopies(TimePoint aNow, ForwardLeg& aLeg, Duration aDelay);
 
   void EndCopy(CopyId aCopy);
@@ -197,6 +245,8 @@
                std::string_view aReplica,
                std::string_view aReason,
                Duration aAge = Duration(0));
+  /** Shards that a gathered answer may lack. */
+  static std::uint32_t MayMiss(const RunningForward& aForward);
   /** Tells the shards whether the request left with or without them. */
   static void RecordGathered(TimePoint aNow, const RunningForward& aForward);
   static std::uint32_t NeededShards(const RunningForward& aForward);
@@ -205,6 +255,7 @@
   RandomSource& m_random;
   ForwardSink& m_sink;
   BackendPool m_pool;
+  RelayPool m_relays;
   std::unordered_map<std::string, RouteHistory> m_routes;
   std::unordered_map<ForwardId, std::unique_ptr<RunningForward>> m_running;
   std::unordered_map<CopyId, ForwardCopy> m_copies;
--- /dev/null
+++ b/packages/forward/src/RelayPool.cpp
@@ -0,0 +1,164 @@
+#include "RelayPool.h"
+
+#include <goldcrestkeel/core/StableHash.h>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <set>
+
+namespace goldcrestkeel {
+
+namespace {
+
+/** Fewer shards are asked directly: a host between costs about as much as two
+ *  sub-requests. */
+constexpr std::size_t kFewestShards = 4;
+/** Requests that one host has handed to another at a time. */
+constexpr std::uint32_t kRelaysAtOnce = 32;
+/** A host that did not answer is used like the others again after this time if
+ *  it is still listed; entries of lost hosts lapse after 30 s. */
+constexpr Duration kSilentMemory{ 20000000 };
+
+} // namespace
+
+RelayPool::RelayPool(const ForwarderOptions& aOptions)
+  : m_options(aOptions)
+{
+}
+
+bool
+RelayPool::IsNear(const std::string& aDataCentre) const
+{
+  const auto here = m_options.m_regions.find(m_options.m_dataCentre);
+  const auto there = m_options.m_regions.find(aDataCentre);
+  return here != m_options.m_regions.end() &&
+         there != m_options.m_regions.end() && here->second == there->second;
+}
+
+// Weighted rendezvous hashing: hosts with more of a processor are preferred by
+// more of the others, and a lost host changes the choice of its users only.
+double
+RelayPool::PreferenceOf(const HostRecord& aHost) const
+{
+  const std::uint64_t hash =
+    StableHash().Add(m_options.m_hostId).Add('/').Add(aHost.m_id).Mixed();
+  const double unit =
+    (static_cast<double>(hash) + 1) /
+    (static_cast<double>(std::numeric_limits<std::uint64_t>::max()) + 2);
+  return -std::max(aHost.m_cores, 1e-3) / std::log(unit);
+}
+
+RelayPool::Hosts&
+RelayPool::HostsIn(const std::string& aDataCentre)
+{
+  std::unique_ptr<Hosts>& hosts = m_byDataCentre[aDataCentre];
+  if (!hosts) {
+    hosts = std::make_unique<Hosts>(
+      Hosts{ BackendGroup(aDataCentre, m_options), {} });
+    hosts->m_group.m_share = kRelaysAtOnce;
+  }
+  return *hosts;
+}
+
+void
+RelayPool::SetHosts(TimePoint aNow, const std::vector<HostRecord>& aHosts)
+{
+  std::map<std::string, std::vector<std::shared_ptr<PooledReplica>>> listed;
+  for (const HostRecord& host : aHosts) {
+    if (host.m_relayAddress.empty() || host.m_id == m_options.m_hostId) {
+      continue;
+    }
+    Hosts& hosts = HostsIn(host.m_dataCentre);
+    hosts.m_preference[host.m_id] = PreferenceOf(host);
+    const auto& known = hosts.m_group.m_replicas;
+    const auto found =
+      std::find_if(known.begin(), known.end(), [&](const auto& aOther) {
+        return aOther->m_record.m_id == host.m_id &&
+               aOther->m_record.m_address == host.m_relayAddress;
+      });
+    std::shared_ptr<PooledReplica> pooled;
+    if (found != known.end()) {
+      pooled = *found;
+      if (aNow - pooled->m_blockedUntil > kSilentMemory) {
+        pooled->m_silent = false;
+        pooled->m_blocks = 0;
+      }
+    } else {
+      pooled = std::make_shared<PooledReplica>();
+      pooled->m_record.m_id = host.m_id;
+      pooled->m_record.m_address = host.m_relayAddress;
+      pooled->m_record.m_dataCentre = host.m_dataCentre;
+      pooled->m_heardAt = aNow;
+    }
+    listed[host.m_dataCentre].push_back(std::move(pooled));
+  }
+  for (auto& [dataCentre, hosts] : m_byDataCentre) {
+    hosts->m_group.m_replicas = std::move(listed[dataCentre]);
+  }
+}
+
+std::shared_ptr<PooledReplica>
+RelayPool::Choose(TimePoint aNow, const Hosts& aHosts)
+{
+  std::shared_ptr<PooledReplica> best;
+  std::pair<ReplicaTier, double> bestRank;
+  for (const auto& host : aHosts.m_group.m_replicas) {
+    const ReplicaTier tier = BackendPool::TierOf(aNow, aHosts.m_group, *host);
+    const std::pair rank(tier, -aHosts.m_preference.at(host->m_record.m_id));
+    if (tier <= ReplicaTier::Doubtful && (!best || rank < bestRank)) {
+      best = host;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
+
+std::vector<RelayPool::Part>
+RelayPool::Divide(TimePoint aNow,
+                  const std::vector<std::string>& aShards,
+                  BackendPool& aPool) const
+{
+  if (m_byDataCentre.empty()) {
+    return {};
+  }
+  // Shards by the data centres that hold them while this one does not.
+  std::map<std::string_view, std::vector<std::uint32_t>> byDataCentre;
+  for (std::uint32_t shard = 0; shard < aShards.size(); ++shard) {
+    std::set<std::string_view> holders;
+    for (const auto& replica : aPool.Group(aShards[shard]).m_replicas) {
+      if (!replica->m_usableUntil && !replica->m_gone) {
+        holders.insert(replica->m_record.m_dataCentre);
+      }
+    }
+    if (!holders.contains(m_options.m_dataCentre)) {
+      for (const std::string_view holder : holders) {
+        byDataCentre[holder].push_back(shard);
+      }
+    }
+  }
+  std::vector<Part> parts;
+  for (const auto& [dataCentre, hosts] : m_byDataCentre) {
+    if (!IsNear(dataCentre) || dataCentre == m_options.m_dataCentre) {
+      continue;
+    }
+    Part part{ &hosts->m_group, nullptr, byDataCentre[dataCentre] };
+    // Shards that another part holds already are left to it.
+    for (const Part& other : parts) {
+      std::erase_if(part.m_shards, [&](std::uint32_t aShard) {
+        return std::binary_search(
+          other.m_shards.begin(), other.m_shards.end(), aShard);
+      });
+    }
+    if (part.m_shards.size() < kFewestShards) {
+      continue;
+    }
+    part.m_host = Choose(aNow, *hosts);
+    if (part.m_host) {
+      parts.push_back(std::move(part));
+    }
+  }
+  return parts;
+}
+
+} // namespace goldcrestkeel
--- a/packages/forward/tests/ForwarderFixture.cpp
+++ b/packages/forward/tests/ForwarderFixture.cpp
@@ -192,6 +192,21 @@
   }
 }
 
+void
+ForwarderFixture::SendRelay(CopyId aCopy,
+                            ForwardId aRequest,
+                            const ReplicaRecord& aHost,
+                            TimePoint aDeadline,
+                            const RelayedPart& aPart)
+{
+  m_relays.push_back(
+    { aCopy, aRequest, aHost.m_id, aHost.m_dataCentre, aDeadline });
+  m_lastPart = aPart;
+  if (m_sendAtOnce) {
+    MarkSent(aCopy);
+  }
+}
+
 void
 ForwarderFixture::Finish(ForwardId aRequest, ForwardResult&& aResult)
 {
--- a/packages/forward/tests/ForwarderFixture.h
+++ b/packages/forward/tests/ForwarderFixture.h
@@ -51,6 +51,11 @@
                 ForwardId aRequest,
                 const ReplicaRecord& aReplica,
                 TimePoint aDeadline) override;
+  void SendRelay(CopyId aCopy,
+                 ForwardId aRequest,
+                 const ReplicaRecord& aHost,
+                 TimePoint aDeadline,
+                 const RelayedPart& aPart) override;
   void AbortCopy(CopyId aCopy) override { m_aborted.push_back(aCopy); }
   void Finish(ForwardId aRequest, ForwardResult&& aResult) override;
   void Decided(const ForwardDecision&) override {}
@@ -62,6 +67,9 @@
   /** The sink reports copies as sent at once. */
   bool m_sendAtOnce = true;
   std::vector<Sent> m_sent;
+  /** Requests handed to other hosts; m_service holds the data centre. */
+  std::vector<Sent> m_relays;
+  RelayedPart m_lastPart;
   std::vector<CopyId> m_aborted;
   std::map<ForwardId, ForwardResult> m_results;
   ForwardId m_next = 1;
--- /dev/null
+++ b/packages/forward/tests/RelayTest.cpp
@@ -0,0 +1,253 @@
+#include "ForwarderFixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace goldcrestkeel;
+using namespace goldcrestkeel::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kShards = 10;
+constexpr std::size_t kLocal = 4;
+
+ForwarderOptions
+HostOptions()
+{
+  ForwarderOptions options = ForwarderFixture::Options();
+  options.m_hostId = "h1";
+  return options;
+}
+
+/** Shards 0 to 3 have a replica in this data centre, the others in the other
+ *  one of the region; each has a further replica far away. */
+class RelayFixture : public ForwarderFixture
+{
+public:
+  RelayFixture()
+    : ForwarderFixture(HostOptions())
+  {
+    Use(GatherRoute(kShards, 0.8), 0);
+    for (std::size_t shard = 0; shard < kShards; ++shard) {
+      AddReplica(shard, 0, shard < kLocal ? "a" : "b");
+      AddReplica(shard, 1, "c");
+    }
+    SetHosts({ { "h1", "a", "10.0.0.1:1", 1 },
+               { "h2", "b", "10.0.0.2:1", 1 },
+               { "h3", "b", "10.0.0.3:1", 1 },
+               { "h4", "c", "10.0.0.4:1", 1 } });
+  }
+
+  void AddReplica(std::size_t aShard,
+                  std::size_t aNumber,
+                  const std::string& aDataCentre)
+  {
+    ReplicaRecord record = Replica("shard" + std::to_string(aShard), aNumber);
+    record.m_dataCentre = aDataCentre;
+    m_forwarder->UpdateReplica(m_now, record);
+  }
+
+  void SetHosts(const std::vector<HostRecord>& aHosts)
+  {
+    m_forwarder->SetHosts(m_now, aHosts);
+  }
+
+  void AnswerLocal()
+  {
+    const std::size_t sent = m_sent.size();
+    for (std::size_t i = 0; i < sent; ++i) {
+      Answer(m_sent[i].m_copy, "0000000000000000");
+    }
+  }
+
+  static ReplicaAnswer Gathered(const std::vector<std::uint32_t>& aShards,
+                                const std::string& aBody)
+  {
+    ReplicaAnswer answer;
+    answer.m_status = 200;
+    answer.m_shards = aShards;
+    for (const std::uint32_t shard : aShards) {
+      answer.m_shardStamps.push_back("s" + std::to_string(shard));
+    }
+    answer.m_body = aBody;
+    return answer;
+  }
+
+  static ReplicaAnswer Refusal(bool aNotRun)
+  {
+    ReplicaAnswer answer;
+    answer.m_status = 503;
+    answer.m_notRun = aNotRun;
+    return answer;
+  }
+};
+
+} // namespace
+
+TEST_CASE("Shards that the other data centre of the region holds are gathered "
+          "by a host there",
+          "[relay]")
+{
+  RelayFixture fixture;
+  const ForwardId request = fixture.Start();
+  REQUIRE(fixture.m_sent.size() == kLocal);
+  REQUIRE(fixture.m_relays.size() == 1);
+  const auto relay = fixture.m_relays.front();
+  REQUIRE(relay.m_service == "b");
+  REQUIRE(fixture.m_lastPart.m_shards ==
+          std::vector<std::uint32_t>{ 4, 5, 6, 7, 8, 9 });
+  // Two of ten may be missing; six tenths of them, rounded up.
+  REQUIRE(fixture.m_lastPart.m_mayMiss == 2);
+  // The answer still has to come back before this host's own target.
+  REQUIRE(fixture.m_lastPart.m_targetAt <
+          fixture.m_now + fixture.m_table->m_routes.front().m_target);
+
+  SECTION("and merged with the parts of this host")
+  {
+    fixture.AnswerLocal();
+    fixture.AnswerWith(relay.m_copy,
+                       RelayFixture::Gathered({ 4, 5, 6, 7, 8, 9 },
+                                              "2222222222222222"
+                                              "1111111111111111"));
+    const ForwardResult& result = fixture.m_results.at(request);
+    REQUIRE_FALSE(result.m_error);
+    REQUIRE(result.m_missingShards == 0);
+    REQUIRE(result.m_stamps.size() == kShards);
+    REQUIRE(result.m_stamps.back() == "s9");
+    REQUIRE(result.m_answer.m_body.substr(0, 17) == "22222222222222221");
+  }
+
+  // Guards against a coverage that counts shards which the other host missed.
+  SECTION("and those that it leaves out are missing")
+  {
+    fixture.AnswerLocal();
+    fixture.AnswerWith(relay.m_copy,
+                       RelayFixture::Gathered({ 4, 6, 7, 8, 9 }, ""));
+    const ForwardResult& result = fixture.m_results.at(request);
+    REQUIRE(result.m_missingShards == 1);
+    REQUIRE(result.m_missingNames == "shard5");
+    REQUIRE(result.m_stamps.size() == kShards - 1);
+  }
+
+  // Guards against stamps that are given to the wrong shard.
+  SECTION("and an answer with shards that were not asked for is not used")
+  {
+    fixture.AnswerLocal();
+    fixture.AnswerWith(relay.m_copy,
+                       RelayFixture::Gathered({ 3, 4, 5, 6, 7, 8, 9 }, ""));
+    REQUIRE(fixture.m_results.at(request).m_error == ErrorKind::BackendFailed);
+  }
+
+  SECTION("and asked directly if the host has refused without asking them")
+  {
+    fixture.AnswerWith(relay.m_copy, RelayFixture::Refusal(true));
+    REQUIRE(fixture.m_sent.size() == kShards);
+    fixture.AnswerLocal();
+    REQUIRE(fixture.m_results.at(request).m_missingShards == 0);
+  }
+
+  SECTION("and asked directly if the host cannot be reached")
+  {
+    fixture.Fail(relay.m_copy, CopyFailure::NotSent);
+    REQUIRE(fixture.m_sent.size() == kShards);
+
+    SECTION("which the next request avoids")
+    {
+      fixture.Start();
+      REQUIRE(fixture.m_relays.size() == 2);
+      REQUIRE(fixture.m_relays.back().m_replica != relay.m_replica);
+    }
+  }
+
+  // Guards against more copies to a shard than the attempts of the route.
+  SECTION("and not asked again if the host may have asked them")
+  {
+    fixture.AnswerLocal();
+    fixture.Fail(relay.m_copy, CopyFailure::Broken);
+    REQUIRE(fixture.m_sent.size() == kLocal);
+    REQUIRE(fixture.m_results.at(request).m_error == ErrorKind::BackendFailed);
+  }
+
+  // Guards against "not run" for a request that another host may have run.
+  SECTION("and a silent host is no reason to say that nothing ran")
+  {
+    fixture.Advance(2s);
+    REQUIRE(fixture.m_results.at(request).m_error ==
+            ErrorKind::DeadlineExceeded);
+    // The connection is closed so that the host stops its own copies.
+    REQUIRE(std::count(fixture.m_aborted.begin(),
+                       fixture.m_aborted.end(),
+                       relay.m_copy) == 1);
+  }
+
+  SECTION("and its copy ends at once when the caller leaves")
+  {
+    fixture.m_forwarder->Cancel(fixture.m_now, request);
+    REQUIRE(fixture.m_aborted == std::vector<CopyId>{ relay.m_copy });
+  }
+}
+
+TEST_CASE("A connection to another host that takes long is given up", "[relay]")
+{
+  RelayFixture fixture;
+  fixture.m_sendAtOnce = false;
+  fixture.Start();
+  REQUIRE(fixture.m_sent.size() == kLocal);
+  fixture.Advance(50ms);
+  REQUIRE(fixture.m_sent.size() >= kShards);
+}
+
+TEST_CASE("A part that was handed over", "[relay]")
+{
+  RelayFixture fixture;
+  ForwardRequest request;
+  request.m_id = 99;
+  request.m_table = fixture.m_table;
+  request.m_route = &fixture.m_table->m_routes.front();
+  request.m_deadline = fixture.m_now + 1s;
+  request.m_part = { { 4, 5, 6, 7, 8, 9 }, 1, fixture.m_now + 100ms };
+  fixture.m_forwarder->Start(fixture.m_now, request);
+
+  // Guards against hosts that hand one request to each other.
+  SECTION("is not handed on")
+  {
+    REQUIRE(fixture.m_relays.empty());
+    REQUIRE(fixture.m_sent.size() == 6);
+  }
+
+  SECTION("is answered at its own target with what is there")
+  {
+    for (std::size_t i = 0; i < 5; ++i) {
+      fixture.Answer(fixture.m_sent[i].m_copy);
+    }
+    fixture.Advance(100ms);
+    const ForwardResult& result = fixture.m_results.at(99);
+    REQUIRE(result.m_shards == std::vector<std::uint32_t>{ 4, 5, 6, 7, 8 });
+    REQUIRE(result.m_stamps.size() == 5);
+  }
+}
+
+TEST_CASE("A host whose data centre holds all shards asks them itself",
+          "[relay]")
+{
+  ForwarderFixture fixture(HostOptions());
+  fixture.Use(fixture.GatherRoute(kShards, 0.8), 2);
+  fixture.m_forwarder->SetHosts(fixture.m_now,
+                                { { "h2", "b", "10.0.0.2:1", 1 } });
+  fixture.Start();
+  REQUIRE(fixture.m_relays.empty());
+  REQUIRE(fixture.m_sent.size() == kShards);
+}
+
+TEST_CASE("Few shards are asked directly", "[relay]")
+{
+  RelayFixture fixture;
+  for (std::size_t shard = kLocal; shard < kShards - 2; ++shard) {
+    fixture.AddReplica(shard, 2, "a");
+  }
+  fixture.Start();
+  REQUIRE(fixture.m_relays.empty());
+  REQUIRE(fixture.m_sent.size() == kShards);
+}
