Divide a replica's connections by distance, and time copies by it

Cause: with 89 hosts each might have one copy at a replica, near or far, so that a second request of a host left its region; and one latency profile for all replicas of a route made a near replica that pauses late only after the time that far ones take.

Change: six tenths of a replica's connections are for the hosts of its data centre; profiles are kept for each distance.

--- a/packages/forward/src/BackendPool.cpp
+++ b/packages/forward/src/BackendPool.cpp
@@ -47,6 +47,11 @@
 /** Extra time that is assumed for a replica of another data centre of which
  *  nothing is known, in microseconds. */
 constexpr double kFarLatencyUs = 10000;
+/** Part of a replica's connections that is for the hosts of its data centre;
+ * the others come for hedges and when replicas of their own are lost. */
+constexpr double kBesideShare = 0.6;
+/** Hosts that may have joined since the hosts were read, as a share. */
+constexpr double kJoiningShare = 0.2;
 /** A replica that does not answer is tried again after at most this time. */
 constexpr Duration kLongestBlock{ 2000000 };
 
@@ -96,7 +101,7 @@
 {
   for (const auto& [name, service] : aTable.m_services) {
     m_connections[name] = service.m_connections;
-    UpdateShare(Group(name));
+    UpdateShares(Group(name));
   }
 }
 
@@ -105,7 +110,7 @@
 {
   m_liveHosts = std::max(1U, aHosts);
   for (auto& [name, group] : m_groups) {
-    UpdateShare(*group);
+    UpdateShares(*group);
   }
 }
 
@@ -124,11 +129,43 @@
 }
 
 void
-BackendPool::UpdateShare(BackendGroup& aGroup) const
+BackendPool::SetHosts(const std::vector<HostRecord>& aHosts)
+{
+  m_hostsIn.clear();
+  for (const HostRecord& host : aHosts) {
+    ++m_hostsIn[host.m_dataCentre];
+  }
+  for (auto& [name, group] : m_groups) {
+    UpdateShares(*group);
+  }
+}
+
+std::uint32_t
+BackendPool::ShareOf(const PooledReplica& aReplica,
+                     std::uint32_t aConnections) const
+{
+  const auto found = m_hostsIn.find(aReplica.m_record.m_dataCentre);
+  if (found == m_hostsIn.end() || found->second >= m_liveHosts) {
+    return std::max(1U, aConnections / m_liveHosts);
+  }
+  // m_liveHosts also stands for hosts that are about to join; some of them may
+  // do so beside the replica.
+  const double joining = 1 + kJoiningShare;
+  const bool beside = aReplica.m_distance == Distance::SameDataCentre;
+  const double hosts =
+    beside ? found->second * joining : m_liveHosts - found->second;
+  const double part = beside ? kBesideShare : 1 - kBesideShare;
+  return std::max(1U, static_cast<std::uint32_t>(part * aConnections / hosts));
+}
+
+void
+BackendPool::UpdateShares(BackendGroup& aGroup) const
 {
   const auto connections = m_connections.find(aGroup.m_name);
-  if (connections != m_connections.end()) {
-    aGroup.m_share = std::max(1U, connections->second / m_liveHosts);
+  for (const auto& replica : aGroup.m_replicas) {
+    if (connections != m_connections.end()) {
+      replica->m_share = ShareOf(*replica, connections->second);
+    }
   }
   aGroup.m_budget.SetSlack(m_options.m_repeatSlack / m_liveHosts);
 }
@@ -158,6 +195,7 @@
   replica->m_listed = true;
   replica->m_distance = DistanceTo(aRecord.m_dataCentre);
   replica->m_warmAt = aNow + aRecord.m_warmupLeft;
+  UpdateShares(Group(aRecord.m_service));
   if (!aRecord.m_draining) {
     replica->m_usableUntil.reset();
   } else if (!wasDraining) {
@@ -208,15 +246,13 @@
   std::unique_ptr<BackendGroup>& group = m_groups[aService];
   if (!group) {
     group = std::make_unique<BackendGroup>(aService, m_options);
-    UpdateShare(*group);
+    UpdateShares(*group);
   }
   return *group;
 }
 
 ReplicaTier
-BackendPool::TierOf(TimePoint aNow,
-                    const BackendGroup& aGroup,
-                    const PooledReplica& aReplica)
+BackendPool::TierOf(TimePoint aNow, const PooledReplica& aReplica)
 {
   const bool probing = aReplica.m_silent || aReplica.m_blocks > 0;
   if (aReplica.m_gone || aNow < aReplica.m_blockedUntil ||
@@ -226,7 +262,7 @@
   if (aReplica.m_usableUntil && aNow >= *aReplica.m_usableUntil) {
     return ReplicaTier::Unusable;
   }
-  if (aReplica.m_inFlight >= aGroup.m_share || HasLongQueue(aNow, aReplica)) {
+  if (aReplica.m_inFlight >= aReplica.m_share || HasLongQueue(aNow, aReplica)) {
     return probing ? ReplicaTier::Unusable : ReplicaTier::Full;
   }
   if (aReplica.m_usableUntil) {
@@ -249,7 +285,7 @@
   ReplicaTier bestTier = aWorst;
   double bestScore = 0;
   for (const auto& replica : aGroup.m_replicas) {
-    const ReplicaTier tier = TierOf(aNow, aGroup, *replica);
+    const ReplicaTier tier = TierOf(aNow, *replica);
     if (tier > bestTier || Contains(aExclude, replica->m_record.m_id)) {
       continue;
     }
@@ -271,12 +307,22 @@
   return std::any_of(aGroup.m_replicas.begin(),
                      aGroup.m_replicas.end(),
                      [&](const std::shared_ptr<PooledReplica>& aReplica) {
-                       return TierOf(aNow, aGroup, *aReplica) !=
+                       return TierOf(aNow, *aReplica) !=
                                 ReplicaTier::Unusable &&
                               !Contains(aExclude, aReplica->m_record.m_id);
                      });
 }
 
+bool
+BackendPool::IsListed(const BackendGroup& aGroup)
+{
+  return std::any_of(aGroup.m_replicas.begin(),
+                     aGroup.m_replicas.end(),
+                     [](const std::shared_ptr<PooledReplica>& aReplica) {
+                       return !aReplica->m_usableUntil && !aReplica->m_gone;
+                     });
+}
+
 Duration
 BackendPool::Expected(TimePoint aNow,
                       const BackendGroup& aGroup,
--- a/packages/forward/src/BackendPool.h
+++ b/packages/forward/src/BackendPool.h
@@ -5,6 +5,7 @@
 
 #include <goldcrestkeel/core/Random.h>
 #include <goldcrestkeel/forward/Forwarder.h>
+#include <goldcrestkeel/forward/HostRecord.h>
 
 #include <cstdint>
 #include <list>
@@ -55,7 +56,9 @@
 
   /** Copies sent or waiting for a connection, abandoned ones included. */
   std::uint32_t m_inFlight = 0;
-  /** Of these, copies that have taken longer than usual. */
+  /** The most of them. */
+  std::uint32_t m_share = 1;
+  /** Of those in flight, copies that have taken longer than usual. */
   std::uint32_t m_late = 0;
 
   /** Set once the replica drains or is no longer listed: how long it may be
@@ -109,7 +112,6 @@
   RepeatBudget m_budget;
   /** Moving average over all replicas, in microseconds. */
   double m_latency = 0;
-  std::uint32_t m_share = 1;
   /** Gathered requests that left without this shard although they had asked
    *  it. */
   FadingShare m_missed{ kMissedWeight, kMissedMemoryUs };
@@ -129,6 +131,9 @@
 
   void SetTable(const RoutingTable& aTable);
   void SetLiveHosts(std::uint32_t aHosts);
+  /** Hosts by data centre; those of a replica's own data centre get most of its
+   *  connections. */
+  void SetHosts(const std::vector<HostRecord>& aHosts);
 
   void Update(TimePoint aNow, const ReplicaRecord& aRecord);
   /** The replica is not listed any more. */
@@ -137,9 +142,7 @@
   /** Made on first use; stays where it is. */
   BackendGroup& Group(const std::string& aService);
 
-  static ReplicaTier TierOf(TimePoint aNow,
-                            const BackendGroup& aGroup,
-                            const PooledReplica& aReplica);
+  static ReplicaTier TierOf(TimePoint aNow, const PooledReplica& aReplica);
 
   /** Best replica of aGroup whose id is not in aExclude and that is not worse
    *  than aWorst; nullptr if there is none. */
@@ -159,6 +162,9 @@
                        const BackendGroup& aGroup,
                        const std::vector<std::string>& aExclude);
 
+  /** Whether discovery lists a replica of aGroup that does not leave. */
+  static bool IsListed(const BackendGroup& aGroup);
+
   /** A copy was answered after aLatency. */
   static void RecordAnswer(TimePoint aNow,
                            BackendGroup& aGroup,
@@ -176,13 +182,16 @@
                const BackendGroup& aGroup,
                const PooledReplica& aReplica);
   Distance DistanceTo(const std::string& aDataCentre) const;
-  void UpdateShare(BackendGroup& aGroup) const;
+  void UpdateShares(BackendGroup& aGroup) const;
+  std::uint32_t ShareOf(const PooledReplica& aReplica,
+                        std::uint32_t aConnections) const;
   void Forget(const std::shared_ptr<PooledReplica>& aReplica);
   void ForgetGone(TimePoint aNow);
 
   ForwarderOptions m_options;
   RandomSource& m_random;
   std::uint32_t m_liveHosts = 1;
+  std::map<std::string, std::uint32_t> m_hostsIn;
   std::unordered_map<std::string, std::uint32_t> m_connections;
   std::map<std::string, std::unique_ptr<BackendGroup>> m_groups;
   std::unordered_map<std::string, std::shared_ptr<PooledReplica>> m_byId;
--- a/packages/forward/src/Forwarder.cpp
+++ b/packages/forward/src/Forwarder.cpp
@@ -80,6 +80,7 @@
 void
 ForwarderImpl::SetHosts(TimePoint aNow, const std::vector<HostRecord>& aHosts)
 {
+  m_pool.SetHosts(aHosts);
   m_relays.SetHosts(aNow, aHosts);
 }
 
@@ -105,7 +106,7 @@
   forward.m_request = aRequest;
   forward.m_startedAt = aNow;
   const Route& route = *aRequest.m_route;
-  forward.m_profile = &m_routes[route.m_name].m_profile;
+  forward.m_history = &m_routes[route.m_name];
   MakeLegs(forward);
   const std::vector<RelayPool::Part> parts = DivideLegs(aNow, forward);
   for (const ForwardLeg& leg : forward.m_legs) {
--- a/packages/forward/src/ForwarderDispatch.cpp
+++ b/packages/forward/src/ForwarderDispatch.cpp
@@ -88,7 +88,7 @@
   copy.m_leg = aLeg;
   copy.m_group = leg.m_group;
   copy.m_replica = aReplica;
-  copy.m_profile = aForward.m_profile;
+  copy.m_profile = &aForward.m_history->ProfileTo(*aReplica);
   copy.m_startedAt = aNow;
   copy.m_deadline = aForward.m_request.m_deadline;
   if (aForward.m_request.m_route->m_gather && !aForward.m_pastTarget) {
@@ -122,7 +122,7 @@
             NameOf(aReason),
             aNow - aForward.m_startedAt);
   }
-  AddTimer(aNow + LateAfter(aForward), ForwardTimer::Late, id);
+  AddTimer(aNow + LateAfter(aForward, copy), ForwardTimer::Late, id);
   m_sink.SendCopy(id, aForward.m_request.m_id, aReplica->m_record, deadline);
 }
 
@@ -246,11 +246,12 @@
 }
 
 Duration
-ForwarderImpl::LateAfter(const RunningForward& aForward) const
+ForwarderImpl::LateAfter(const RunningForward& aForward,
+                         const ForwardCopy& aCopy)
 {
   const double target =
     static_cast<double>(aForward.m_request.m_route->m_target.count());
-  const auto usual = aForward.m_profile->Quantile(kLateQuantile);
+  const auto usual = aCopy.m_profile->Quantile(kLateQuantile);
   const Duration late = usual.value_or(
     Duration(static_cast<Duration::rep>(kLateBeforeSamples * target)));
   const Duration most(static_cast<Duration::rep>(kLateAtMost * target));
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -6,6 +6,7 @@
 
 #include <goldcrestkeel/forward/Forwarder.h>
 
+#include <array>
 #include <memory>
 #include <optional>
 #include <queue>
@@ -40,7 +41,8 @@
   std::uint32_t m_leg = 0;
   BackendGroup* m_group = nullptr;
   std::shared_ptr<PooledReplica> m_replica;
-  /** Profile of the route; legs of one route take equally long. */
+  /** Profile of the route to replicas at this distance; nullptr for a copy to
+   *  another entry host. */
   LatencyProfile* m_profile = nullptr;
   TimePoint m_startedAt;
   /** When the replica stops working on it. */
@@ -89,6 +91,21 @@
   bool m_wasRelayed = false;
 };
 
+/** What is learned about a route; kept over versions of the table. */
+struct RouteHistory
+{
+  /** By distance: legs of one route take equally long but for the way, and a
+   *  near replica that pauses must not pass for a far one. */
+  std::array<LatencyProfile, 3> m_profiles;
+  /** State of the smooth weighted round robin, by service. */
+  std::unordered_map<std::string, double> m_credit;
+
+  LatencyProfile& ProfileTo(const PooledReplica& aReplica)
+  {
+    return m_profiles[static_cast<std::size_t>(aReplica.m_distance)];
+  }
+};
+
 struct RunningForward
 {
   ForwardRequest m_request;
@@ -101,7 +118,7 @@
   TimePoint m_targetAt;
   /** m_targetAt has passed. */
   bool m_pastTarget = false;
-  LatencyProfile* m_profile = nullptr;
+  RouteHistory* m_history = nullptr;
   /** Copies to other entry hosts that are open. */
   std::vector<CopyId> m_relays;
   /** Copies to other entry hosts that may have asked their shards. */
@@ -122,14 +139,6 @@
   Deadline,
 };
 
-/** What is learned about a route; kept over versions of the table. */
-struct RouteHistory
-{
-  LatencyProfile m_profile;
-  /** State of the smooth weighted round robin, by service. */
-  std::unordered_map<std::string, double> m_credit;
-};
-
 class ForwarderImpl : public Forwarder
 {
 public:
@@ -211,7 +220,8 @@
                  const RunningForward& aForward,
                  const ForwardLeg& aLeg,
                  CopyReason aReason);
-  Duration LateAfter(const RunningForward& aForward) const;
+  static Duration LateAfter(const RunningForward& aForward,
+                            const ForwardCopy& aCopy);
   /** Takes load off overloaded shards: leaves them out of some of the requests
    *  that the route allows to do without them. */
   void SkipOverloaded(TimePoint aNow, RunningForward& aForward);
--- a/packages/forward/src/ForwarderRelay.cpp
+++ b/packages/forward/src/ForwarderRelay.cpp
@@ -56,7 +56,6 @@
   copy.m_request = aForward.m_request.m_id;
   copy.m_group = aPart.m_group;
   copy.m_replica = aPart.m_host;
-  copy.m_profile = aForward.m_profile;
   copy.m_startedAt = aNow;
   copy.m_deadline = aForward.m_request.m_deadline - kWayBack;
   copy.m_relayedLegs = aPart.m_shards;
--- a/packages/forward/src/RelayPool.cpp
+++ b/packages/forward/src/RelayPool.cpp
@@ -56,7 +56,6 @@
   if (!hosts) {
     hosts = std::make_unique<Hosts>(
       Hosts{ BackendGroup(aDataCentre, m_options), {} });
-    hosts->m_group.m_share = kRelaysAtOnce;
   }
   return *hosts;
 }
@@ -90,6 +89,7 @@
       pooled->m_record.m_address = host.m_relayAddress;
       pooled->m_record.m_dataCentre = host.m_dataCentre;
       pooled->m_heardAt = aNow;
+      pooled->m_share = kRelaysAtOnce;
     }
     listed[host.m_dataCentre].push_back(std::move(pooled));
   }
@@ -104,7 +104,7 @@
   std::shared_ptr<PooledReplica> best;
   std::pair<ReplicaTier, double> bestRank;
   for (const auto& host : aHosts.m_group.m_replicas) {
-    const ReplicaTier tier = BackendPool::TierOf(aNow, aHosts.m_group, *host);
+    const ReplicaTier tier = BackendPool::TierOf(aNow, *host);
     const std::pair rank(tier, -aHosts.m_preference.at(host->m_record.m_id));
     if (tier <= ReplicaTier::Doubtful && (!best || rank < bestRank)) {
       best = host;
