--- a/packages/edge/include/goldcrestkeel/edge/TopologySource.h
+++ b/packages/edge/include/goldcrestkeel/edge/TopologySource.h
@@ -4,6 +4,7 @@
 #include <goldcrestkeel/forward/ReplicaRecord.h>
 #include <goldcrestkeel/forward/RoutingTable.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <vector>
@@ -26,12 +27,25 @@
   virtual void OnHosts(const std::vector<HostRecord>& aHosts) = 0;
 };
 
-/** Pause between two reads of changes that must be in force within aLimit: what
- *  changes meanwhile is read with one call, and each call is paid for. */
+/** Longest time for which watches of the store report nothing while it forgets
+ *  its history, and some time for requests that are on their way. */
+inline constexpr Duration kUnheardTime{ 1350000 };
+
+/** Pause between two reads of configurations that must be in force within
+ *  aLimit: what changes meanwhile is read with one call, and each call is paid
+ *  for. */
+constexpr Duration
+ConfigurationPause(Duration aLimit)
+{
+  return aLimit / 8;
+}
+
+/** The same for replicas, of which those that leave must not get requests after
+ *  aLimit. The rest of the limit is left to their use as a last resort. */
 constexpr Duration
-ReadPause(Duration aLimit)
+ReplicaPause(Duration aLimit)
 {
-  return aLimit / 4;
+  return std::max(aLimit / 4, (aLimit - kUnheardTime) * 3 / 4);
 }
 
 /** Where routes, replicas and entry hosts are learned. */
@@ -41,6 +55,9 @@
   virtual ~TopologySource() = default;
   /** aListener must outlive the source. */
   virtual void Start(TopologyListener& aListener) = 0;
+  /** A service without a listed replica is asked for: changes of replicas are
+   *  read without further pause. May be called for each request. */
+  virtual void ReadReplicasSoon() = 0;
 };
 
 } // namespace goldcrestkeel
--- a/packages/edge/src/EdgeServer.cpp
+++ b/packages/edge/src/EdgeServer.cpp
@@ -40,9 +40,6 @@
 /** Retry-After while the host has no routing table: the store that has it is
  *  away for seconds. */
 constexpr Duration kNotReadyRetry{ 2000000 };
-/** Longest time for which watches of the store report nothing while it forgets
- *  its history, and some time for requests that are on their way. */
-constexpr Duration kUnheardTime{ 1350000 };
 /** Entry hosts that share the replicas' connections until the source tells. */
 constexpr std::uint32_t kAssumedHosts = 16;
 /** One host in this many may have joined since the hosts were counted. */
@@ -110,6 +107,7 @@
   void AbortCopy(CopyId aCopy) override { m_replicas.Abort(aCopy); }
   void Finish(ForwardId aRequest, ForwardResult&& aResult) override;
   void Decided(const ForwardDecision& aDecision) override;
+  void ReplicasMissing() override { m_source.ReadReplicasSoon(); }
 
   // CopyListener
   void OnCopySent(CopyId aCopy) override;
@@ -166,6 +164,7 @@
   DecisionLog& m_log;
   EdgeSettings m_settings;
   EdgeFieldNames m_names;
+  TopologySource& m_source;
   std::unique_ptr<RandomSource> m_random = MakeSystemRandom();
   ReplicaConnections m_replicas;
   std::unique_ptr<Forwarder> m_forwarder;
@@ -204,6 +203,7 @@
   , m_log(aLog)
   , m_settings(aSettings)
   , m_names(aNames)
+  , m_source(aSource)
   , m_replicas(aLoop, m_names, *this)
   , m_forwardTimer(aLoop,
                    [this] {
@@ -234,9 +234,10 @@
   options.m_hostId = aSettings.m_hostId;
   options.m_dataCentre = aSettings.m_dataCentre;
   options.m_regions = aSettings.m_regions;
-  options.m_leavingUse = std::max(
-    Duration(0),
-    aSettings.m_drainLimit - ReadPause(aSettings.m_drainLimit) - kUnheardTime);
+  options.m_leavingUse =
+    std::max(Duration(0),
+             aSettings.m_drainLimit - ReplicaPause(aSettings.m_drainLimit) -
+               kUnheardTime);
   options.m_repeatRatio = aSettings.m_repeatRatio;
   options.m_repeatSlack = aSettings.m_repeatSlack;
   options.m_repeatWindow = aSettings.m_repeatWindow;
--- a/packages/forward/include/goldcrestkeel/forward/Forwarder.h
+++ b/packages/forward/include/goldcrestkeel/forward/Forwarder.h
@@ -143,6 +143,9 @@
   /** Ends a request; called once for each that was not cancelled. */
   virtual void Finish(ForwardId aRequest, ForwardResult&& aResult) = 0;
   virtual void Decided(const ForwardDecision& aDecision) = 0;
+  /** No replica of a service that a request needs is listed, but for those that
+   *  leave. */
+  virtual void ReplicasMissing() = 0;
 };
 
 struct ForwarderOptions
--- a/packages/forward/src/ForwarderFinish.cpp
+++ b/packages/forward/src/ForwarderFinish.cpp
@@ -54,10 +54,15 @@
 ForwarderImpl::Refuse(TimePoint aNow, RunningForward& aForward)
 {
   std::uint32_t served = 0;
+  bool unlisted = false;
   for (const ForwardLeg& leg : aForward.m_legs) {
     if (BackendPool::IsServed(aNow, *leg.m_group, {})) {
       ++served;
     }
+    unlisted = unlisted || !BackendPool::IsListed(*leg.m_group);
+  }
+  if (unlisted) {
+    m_sink.ReplicasMissing();
   }
   if (served >= NeededShards(aForward)) {
     return false;
--- a/packages/forward/tests/ForwarderFixture.h
+++ b/packages/forward/tests/ForwarderFixture.h
@@ -59,6 +59,7 @@
   void AbortCopy(CopyId aCopy) override { m_aborted.push_back(aCopy); }
   void Finish(ForwardId aRequest, ForwardResult&& aResult) override;
   void Decided(const ForwardDecision&) override {}
+  void ReplicasMissing() override { ++m_missingReported; }
 
   TimePoint m_now{ std::chrono::seconds(1000) };
   std::unique_ptr<RandomSource> m_random = MakeSeededRandom(7);
@@ -70,6 +71,7 @@
   /** Requests handed to other hosts; m_service holds the data centre. */
   std::vector<Sent> m_relays;
   RelayedPart m_lastPart;
+  std::size_t m_missingReported = 0;
   std::vector<CopyId> m_aborted;
   std::map<ForwardId, ForwardResult> m_results;
   ForwardId m_next = 1;
--- /dev/null
+++ b/scripts/lib/soak_faults.py
@@ -0,0 +1,266 @@
+"""Random faults of scripts/soak, injected from outside the processes."""
+
+import asyncio
+import signal
+import time
+
+
+class Faults:
+    """Starts faults that overlap and takes each back after a random time. `spans`
+    holds (begin, end, name of the host or None) of those that are no planned work."""
+
+    def __init__(self, run):
+        self.run = run
+        self.random = run.random
+        self.count = 0
+        self.spans = []
+        self.tasks = []
+        self.generation = 1
+        self.busy_hosts = set()
+        self.resharding = False
+        self.events = [
+            (3, self.restart_host), (2, self.kill_host), (2, self.pause_host),
+            (1, self.reload_host), (3, self.store_away), (1, self.store_slow),
+            (1, self.store_loses_answers), (1, self.store_forgets), (1, self.entries_lapse),
+            (2, self.store_link), (2, self.replica_crashes), (2, self.replica_drains),
+            (2, self.replica_link), (3, self.replica_spoils), (1, self.replica_hangs),
+            (2, self.change_configuration), (1, self.divide_anew)]
+
+    async def inject(self, seconds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            weights, events = zip(*self.events)
+            event = self.random.choices(events, weights)[0]
+            self.count += 1
+            self.run.log(f"fault {event.__name__}")
+            self.tasks.append(asyncio.create_task(event()))
+            await asyncio.sleep(self.random.expovariate(1.5))
+        await asyncio.gather(*self.tasks)
+
+    def unplanned(self, seconds, host=None):
+        now = time.monotonic()
+        self.spans.append((now, now + seconds, host and host.name))
+        if host:
+            host.disturb(seconds)
+        else:
+            self.run.disturb(seconds)
+
+    def _take_host(self):
+        """A host under no other signal; half of the hosts stay untouched."""
+        free = [h for h in self.run.hosts if h.name not in self.busy_hosts]
+        if len(free) <= len(self.run.hosts) / 2:
+            return None
+        host = self.random.choice(free)
+        self.busy_hosts.add(host.name)
+        return host
+
+    async def restart_host(self):
+        host = self._take_host()
+        if host:
+            code = await host.stop_gracefully()
+            if code != 0 and not self.run.options.untimed:
+                self.run.broken("END", f"{host.name} ended with {code} after SIGTERM")
+            host.start()
+            await asyncio.sleep(1)
+            self.busy_hosts.discard(host.name)
+
+    async def kill_host(self):
+        host = self._take_host()
+        if host:
+            down = self.random.uniform(0.1, 2)
+            # Other hosts may wait for its answers.
+            self.unplanned(down + 2)
+            host.signal(signal.SIGKILL)
+            await asyncio.sleep(down)
+            host.start()
+            await asyncio.sleep(1)
+            self.busy_hosts.discard(host.name)
+
+    async def pause_host(self):
+        host = self._take_host()
+        if host:
+            pause = self.random.uniform(0.3, 4)
+            self.unplanned(pause + 2)
+            host.signal(signal.SIGSTOP)
+            await asyncio.sleep(pause)
+            host.signal(signal.SIGCONT)
+            await asyncio.sleep(0.5)
+            self.busy_hosts.discard(host.name)
+
+    async def reload_host(self):
+        for _ in range(self.random.randint(1, 3)):
+            host = self.random.choice(self.run.hosts)
+            if host.name not in self.busy_hosts:
+                host.signal(signal.SIGHUP)
+            await asyncio.sleep(self.random.uniform(0, 0.3))
+
+    async def store_away(self):
+        store = self.run.store
+        seconds = self.random.uniform(0.5, 5)
+        self.unplanned(seconds)
+        store.disturb(seconds)
+        store.mode = self.random.choice(["busy", "reset", "silent"])
+        await asyncio.sleep(seconds)
+        store.mode = None
+
+    async def store_slow(self):
+        seconds = self.random.uniform(1, 4)
+        self.unplanned(seconds)
+        self.run.store.disturb(seconds)
+        self.run.store.slow_s = self.random.uniform(0.05, 0.5)
+        await asyncio.sleep(seconds)
+        self.run.store.slow_s = 0
+
+    async def store_loses_answers(self):
+        seconds = self.random.uniform(1, 4)
+        self.unplanned(seconds)
+        self.run.store.disturb(seconds)
+        self.run.store.lose = 0.5
+        await asyncio.sleep(seconds)
+        self.run.store.lose = 0
+
+    async def store_forgets(self):
+        self.unplanned(0.5)
+        self.run.store.disturb(0.5)
+        self.run.store.compact()
+
+    async def entries_lapse(self):
+        """The entries of many replicas end while the store is away, and are back
+        soon after it."""
+        store = self.run.store
+        seconds = self.random.uniform(1, 3)
+        self.unplanned(seconds + 2)
+        store.disturb(seconds + 2)
+        store.mode = "busy"
+        names = [n for n in self.run.replicas if self.random.random() < 0.7]
+        for name in names:
+            await store.delete(f"servers/{name}")
+        await asyncio.sleep(seconds)
+        store.mode = None
+        await asyncio.sleep(self.random.uniform(0, 1.5))
+        for name in names:
+            if name in self.run.replicas:
+                await self.run.replicas[name][0].publish()
+
+    async def store_link(self):
+        """One host is cut off from the store."""
+        host = self.random.choice(self.run.hosts)
+        link = host.store_link
+        seconds = self.random.uniform(0.5, 6)
+        # Its view of routes and replicas is old until it has caught up.
+        self.unplanned(seconds)
+        link.mode = self.random.choice(["silent", "no_answers", "refuse"])
+        if link.mode == "refuse":
+            link.reset_all()
+        await asyncio.sleep(seconds)
+        link.mode = None
+
+    def _pick_replica(self, spare=True):
+        """A replica whose service keeps another one, if `spare`."""
+        services = {}
+        for name, (replica, _) in self.run.replicas.items():
+            if not replica.draining:
+                services.setdefault(replica.service, []).append(name)
+        names = [n for group in services.values() for n in group
+                 if not spare or len(group) > 1]
+        return self.random.choice(names) if names else None
+
+    async def replica_crashes(self):
+        name = self._pick_replica()
+        if name:
+            replica = self.run.remove_replica(name)
+            self.unplanned(0.5)
+            await asyncio.sleep(self.random.uniform(0.1, 1.5))
+            await replica.leave()
+            if self.random.random() < 0.8:
+                await asyncio.sleep(self.random.uniform(0, 2))
+                await self.run.add_replica(replica.service, replica.zone)
+
+    async def replica_drains(self):
+        """Planned: a new one comes, the old one serves on for a while; its address
+        may go to another service later."""
+        name = self._pick_replica()
+        if name:
+            old = self.run.replicas[name][0]
+            await self.run.add_replica(old.service, old.zone)
+            await asyncio.sleep(1)
+            if name not in self.run.replicas:
+                return
+            if self.random.random() < 0.3:
+                await old.leave()
+            else:
+                await old.drain()
+            await asyncio.sleep(self.random.uniform(3.5, 6))
+            if name not in self.run.replicas:
+                return
+            self.run.remove_replica(name)
+            await old.leave()
+            if self.random.random() < 0.5:
+                await asyncio.sleep(2)
+                await self.run.add_replica("other", old.zone, old.address)
+
+    async def replica_link(self):
+        name = self._pick_replica()
+        if name:
+            proxy = self.run.replicas[name][1]
+            seconds = self.random.uniform(0.3, 4)
+            self.unplanned(seconds)
+            what = self.random.choice(["silent", "no_answers", "refuse", "delay", "reset"])
+            if what == "reset":
+                proxy.reset_all()
+            elif what == "delay":
+                proxy.delay_s = self.random.uniform(0.02, 0.2)
+            else:
+                proxy.mode = what
+            await asyncio.sleep(seconds)
+            proxy.mode = None
+            proxy.delay_s = 0
+
+    async def replica_spoils(self):
+        name = self._pick_replica()
+        if name:
+            replica = self.run.replicas[name][0]
+            kind = self.random.choice(["lost", "reset", "cut", "spoilt", "twice"])
+            replica.faults[kind] = self.random.uniform(0.05, 0.5)
+            self.unplanned(3)
+            await asyncio.sleep(self.random.uniform(1, 3))
+            replica.faults.clear()
+
+    async def replica_hangs(self):
+        name = self._pick_replica()
+        if name:
+            replica = self.run.replicas[name][0]
+            seconds = self.random.uniform(0.5, 3)
+            self.unplanned(seconds)
+            replica.silent = self.random.random() < 0.5
+            replica.slow = self.random.uniform(3, 10)
+            await asyncio.sleep(seconds)
+            replica.silent = False
+            replica.slow = 1.0
+
+    async def change_configuration(self):
+        for _ in range(self.random.randint(1, 3)):
+            self.run.moved_to = self.random.choice(["single", "other"])
+            await self.run.configure()
+            await asyncio.sleep(self.random.uniform(0, 1))
+
+    async def divide_anew(self):
+        """Other shards start, a version names them, the old ones leave."""
+        if self.resharding:
+            return
+        self.resharding = True
+        self.generation += 1
+        old = self.run.shard_sets[-1]
+        shards = await self.run.add_shards(self.generation)
+        await asyncio.sleep(self.random.uniform(2.5, 4))
+        self.run.shard_sets.append(shards)
+        await self.run.configure()
+        # Hosts may be out of touch with the store for some seconds.
+        await asyncio.sleep(8)
+        for name in [n for n, (r, _) in self.run.replicas.items() if r.service in old]:
+            replica = self.run.replicas[name][0]
+            await replica.drain()
+        await asyncio.sleep(4)
+        for name in [n for n, (r, _) in self.run.replicas.items() if r.service in old]:
+            await self.run.remove_replica(name).leave()
+        self.resharding = False
