Divide connections evenly where there are some for each host

Cause: dividing by distance also took connections of far replicas away on the small sites, where each host could have three: under overload far replicas were full while near ones had queues.

Change: the division by distance applies only if an even one gives fewer than two to each host, as on the grown sites.

--- a/packages/forward/src/BackendPool.cpp
+++ b/packages/forward/src/BackendPool.cpp
@@ -47,6 +47,9 @@
 /** Extra time that is assumed for a replica of another data centre of which
  *  nothing is known, in microseconds. */
 constexpr double kFarLatencyUs = 10000;
+/** With this many connections for each host they are divided evenly: under
+ *  overload, replicas of all data centres are needed. */
+constexpr std::uint32_t kEnoughForAll = 2;
 /** Part of a replica's connections that is for the hosts of its data centre;
  * the others come for hedges and when replicas of their own are lost. */
 constexpr double kBesideShare = 0.6;
@@ -144,9 +147,11 @@
 BackendPool::ShareOf(const PooledReplica& aReplica,
                      std::uint32_t aConnections) const
 {
+  const std::uint32_t even = std::max(1U, aConnections / m_liveHosts);
   const auto found = m_hostsIn.find(aReplica.m_record.m_dataCentre);
-  if (found == m_hostsIn.end() || found->second >= m_liveHosts) {
-    return std::max(1U, aConnections / m_liveHosts);
+  if (even >= kEnoughForAll || found == m_hostsIn.end() ||
+      found->second >= m_liveHosts) {
+    return even;
   }
   // m_liveHosts also stands for hosts that are about to join; some of them may
   // do so beside the replica.
