--- a/packages/edge/src/EdgeMetrics.cpp
+++ b/packages/edge/src/EdgeMetrics.cpp
@@ -76,6 +76,12 @@
   impl.Set("partial_answers",
            "Answers that left shards out",
            aCounters.m_partialAnswers);
+  impl.Set("relays",
+           "Parts of requests that other entry hosts were to gather",
+           aCounters.m_relays);
+  impl.Set("relays_refused",
+           "Of these, parts that this host gathered instead",
+           aCounters.m_relaysRefused);
   impl.Set(
     "refused", "Requests refused without having run", aCounters.m_refused);
   impl.Set("table_version", "Routing table in force", aGauges.m_tableVersion);
--- a/packages/edge/src/EdgeServer.cpp
+++ b/packages/edge/src/EdgeServer.cpp
@@ -1,5 +1,6 @@
 #include "CopyWriter.h"
 #include "EdgeMetrics.h"
+#include "ForwardReplies.h"
 #include "RelayFields.h"
 #include "ReplicaConnections.h"
 #include "SessionSet.h"
@@ -7,8 +8,6 @@
 
 #include <goldcrestkeel/edge/EdgeServer.h>
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <charconv>
 #include <unordered_map>
@@ -68,15 +67,6 @@
   return std::chrono::milliseconds(value);
 }
 
-std::string
-FormatSeconds(Duration aTime)
-{
-  const std::int64_t milliseconds = aTime.count() / 1000;
-  std::string fraction = std::to_string(milliseconds % 1000);
-  fraction.insert(0, 3 - fraction.size(), '0');
-  return std::to_string(milliseconds / 1000) + "." + fraction;
-}
-
 } // namespace
 
 class EdgeServer::Impl
@@ -151,13 +141,10 @@
   CallerReply ReadinessReply() const;
   CallerReply MetricsReply();
   void ReplyError(CallerSession& aSession,
+                  const WireRequest& aRequest,
                   ErrorKind aKind,
                   const std::string& aDetail,
                   std::optional<Duration> aRetryAfter);
-  CallerReply ToReply(ForwardResult&& aResult) const;
-  static CallerReply ToErrorReply(ErrorKind aKind,
-                                  const std::string& aDetail,
-                                  std::optional<Duration> aRetryAfter);
   void LogFinish(const OpenRequest& aOpen, const ForwardResult& aResult);
 
   Loop& m_loop;
@@ -391,23 +378,29 @@
 {
   const std::string_view host = FieldOf(aRequest.m_fields, "host");
   if (host.empty()) {
-    ReplyError(aSession, ErrorKind::BadRequest, "no Host field", std::nullopt);
+    ReplyError(
+      aSession, aRequest, ErrorKind::BadRequest, "no Host field", std::nullopt);
     return;
   }
   if (!m_table || !m_replicasKnown) {
-    ReplyError(
-      aSession, ErrorKind::NotReady, "no routing table yet", kNotReadyRetry);
+    ReplyError(aSession,
+               aRequest,
+               ErrorKind::NotReady,
+               "no routing table yet",
+               kNotReadyRetry);
     return;
   }
   const Route* route = m_table->Find(host, PathOf(aRequest.m_target));
   if (!route) {
-    ReplyError(aSession, ErrorKind::NotFound, "no such route", std::nullopt);
+    ReplyError(
+      aSession, aRequest, ErrorKind::NotFound, "no such route", std::nullopt);
     return;
   }
   const bool fromHost = aSession.Peer() == SessionPeer::Host;
   const auto terms = fromHost ? TakeRelayTerms(aRequest) : std::nullopt;
   if (fromHost && !MayServe(terms, *route)) {
     ReplyError(aSession,
+               aRequest,
                ErrorKind::NotReady,
                "requests of other hosts are not taken now, or not by this "
                "version of the routing table",
@@ -489,7 +482,7 @@
   if (CallerSession* session = FindSession(open.m_session)) {
     const std::string copies = std::to_string(aResult.m_copies);
     const std::string shards = FormatNumbers(aResult.m_shards);
-    CallerReply reply = ToReply(std::move(aResult));
+    CallerReply reply = ToReply(std::move(aResult), m_names);
     if (session->Peer() == SessionPeer::Host) {
       reply.m_fields.emplace_back(shards.empty() ? kCopiesField : kShardsField,
                                   shards.empty() ? copies : shards);
@@ -566,53 +559,9 @@
       { "age_ms", aDecision.m_age.count() / 1000.0 } });
 }
 
-CallerReply
-EdgeServer::Impl::ToReply(ForwardResult&& aResult) const
-{
-  if (aResult.m_error) {
-    return ToErrorReply(
-      *aResult.m_error, aResult.m_detail, aResult.m_retryAfter);
-  }
-  CallerReply reply;
-  reply.m_status = aResult.m_answer.m_status;
-  reply.m_body = std::move(aResult.m_answer.m_body);
-  reply.m_fields = std::move(aResult.m_answer.m_fields);
-  if (aResult.m_gathered) {
-    std::string stamps;
-    for (const std::string& stamp : aResult.m_stamps) {
-      stamps.append(stamps.empty() ? "" : ", ").append(stamp);
-    }
-    reply.m_fields.emplace_back(m_names.m_shardStamps, std::move(stamps));
-    reply.m_fields.emplace_back(m_names.m_missingShards,
-                                std::to_string(aResult.m_missingShards));
-    reply.m_fields.emplace_back("Content-Type", "application/octet-stream");
-  }
-  return reply;
-}
-
-CallerReply
-EdgeServer::Impl::ToErrorReply(ErrorKind aKind,
-                               const std::string& aDetail,
-                               std::optional<Duration> aRetryAfter)
-{
-  const ErrorInfo& info = InfoOf(aKind);
-  CallerReply reply;
-  reply.m_status = info.m_httpStatus;
-  const nlohmann::json problem{ { "title", info.m_title },
-                                { "status", info.m_httpStatus },
-                                { "detail", aDetail },
-                                { "kind", info.m_name },
-                                { "ran", NameOf(info.m_ran) } };
-  reply.m_body = problem.dump();
-  reply.m_fields.emplace_back("Content-Type", "application/problem+json");
-  if (aRetryAfter) {
-    reply.m_fields.emplace_back("Retry-After", FormatSeconds(*aRetryAfter));
-  }
-  return reply;
-}
-
 void
 EdgeServer::Impl::ReplyError(CallerSession& aSession,
+                             const WireRequest& aRequest,
                              ErrorKind aKind,
                              const std::string& aDetail,
                              std::optional<Duration> aRetryAfter)
@@ -620,7 +569,8 @@
   m_log.Write(
     LogWeight::Request,
     "refused",
-    { { "error", InfoOf(aKind).m_name },
+    { { "request", FieldOf(aRequest.m_fields, m_names.m_requestId) },
+      { "error", InfoOf(aKind).m_name },
       { "reason", std::string_view(aDetail) },
       { "version",
         static_cast<std::int64_t>(m_table ? m_table->m_version : 0) } });
