Close a connection when it is given up, not when it is destroyed

A connection that is given up is destroyed in the next round of the loop, after its events: an answer of the store that arrived right after its call had timed out was delivered to a callback that was gone.

Ruled out: the pause of the host by a signal as such; the order of events in one round (readable sockets come before timers).

Change: connections are closed as soon as they are given up, for calls of the store and for replicas. HttpCallerTest.cpp failed with bad_function_call before and passes now.

--- a/packages/edge/src/ClientConnection.cpp
+++ b/packages/edge/src/ClientConnection.cpp
@@ -60,6 +60,20 @@
   m_reader.reset();
 }
 
+void
+ClientConnection::Close()
+{
+  m_broken = true;
+  if (m_readable) {
+    m_readable->Stop();
+    m_writable->Stop();
+  }
+  if (m_failTimer) {
+    m_failTimer->Cancel();
+  }
+  m_socket.Close();
+}
+
 bool
 ClientConnection::Write()
 {
--- a/packages/edge/src/ClientConnection.h
+++ b/packages/edge/src/ClientConnection.h
@@ -57,6 +57,9 @@
   void Send(std::string aBytes, bool aHead);
   /** Takes back a request of which nothing was sent. */
   void Unsend();
+  /** Ends the connection without a call. Whoever gives it up destroys it only
+   *  later, and events that are due already must not reach the owner. */
+  void Close();
 
   bool IsConnected() const { return m_connected; }
   bool HasRequest() const { return m_reader != nullptr; }
--- a/packages/edge/src/HttpCaller.cpp
+++ b/packages/edge/src/HttpCaller.cpp
@@ -56,6 +56,8 @@
     m_connection.Send(std::move(bytes), false);
   }
 
+  void Close() { m_connection.Close(); }
+
   void Connected(ClientConnection&) override {}
   void Sent(ClientConnection&) override {}
   bool Accepts(ClientConnection&, const WireAnswer&) override { return true; }
@@ -135,6 +137,7 @@
     });
   if (found != m_exchanges.end()) {
     // The exchange may be in one of its calls; the next round destroys it.
+    aExchange.Close();
     m_ended.push_back(std::move(*found));
     m_exchanges.erase(found);
     m_cleanUp.SetAfter(Duration(0));
--- a/packages/edge/src/ReplicaConnections.cpp
+++ b/packages/edge/src/ReplicaConnections.cpp
@@ -121,6 +121,8 @@
     m_connection.Unsend();
   }
 
+  void Close() { m_connection.Close(); }
+
   /** A copy can be given to it. */
   bool IsFree(TimePoint aNow) const
   {
@@ -272,6 +274,7 @@
     });
   if (found != links.end()) {
     // The link may be in one of its calls; the next round destroys it.
+    aLink.Close();
     m_dropped.push_back(std::move(*found));
     links.erase(found);
     m_cleanUp.SetAfter(Duration(0));
--- /dev/null
+++ b/packages/edge/tests/HttpCallerTest.cpp
@@ -0,0 +1,79 @@
+#include <goldcrestkeel/Edge.h>
+#include <goldcrestkeel/Net.h>
+
+#include <arpa/inet.h>
+#include <catch2/catch.hpp>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+#include <thread>
+
+using namespace goldcrestkeel;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** A server whose only connection the test answers by hand. */
+class HandServer
+{
+public:
+  HandServer()
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    REQUIRE(bind(m_listener, reinterpret_cast<sockaddr*>(&address), size) == 0);
+    REQUIRE(listen(m_listener, 1) == 0);
+    getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size);
+    m_address = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+  }
+  ~HandServer()
+  {
+    close(m_connection);
+    close(m_listener);
+  }
+  HandServer(const HandServer&) = delete;
+  HandServer& operator=(const HandServer&) = delete;
+
+  void Answer()
+  {
+    m_connection = accept(m_listener, nullptr, nullptr);
+    const std::string text = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    REQUIRE(write(m_connection, text.data(), text.size()) ==
+            static_cast<ssize_t>(text.size()));
+  }
+
+  int m_listener = socket(AF_INET, SOCK_STREAM, 0);
+  int m_connection = -1;
+  std::string m_address;
+};
+
+} // namespace
+
+// Guards against a process that ends with std::bad_function_call because an
+// answer arrives right after its call has timed out (soak seed 118).
+TEST_CASE("An answer that comes after the timeout is ignored", "[caller]")
+{
+  HandServer server;
+  SystemClock clock;
+  Loop loop(clock);
+  HttpCaller caller(loop, server.m_address);
+  int ended = 0;
+  HttpCall call;
+  call.m_target = "/late";
+  call.m_timeout = 20ms;
+  caller.Call(call, [&](const HttpCallResult& aResult) {
+    ++ended;
+    REQUIRE(aResult.m_outcome == CallOutcome::Unknown);
+  });
+  while (ended == 0) {
+    loop.RunOnce(true);
+  }
+  server.Answer();
+  std::this_thread::sleep_for(5ms);
+  loop.RunOnce(false);
+  loop.RunOnce(false);
+  REQUIRE(ended == 1);
+}
