Gather here whenever another host has asked no replica

Cause, found when reading the diff: a host whose routing table is older answers 404 for a route that it does not know yet. The other host took only 503 for a refusal, so that the shards counted as missing and the request failed.

Change: a refusal is an answer that says that no copy was sent, whatever its status. Lists of shards must ascend, so that no shard is asked twice, and the header limit between hosts has room for 1,400 shards.

--- a/packages/edge/src/EdgeServer.cpp
+++ b/packages/edge/src/EdgeServer.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <functional>
 #include <unordered_map>
 #include <utility>
 
@@ -24,8 +25,9 @@
 constexpr std::size_t kMaxSessions = 2500;
 /** Connections of other entry hosts. */
 constexpr std::size_t kMaxHostSessions = 500;
-/** Room for the fields that another entry host adds, in bytes. */
-constexpr std::uint32_t kRelayFieldBytes = 512;
+/** Room for the fields that another entry host adds, in bytes: positions of up
+ * to 1,400 shards and some numbers. */
+constexpr std::uint32_t kRelayFieldBytes = 8192;
 /** Time that an answer needs to the caller and that the caller's request has
  *  already taken: a one-way delay of 3 ms each, and some processing. */
 constexpr Duration kCallerTransit{ 12000 };
@@ -508,10 +510,13 @@
       aTerms->m_version != m_table->m_version) {
     return false;
   }
-  const std::size_t shards = aRoute.m_gather->m_shards.size();
-  return std::all_of(aTerms->m_shards.begin(),
-                     aTerms->m_shards.end(),
-                     [&](std::uint32_t aShard) { return aShard < shards; });
+  // Ascending, so that no shard is asked twice; ParseNumbers() gives at least
+  // one.
+  const std::vector<std::uint32_t>& shards = aTerms->m_shards;
+  const bool ascending =
+    std::adjacent_find(shards.begin(), shards.end(), std::greater_equal<>()) ==
+    shards.end();
+  return ascending && shards.back() < aRoute.m_gather->m_shards.size();
 }
 
 void
--- a/packages/forward/src/BackendPool.cpp
+++ b/packages/forward/src/BackendPool.cpp
@@ -50,8 +50,8 @@
 /** With this many connections for each host they are divided evenly: under
  *  overload, replicas of all data centres are needed. */
 constexpr std::uint32_t kEnoughForAll = 2;
-/** Part of a replica's connections that is for the hosts of its data centre;
- * the others come for hedges and when replicas of their own are lost. */
+/** Part of a replica's connections that is for the hosts of its data centre.
+ *  Others come for hedges and when replicas of their own are lost. */
 constexpr double kBesideShare = 0.6;
 /** Hosts that may have joined since the hosts were read, as a share. */
 constexpr double kJoiningShare = 0.2;
--- a/packages/forward/src/BackendPool.h
+++ b/packages/forward/src/BackendPool.h
@@ -56,7 +56,8 @@
 
   /** Copies sent or waiting for a connection, abandoned ones included. */
   std::uint32_t m_inFlight = 0;
-  /** The most of them. */
+  /** The largest m_inFlight that this host may reach: its part of the
+   *  connections that the replica accepts. */
   std::uint32_t m_share = 1;
   /** Of those in flight, copies that have taken longer than usual. */
   std::uint32_t m_late = 0;
--- a/packages/forward/src/ForwarderRelay.cpp
+++ b/packages/forward/src/ForwarderRelay.cpp
@@ -1,13 +1,12 @@
 #include "ForwarderImpl.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace goldcrestkeel {
 
 namespace {
 
-/** Status with which an entry host promises that it ran nothing. */
-constexpr int kUnavailable = 503;
 /** Time that the answer of another entry host needs on its way back, with some
  *  processing: one-way delays within a region are about 4 ms. */
 constexpr Duration kWayBack{ 10000 };
@@ -18,6 +17,7 @@
  *  of another version, which lasts for about half a second, or when they stop.
  */
 constexpr Duration kRefusedBlock{ 250000 };
+constexpr int kOk = 200;
 
 } // namespace
 
@@ -80,7 +80,7 @@
 bool
 ForwarderImpl::FitsRelay(const ForwardCopy& aCopy, const ReplicaAnswer& aAnswer)
 {
-  if (aAnswer.m_status != 200 || aAnswer.m_shards.empty() ||
+  if (aAnswer.m_status != kOk || aAnswer.m_shards.empty() ||
       aAnswer.m_shards.size() != aAnswer.m_shardStamps.size()) {
     return false;
   }
@@ -100,7 +100,8 @@
                              ReplicaAnswer&& aAnswer)
 {
   PooledReplica& host = *aCopy.m_replica;
-  const bool refused = aAnswer.m_status == kUnavailable;
+  // Whatever the status: a host with an older table may not know the route.
+  const bool refused = aAnswer.m_notRun;
   if (refused) {
     host.m_heardAt = aNow;
     BackendPool::Block(aNow, host, kRefusedBlock);
@@ -113,7 +114,7 @@
     return;
   }
   RunningForward& forward = *running->second;
-  if (refused && aAnswer.m_notRun) {
+  if (refused) {
     AskInstead(aNow, forward, aCopy, "refused");
     return;
   }
@@ -122,7 +123,7 @@
             forward,
             aCopy.m_group->m_name,
             host.m_record.m_id,
-            refused ? "no replica" : "too few shards",
+            "too few shards",
             aNow - aCopy.m_startedAt);
     FailRelayedLegs(aNow, forward, aCopy);
     return;
--- a/packages/forward/tests/RelayTest.cpp
+++ b/packages/forward/tests/RelayTest.cpp
@@ -75,11 +75,11 @@
     return answer;
   }
 
-  static ReplicaAnswer Refusal(bool aNotRun)
+  static ReplicaAnswer Refusal(int aStatus)
   {
     ReplicaAnswer answer;
-    answer.m_status = 503;
-    answer.m_notRun = aNotRun;
+    answer.m_status = aStatus;
+    answer.m_notRun = true;
     return answer;
   }
 };
@@ -142,7 +142,8 @@
 
   SECTION("and asked directly if the host has refused without asking them")
   {
-    fixture.AnswerWith(relay.m_copy, RelayFixture::Refusal(true));
+    // 404: its table is older and lacks the route.
+    fixture.AnswerWith(relay.m_copy, RelayFixture::Refusal(GENERATE(503, 404)));
     REQUIRE(fixture.m_sent.size() == kShards);
     fixture.AnswerLocal();
     REQUIRE(fixture.m_results.at(request).m_missingShards == 0);
