Start the replicas of the soak by their own function

Cause, seen when reading the whole change: the soak started a replica by reaching into its private parts, beside a start() that nothing called; the store counted calls that nothing read.

Change: start() takes the address behind the proxy and is called; the counter is gone. Checks are as they were. No C++ changed.

--- a/scripts/lib/replica_standin.py
+++ b/scripts/lib/replica_standin.py
@@ -63,8 +63,9 @@
         self.server = None
         self.connections = set()
 
-    async def start(self):
-        ip, port = self.address.split(":")
+    async def start(self, listen):
+        """Serves at `listen`; a proxy stands at the address that is published."""
+        ip, port = listen.split(":")
         self.server = await asyncio.start_server(self._serve, ip, int(port))
         await self.publish()
 
--- a/scripts/lib/store_standin.py
+++ b/scripts/lib/store_standin.py
@@ -34,7 +34,6 @@
         self.lose = 0.0
         self.slow_s = 0.0
         self.disturbed_until = 0.0
-        self.calls = 0
         self.server = None
 
     async def start(self):
@@ -98,7 +97,6 @@
                 request = await wire.read_message(reader)
                 if request is None:
                     break
-                self.calls += 1
                 if self.mode and (self.turned_away is None or peer in self.turned_away):
                     if self.mode == "busy":
                         writer.write(wire.answer(503))
