Bound the memory of answers, and attribute each answer to its request

Cause: 20 replicas whose answers have no length and no end took 245 to 281 MB in 2.5 s, more than a host has (160 to 260 MB); a body was bounded at 16 MB each, an unfinished chunk line not at all, and the input buffer of each connection kept 64 KB. A second copy of an answer that carries no request id, on a connection in use again, was taken for the answer to the next request. A caller that sends Goldcrestkeel-Shards chose the shards that another host gathers, since the first field of a name counts.

Ruled out: pausing reads, which keeps the bytes and a slot of the replica; skipping an answer without an id, which waits for one that may never come.

--- a/fuzz/ForwardedMessageFuzz.cpp
+++ b/fuzz/ForwardedMessageFuzz.cpp
@@ -63,8 +63,8 @@
   RequestParser requestInParts(kMaxHeaderBytes, kMaxBodyBytes);
   fuzz::Require(ParsesSameInParts(request, requestInParts, text),
                 "a request parses the same in one read and in two");
-  ResponseParser response(false);
-  ResponseParser responseInParts(false);
+  ResponseParser response(false, kMaxBodyBytes);
+  ResponseParser responseInParts(false, kMaxBodyBytes);
   fuzz::Require(ParsesSameInParts(response, responseInParts, text),
                 "a response parses the same in one read and in two");
   return 0;
--- a/packages/edge/include/goldcrestkeel/edge/EdgeSettings.h
+++ b/packages/edge/include/goldcrestkeel/edge/EdgeSettings.h
@@ -2,12 +2,24 @@
 
 #include <goldcrestkeel/core/Time.h>
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
 
 namespace goldcrestkeel {
 
+/** Limits of the memory for answers that are being received, in bytes. */
+struct AnswerLimits
+{
+  /** Largest body of one answer. */
+  std::uint64_t m_answerBytes = 4 * 1024 * 1024;
+  /** All incomplete answers together; beyond it, the largest one is ended. */
+  std::uint64_t m_totalBytes = 4 * 1024 * 1024;
+
+  bool operator==(const AnswerLimits&) const = default;
+};
+
 /** Settings of an entry host, read from its settings file. */
 struct EdgeSettings
 {
@@ -45,6 +57,8 @@
    */
   Duration m_drainLimit{ 3000000 };
   Duration m_applyLimit{ 3000000 };
+  /** Memory for answers of replicas and of other entry hosts. */
+  AnswerLimits m_answerLimits;
   /** Time from the shutdown request until the platform kills the process. */
   Duration m_grace{ 6000000 };
 
--- a/packages/edge/include/goldcrestkeel/edge/HttpCaller.h
+++ b/packages/edge/include/goldcrestkeel/edge/HttpCaller.h
@@ -38,12 +38,13 @@
   Duration m_timeout{ 0 };
 };
 
-/** Result of a call; m_status and m_body are set if it was answered. */
+/** Result of a call; all members but m_outcome are set if it was answered. */
 struct HttpCallResult
 {
   CallOutcome m_outcome = CallOutcome::Unknown;
   int m_status = 0;
   std::string m_body;
+  std::vector<HeaderField> m_fields{};
 };
 
 /** Interface of a client of one HTTP/1.1 service. */
--- a/packages/edge/include/goldcrestkeel/edge/HttpMessage.h
+++ b/packages/edge/include/goldcrestkeel/edge/HttpMessage.h
@@ -97,8 +97,9 @@
 class ResponseParser
 {
 public:
-  /** aHead: the request was a HEAD request, whose response has no body. */
-  explicit ResponseParser(bool aHead);
+  /** aHead: the request was a HEAD request, whose response has no body.
+   *  aBodyLimit: the largest body that is accepted, in bytes. */
+  ResponseParser(bool aHead, std::uint64_t aBodyLimit);
   ~ResponseParser();
 
   /** Parses aBytes and removes the parsed bytes from its front. */
--- a/packages/edge/src/ClientConnection.cpp
+++ b/packages/edge/src/ClientConnection.cpp
@@ -7,10 +7,19 @@
 
 namespace goldcrestkeel {
 
+namespace {
+
+/** An input buffer that is larger than this is freed once it is empty. */
+constexpr std::size_t kMaxIdleInputBytes = 4096;
+
+} // namespace
+
 ClientConnection::ClientConnection(Loop& aLoop,
                                    const sockaddr_in& aAddress,
+                                   std::uint64_t aMaxAnswerBytes,
                                    Owner& aOwner)
   : m_loop(aLoop)
+  , m_maxAnswerBytes(aMaxAnswerBytes)
   , m_owner(aOwner)
 {
   bool inProgress = false;
@@ -42,7 +51,8 @@
   m_output = std::move(aBytes);
   m_written = 0;
   m_head = aHead;
-  m_parser = std::make_unique<ResponseParser>(aHead);
+  m_heldBytes = 0;
+  m_parser = std::make_unique<ResponseParser>(aHead, m_maxAnswerBytes);
   if (m_connected && !Write()) {
     m_broken = true;
     m_failTimer.emplace(m_loop, [this] {
@@ -131,7 +141,9 @@
 void
 ClientConnection::OnReadable()
 {
+  const std::size_t before = m_input.size();
   const IoState state = ReadInto(m_socket, m_input);
+  m_heldBytes += m_input.size() - before;
   if (state == IoState::WouldBlock) {
     return;
   }
@@ -143,7 +155,10 @@
     ParseState read = m_parser->Read(m_input);
     if (read == ParseState::Complete) {
       Deliver();
-    } else if (read != ParseState::Partial) {
+    } else if (read == ParseState::Partial) {
+      ReleaseInput();
+      m_owner.Received(*this);
+    } else {
       End(ConnectionEnd::Malformed);
     }
     return;
@@ -168,15 +183,21 @@
   while (true) {
     ResponseMessage answer = m_parser->Take();
     m_keepAlive = m_keepAlive && answer.m_keepAlive;
-    if (m_owner.MatchesRequest(*this, answer)) {
+    const AnswerMatch match = m_owner.MatchRequest(*this, answer);
+    if (match == AnswerMatch::Belongs) {
+      ReleaseInput();
       m_parser.reset();
+      m_heldBytes = 0;
       m_owner.Answered(*this, std::move(answer));
       return;
     }
-    m_parser = std::make_unique<ResponseParser>(m_head);
-    const ParseState read =
-      m_keepAlive ? m_parser->Read(m_input) : ParseState::Malformed;
+    m_parser = std::make_unique<ResponseParser>(m_head, m_maxAnswerBytes);
+    m_heldBytes = m_input.size();
+    const ParseState read = m_keepAlive && match == AnswerMatch::Other
+                              ? m_parser->Read(m_input)
+                              : ParseState::Malformed;
     if (read == ParseState::Partial) {
+      m_owner.Received(*this);
       return;
     }
     if (read != ParseState::Complete) {
@@ -186,6 +207,14 @@
   }
 }
 
+void
+ClientConnection::ReleaseInput()
+{
+  if (m_input.empty() && m_input.capacity() > kMaxIdleInputBytes) {
+    std::string().swap(m_input);
+  }
+}
+
 void
 ClientConnection::End(ConnectionEnd aEnd)
 {
--- a/packages/edge/src/ClientConnection.h
+++ b/packages/edge/src/ClientConnection.h
@@ -5,6 +5,7 @@
 #include <goldcrestkeel/edge/HttpMessage.h>
 #include <goldcrestkeel/edge/Loop.h>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -28,11 +29,21 @@
   Idle,
 };
 
+/** Whether a response belongs to the open request of its connection. */
+enum class AnswerMatch
+{
+  Belongs,
+  /** It belongs to another request, and is skipped. */
+  Other,
+  /** It cannot be attributed; it ends the connection as malformed. */
+  Unknown,
+};
+
 /** Client side of an HTTP/1.1 connection, with one request at a time. */
 class ClientConnection
 {
 public:
-  /** Each callback except MatchesRequest() and Sent() is the last action of the
+  /** Each callback except MatchRequest() and Sent() is the last action of the
    *  connection in an event, so that the owner may destroy the connection in
    *  it. */
   class Owner
@@ -43,9 +54,11 @@
     virtual void Connected(ClientConnection& aConnection) = 0;
     /** The first byte of the request has been written. */
     virtual void Sent(ClientConnection& aConnection) = 0;
-    /** False if aAnswer belongs to another request; it is then skipped. */
-    virtual bool MatchesRequest(ClientConnection& aConnection,
-                                const ResponseMessage& aAnswer) = 0;
+    /** Tells whether aAnswer belongs to the request. */
+    virtual AnswerMatch MatchRequest(ClientConnection& aConnection,
+                                     const ResponseMessage& aAnswer) = 0;
+    /** A part of the response was received; HeldBytes() has grown. */
+    virtual void Received(ClientConnection&) {}
     /** The response to the request was received. */
     virtual void Answered(ClientConnection& aConnection,
                           ResponseMessage&& aAnswer) = 0;
@@ -54,8 +67,12 @@
   };
 
   /** Starts to connect. aLoop and aOwner must outlive the connection. A failure
-   *  is reported by Ended() after the constructor has returned. */
-  ClientConnection(Loop& aLoop, const sockaddr_in& aAddress, Owner& aOwner);
+   *  is reported by Ended() after the constructor has returned.
+   *  aMaxAnswerBytes: the largest body of a response that is accepted. */
+  ClientConnection(Loop& aLoop,
+                   const sockaddr_in& aAddress,
+                   std::uint64_t aMaxAnswerBytes,
+                   Owner& aOwner);
 
   /** Sends a request, once connected. aHead: it is a HEAD request. No other
    *  request may be open. */
@@ -71,6 +88,8 @@
   bool HasRequest() const { return m_parser != nullptr; }
   /** At least one byte of the request was written. */
   bool WasSent() const { return m_written > 0; }
+  /** Bytes received of a response that is not complete. */
+  std::size_t HeldBytes() const { return m_heldBytes; }
   /** The connection can be used for another request. False while one is open.
    */
   bool IsReusable() const;
@@ -82,11 +101,14 @@
   /** Writes pending bytes; false if the connection has failed. */
   bool Write();
   void End(ConnectionEnd aEnd);
+  /** Frees the input buffer if it is empty and large. */
+  void ReleaseInput();
   /** Passes a complete response to the owner, or skips it if it belongs to
    *  another request. */
   void Deliver();
 
   Loop& m_loop;
+  std::uint64_t m_maxAnswerBytes;
   Owner& m_owner;
   Socket m_socket;
   bool m_connected = false;
@@ -95,6 +117,7 @@
   std::string m_output;
   std::size_t m_written = 0;
   std::string m_input;
+  std::size_t m_heldBytes = 0;
   std::unique_ptr<ResponseParser> m_parser;
   bool m_head = false;
   std::optional<Watch> m_readable;
--- a/packages/edge/src/CopyWriter.cpp
+++ b/packages/edge/src/CopyWriter.cpp
@@ -32,8 +32,10 @@
     .append(aRequest.m_target)
     .append(" HTTP/1.1\r\n");
   for (const auto& [name, value] : EndToEndFields(aRequest.m_fields)) {
+    // A caller must not set the fields that entry hosts exchange.
     if (!EqualsIgnoreCase(name, aNames.m_deadlineMs) &&
-        !EqualsIgnoreCase(name, aNames.m_targetInstance)) {
+        !EqualsIgnoreCase(name, aNames.m_targetInstance) &&
+        !IsHostField(name)) {
       AppendField(bytes, name, value);
     }
   }
--- a/packages/edge/src/EdgeServer.cpp
+++ b/packages/edge/src/EdgeServer.cpp
@@ -197,7 +197,7 @@
   , m_settings(aSettings)
   , m_names(aNames)
   , m_source(aSource)
-  , m_replicas(aLoop, m_names, *this)
+  , m_replicas(aLoop, m_names, *this, aSettings.m_answerLimits)
   , m_forwardTimer(aLoop,
                    [this] {
                      m_forwardTimerAt.reset();
--- a/packages/edge/src/EdgeSettings.cpp
+++ b/packages/edge/src/EdgeSettings.cpp
@@ -13,6 +13,8 @@
 
 /** Upper limit of every duration in the settings, in seconds. */
 constexpr double kMaxSeconds = 3600;
+/** Upper limit of every size in the settings, in bytes. */
+constexpr double kMaxBytes = 1e12;
 
 // Reads values by JSON pointer and collects the faults, so that all are
 // reported together.
@@ -82,6 +84,13 @@
     aValue = value->get<double>();
   }
 
+  void ReadBytes(const std::string& aPath, std::uint64_t& aValue)
+  {
+    double value = static_cast<double>(aValue);
+    ReadNumber(aPath, value, kMaxBytes);
+    aValue = static_cast<std::uint64_t>(value);
+  }
+
   void ReadSeconds(const std::string& aPath, Duration& aValue)
   {
     ReadDuration(aPath, 1e6, aValue);
@@ -170,6 +179,10 @@
   reader.ReadSeconds("/repeats/window_s", settings.m_repeatWindow);
   reader.ReadMilliseconds("/limits/drain_ms", settings.m_drainLimit);
   reader.ReadMilliseconds("/limits/apply_ms", settings.m_applyLimit);
+  reader.ReadBytes("/limits/answer_bytes",
+                   settings.m_answerLimits.m_answerBytes);
+  reader.ReadBytes("/limits/answers_bytes",
+                   settings.m_answerLimits.m_totalBytes);
   reader.ReadSeconds("/shutdown/grace_s", settings.m_grace);
   reader.ThrowFaults();
   return settings;
--- a/packages/edge/src/HttpCaller.cpp
+++ b/packages/edge/src/HttpCaller.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/** Largest body of an answer, in bytes. */
+constexpr std::uint64_t kMaxAnswerBytes = 16 * 1024 * 1024;
+
 constexpr std::array<std::string_view, 3> kOutcomes{ "answered",
                                                      "not_sent",
                                                      "unknown" };
@@ -29,7 +32,10 @@
 public:
   explicit Connection(HttpCaller& aOwner)
     : m_owner(aOwner)
-    , m_connection(aOwner.m_loop, ParseAddress(aOwner.m_address), *this)
+    , m_connection(aOwner.m_loop,
+                   ParseAddress(aOwner.m_address),
+                   kMaxAnswerBytes,
+                   *this)
     , m_timer(aOwner.m_loop, [this] { End(ResultOf(ConnectionEnd::Broken)); })
   {
   }
@@ -60,9 +66,9 @@
 
   void Connected(ClientConnection&) override {}
   void Sent(ClientConnection&) override {}
-  bool MatchesRequest(ClientConnection&, const ResponseMessage&) override
+  AnswerMatch MatchRequest(ClientConnection&, const ResponseMessage&) override
   {
-    return true;
+    return AnswerMatch::Belongs;
   }
 
   void Answered(ClientConnection&, ResponseMessage&& aAnswer) override
@@ -70,7 +76,8 @@
     m_timer.Cancel();
     const HttpCallResult result{ CallOutcome::Answered,
                                  aAnswer.m_status,
-                                 std::move(aAnswer.m_body) };
+                                 std::move(aAnswer.m_body),
+                                 std::move(aAnswer.m_fields) };
     const Done done = std::exchange(m_done, nullptr);
     if (!m_connection.IsReusable()) {
       m_owner.RemoveConnection(*this);
--- a/packages/edge/src/HttpMessage.cpp
+++ b/packages/edge/src/HttpMessage.cpp
@@ -16,9 +16,11 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
-/** Size limits of the header and the body of a response, in bytes. */
+/** Size limit of the header of a response, in bytes. */
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64 * 1024;
-constexpr std::uint64_t kMaxResponseBodyBytes = 16 * 1024 * 1024;
+/** Limit of the bytes that the parser leaves unread because they end in the
+ *  middle of an element, such as the line before a chunk. */
+constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
 
 constexpr std::array<std::string_view, 10> kHopByHopFields{
   "connection",     "keep-alive",        "proxy-connection", "te",
@@ -236,8 +238,9 @@
 public:
   using Parser = http::response_parser<http::string_body>;
 
-  explicit Impl(bool aHead)
+  Impl(bool aHead, std::uint64_t aBodyLimit)
     : m_head(aHead)
+    , m_bodyLimit(aBodyLimit)
   {
     Reset();
   }
@@ -246,17 +249,18 @@
   {
     m_parser = std::make_unique<Parser>();
     m_parser->header_limit(kMaxResponseHeaderBytes);
-    m_parser->body_limit(kMaxResponseBodyBytes);
+    m_parser->body_limit(m_bodyLimit);
     m_parser->skip(m_head);
   }
 
   bool m_head;
+  std::uint64_t m_bodyLimit;
   bool m_started = false;
   std::unique_ptr<Parser> m_parser;
 };
 
-ResponseParser::ResponseParser(bool aHead)
-  : m_impl(std::make_unique<Impl>(aHead))
+ResponseParser::ResponseParser(bool aHead, std::uint64_t aBodyLimit)
+  : m_impl(std::make_unique<Impl>(aHead, aBodyLimit))
 {
 }
 
@@ -270,7 +274,10 @@
       m_impl->m_started = true;
     }
     const ParseState state =
-      ParseInput(*m_impl->m_parser, aBytes, kMaxResponseBodyBytes);
+      ParseInput(*m_impl->m_parser, aBytes, m_impl->m_bodyLimit);
+    if (state == ParseState::Partial && aBytes.size() > kMaxUnparsedBytes) {
+      return ParseState::Malformed;
+    }
     const bool interim = state == ParseState::Complete &&
                          m_impl->m_parser->get().result_int() / 100 == 1;
     if (!interim) {
--- a/packages/edge/src/RelayFields.cpp
+++ b/packages/edge/src/RelayFields.cpp
@@ -36,6 +36,13 @@
 
 } // namespace
 
+bool
+IsHostField(std::string_view aName)
+{
+  constexpr std::string_view kPrefix = "Goldcrestkeel-";
+  return EqualsIgnoreCase(aName.substr(0, kPrefix.size()), kPrefix);
+}
+
 std::string
 FormatNumbers(const std::vector<std::uint32_t>& aNumbers)
 {
--- a/packages/edge/src/RelayFields.h
+++ b/packages/edge/src/RelayFields.h
@@ -28,6 +28,10 @@
 /** Number of copies that were sent to replicas for a failed request. */
 inline constexpr std::string_view kCopiesField = "Goldcrestkeel-Copies";
 
+/** Whether aName is one of the fields above, or of that kind. */
+bool
+IsHostField(std::string_view aName);
+
 /** Sub-request of a scatter-gather request that one entry host relays to
  *  another. */
 struct RelayParameters
--- a/packages/edge/src/ReplicaConnections.cpp
+++ b/packages/edge/src/ReplicaConnections.cpp
@@ -106,7 +106,10 @@
     : m_owner(aOwner)
     , m_replica(std::move(aReplica))
     , m_connectDeadline(aOwner.m_loop.Now() + kConnectTimeout)
-    , m_connection(aOwner.m_loop, aAddress, *this)
+    , m_connection(aOwner.m_loop,
+                   aAddress,
+                   aOwner.m_limits.m_answerBytes,
+                   *this)
   {
   }
 
@@ -148,18 +151,26 @@
     m_owner.m_listener.OnCopySent(m_copy);
   }
 
-  bool MatchesRequest(ClientConnection&,
-                      const ResponseMessage& aAnswer) override
+  AnswerMatch MatchRequest(ClientConnection&,
+                           const ResponseMessage& aAnswer) override
   {
     const std::string_view id =
       FieldValue(aAnswer.m_fields, m_owner.m_names.m_requestId);
-    return id.empty() || id == m_requestId;
+    if (id.empty()) {
+      // It may be a second copy of an earlier answer.
+      return m_echoesIds ? AnswerMatch::Unknown : AnswerMatch::Belongs;
+    }
+    m_echoesIds = true;
+    return id == m_requestId ? AnswerMatch::Belongs : AnswerMatch::Other;
   }
 
+  void Received(ClientConnection&) override { m_owner.UpdateHeldBytes(*this); }
+
   void Answered(ClientConnection&, ResponseMessage&& aAnswer) override
   {
     const CopyId copy = std::exchange(m_copy, 0);
     m_owner.m_connectionByCopy.erase(copy);
+    CountHeldBytes();
     m_idleDeadline = m_owner.m_loop.Now() + IdleTimeoutOf(aAnswer);
     ReplicaAnswer answer = m_owner.ToAnswer(std::move(aAnswer));
     ReplicaConnections& owner = m_owner;
@@ -185,16 +196,31 @@
     }
   }
 
+  /** Updates the sum of the owner. */
+  void CountHeldBytes() { SetCountedBytes(m_connection.HeldBytes()); }
+  void ReleaseHeldBytes() { SetCountedBytes(0); }
+  std::size_t CountedBytes() const { return m_countedBytes; }
+
   const std::string& Replica() const { return m_replica; }
   CopyId Copy() const { return m_copy; }
   bool IsConnected() const { return m_connection.IsConnected(); }
   bool WasSent() const { return m_connection.WasSent(); }
 
 private:
+  void SetCountedBytes(std::size_t aBytes)
+  {
+    m_owner.m_heldBytes += aBytes;
+    m_owner.m_heldBytes -= std::exchange(m_countedBytes, aBytes);
+  }
+
   ReplicaConnections& m_owner;
   std::string m_replica;
   CopyId m_copy = 0;
   std::string m_requestId;
+  /** An answer on this connection carried a request id. */
+  bool m_echoesIds = false;
+  /** Bytes that m_heldBytes of the owner includes. */
+  std::size_t m_countedBytes = 0;
   TimePoint m_connectDeadline;
   TimePoint m_idleDeadline;
   ClientConnection m_connection;
@@ -202,10 +228,12 @@
 
 ReplicaConnections::ReplicaConnections(Loop& aLoop,
                                        const EdgeFieldNames& aNames,
-                                       CopyListener& aListener)
+                                       CopyListener& aListener,
+                                       const AnswerLimits& aLimits)
   : m_loop(aLoop)
   , m_names(aNames)
   , m_listener(aListener)
+  , m_limits(aLimits)
   , m_expiryTimer(aLoop, [this] { CloseExpired(); })
   , m_cleanUpTimer(aLoop, [this] { m_removed.clear(); })
 {
@@ -271,9 +299,26 @@
   return open;
 }
 
+void
+ReplicaConnections::UpdateHeldBytes(Connection& aConnection)
+{
+  aConnection.CountHeldBytes();
+  if (m_heldBytes <= m_limits.m_totalBytes) {
+    return;
+  }
+  Connection* largest = &aConnection;
+  for (const auto& [copy, connection] : m_connectionByCopy) {
+    if (connection->CountedBytes() > largest->CountedBytes()) {
+      largest = connection;
+    }
+  }
+  largest->Fail(CopyFailure::Malformed);
+}
+
 void
 ReplicaConnections::Remove(Connection& aConnection)
 {
+  aConnection.ReleaseHeldBytes();
   auto& connections = m_endpoints[aConnection.Replica()].m_connections;
   const auto found = std::find_if(
     connections.begin(), connections.end(), [&](const auto& aOther) {
--- a/packages/edge/src/ReplicaConnections.h
+++ b/packages/edge/src/ReplicaConnections.h
@@ -2,6 +2,7 @@
 
 #include "ClientConnection.h"
 
+#include <goldcrestkeel/edge/EdgeSettings.h>
 #include <goldcrestkeel/edge/FieldNames.h>
 #include <goldcrestkeel/forward/Forwarder.h>
 
@@ -44,7 +45,8 @@
   /** All arguments must outlive the pools. */
   ReplicaConnections(Loop& aLoop,
                      const EdgeFieldNames& aNames,
-                     CopyListener& aListener);
+                     CopyListener& aListener,
+                     const AnswerLimits& aLimits);
   ~ReplicaConnections();
 
   /** Sends a copy on an idle connection, or opens one. Throws
@@ -55,6 +57,8 @@
    *  the copy was sent, and kept otherwise. */
   void Abort(CopyId aCopy);
 
+  /** Bytes received of answers that are not complete. */
+  std::size_t HeldBytes() const { return m_heldBytes; }
   /** Connections that are open or being established. */
   std::size_t OpenCount() const;
   /** Connections opened since the start. */
@@ -67,7 +71,9 @@
     std::vector<std::unique_ptr<Connection>> m_connections;
   };
 
-  Connection& ConnectionFor(Endpoint& aEndpoint);
+  /** Updates m_heldBytes, and ends the largest answer if it exceeds its limit.
+   */
+  void UpdateHeldBytes(Connection& aConnection);
   void Remove(Connection& aConnection);
   void CloseExpired();
   ReplicaAnswer ToAnswer(ResponseMessage&& aAnswer) const;
@@ -75,6 +81,8 @@
   Loop& m_loop;
   const EdgeFieldNames& m_names;
   CopyListener& m_listener;
+  AnswerLimits m_limits;
+  std::size_t m_heldBytes = 0;
   std::unordered_map<std::string, Endpoint> m_endpoints;
   std::unordered_map<CopyId, Connection*> m_connectionByCopy;
   std::vector<std::unique_ptr<Connection>> m_removed;
--- a/packages/edge/tests/HttpMessageTest.cpp
+++ b/packages/edge/tests/HttpMessageTest.cpp
@@ -6,6 +6,12 @@
 
 using namespace goldcrestkeel;
 
+namespace {
+
+constexpr std::uint64_t kBodyLimit = 1024 * 1024;
+
+} // namespace
+
 TEST_CASE("Requests are parsed incrementally", "[http]")
 {
   RequestParser reader(1024, 1024);
@@ -54,7 +60,7 @@
 
 TEST_CASE("Responses are parsed incrementally", "[http]")
 {
-  ResponseParser reader(false);
+  ResponseParser reader(false, kBodyLimit);
 
   SECTION("with a length, and bytes after them are left in the input")
   {
--- a/packages/edge/tests/RelayFieldsTest.cpp
+++ b/packages/edge/tests/RelayFieldsTest.cpp
@@ -1,5 +1,7 @@
 #include "RelayFields.h"
 
+#include "CopyWriter.h"
+
 #include <catch2/catch.hpp>
 
 using namespace goldcrestkeel;
@@ -44,3 +46,26 @@
     }
   }
 }
+
+// Guards against a caller that decides which shards another host gathers.
+TEST_CASE("Callers cannot set the fields between two entry hosts", "[relay]")
+{
+  RequestMessage request;
+  request.m_method = "GET";
+  request.m_target = "/p/";
+  request.m_fields = { { "Host", "h" },
+                       { "goldcrestkeel-shards", "1" },
+                       { "Goldcrestkeel-Table-Version", "3" } };
+  EdgeFieldNames names;
+  names.m_deadlineMs = "Deadline";
+  names.m_targetInstance = "Target";
+  const std::string relay =
+    WriteRelay(request, names, { 7, { 0, 3 }, 0, 85ms }, 100ms);
+  REQUIRE(relay == "GET /p/ HTTP/1.1\r\nHost: h\r\nDeadline: 100\r\n"
+                   "Goldcrestkeel-Table-Version: 7\r\n"
+                   "Goldcrestkeel-Shards: 0,3\r\n"
+                   "Goldcrestkeel-May-Miss: 0\r\n"
+                   "Goldcrestkeel-Target-Ms: 85\r\n\r\n");
+  const std::string copy = WriteCopy(request, names, "r", 100ms);
+  REQUIRE(copy.find("oldcrestkeel-") == std::string::npos);
+}
--- /dev/null
+++ b/packages/edge/tests/ReplicaConnectionsTest.cpp
@@ -0,0 +1,197 @@
+#include "ReplicaConnections.h"
+
+#include "LoopbackServer.h"
+
+#include <goldcrestkeel/Edge.h>
+#include <goldcrestkeel/Net.h>
+
+#include <catch2/catch.hpp>
+
+#include <fstream>
+#include <map>
+
+using namespace goldcrestkeel;
+using namespace goldcrestkeel::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+class Fixture : public CopyListener
+{
+public:
+  void OnCopySent(CopyId) override {}
+  void OnCopyAnswered(CopyId aCopy, ReplicaAnswer&& aAnswer) override
+  {
+    m_answers[aCopy] = std::move(aAnswer);
+  }
+  void OnCopyFailed(CopyId aCopy, CopyFailure aFailure) override
+  {
+    m_failures[aCopy] = aFailure;
+  }
+
+  void Send(CopyId aCopy, const std::string& aRequestId)
+  {
+    ReplicaRecord replica;
+    replica.m_id = "r";
+    replica.m_address = m_server.Address();
+    m_connections.Send(replica,
+                       { aCopy, "GET / HTTP/1.1\r\n\r\n", aRequestId, false });
+    Turn();
+  }
+
+  /** Handles what is due on both sides. */
+  void Turn()
+  {
+    for (int i = 0; i < 4; ++i) {
+      m_loop.RunOnce(false);
+      m_server.Accept();
+    }
+  }
+
+  LoopbackServer m_server;
+  EdgeFieldNames m_names{ "Id",   "Deadline", "Target", "Stamp",
+                          "Load", "Not-Run",  "Shards", "Missing" };
+  SystemClock m_clock;
+  Loop m_loop{ m_clock };
+  AnswerLimits m_limits;
+  ReplicaConnections m_connections{ m_loop, m_names, *this, m_limits };
+  std::map<CopyId, ReplicaAnswer> m_answers;
+  std::map<CopyId, CopyFailure> m_failures;
+};
+
+std::string
+Answer(const std::string& aId, const std::string& aBody)
+{
+  const std::string id = aId.empty() ? "" : "Id: " + aId + "\r\n";
+  return "HTTP/1.1 200 OK\r\n" + id +
+         "Stamp: s\r\nContent-Length: " + std::to_string(aBody.size()) +
+         "\r\n\r\n" + aBody;
+}
+
+/** Resident memory of this process, in bytes. */
+std::size_t
+ResidentBytes()
+{
+  std::ifstream file("/proc/self/statm");
+  std::size_t total = 0;
+  std::size_t resident = 0;
+  file >> total >> resident;
+  return resident * 4096;
+}
+
+} // namespace
+
+TEST_CASE("A second copy of an answer is not taken for the next one",
+          "[replicas]")
+{
+  Fixture fixture;
+  fixture.Send(1, "one");
+  fixture.m_server.Send(0, Answer("one", "first"));
+  fixture.Turn();
+  REQUIRE(fixture.m_answers.at(1).m_body == "first");
+  fixture.Send(2, "two");
+  REQUIRE(fixture.m_server.Accept() == 1);
+
+  SECTION("if it carries the id of its request")
+  {
+    fixture.m_server.Send(0, Answer("one", "first"));
+    fixture.Turn();
+    REQUIRE_FALSE(fixture.m_answers.contains(2));
+    REQUIRE_FALSE(fixture.m_failures.contains(2));
+    fixture.m_server.Send(0, Answer("two", "second"));
+    fixture.Turn();
+    REQUIRE(fixture.m_answers.at(2).m_body == "second");
+  }
+
+  SECTION("if it is glued to the next one, and that comes in pieces")
+  {
+    const std::string both = Answer("one", "first") + Answer("two", "second");
+    fixture.m_server.Send(0, both.substr(0, both.size() - 3));
+    fixture.Turn();
+    REQUIRE_FALSE(fixture.m_answers.contains(2));
+    fixture.m_server.Send(0, both.substr(both.size() - 3));
+    fixture.Turn();
+    REQUIRE(fixture.m_answers.at(2).m_body == "second");
+  }
+
+  // The replica has echoed ids on this connection, so that an answer without
+  // one cannot be attributed to a request.
+  SECTION("if it carries no id")
+  {
+    fixture.m_server.Send(0, Answer("", "first"));
+    fixture.Turn();
+    REQUIRE_FALSE(fixture.m_answers.contains(2));
+    REQUIRE(fixture.m_failures.at(2) == CopyFailure::Malformed);
+  }
+
+  SECTION("nor if it says that the request did not run")
+  {
+    fixture.m_server.Send(
+      0, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    fixture.Turn();
+    REQUIRE_FALSE(fixture.m_answers.contains(2));
+    REQUIRE(fixture.m_failures.at(2) == CopyFailure::Malformed);
+  }
+}
+
+TEST_CASE("A replica that echoes no ids is understood", "[replicas]")
+{
+  Fixture fixture;
+  for (CopyId copy = 1; copy <= 2; ++copy) {
+    fixture.Send(copy, "one");
+    fixture.m_server.Send(0, Answer("", "body"));
+    fixture.Turn();
+    REQUIRE(fixture.m_answers.at(copy).m_body == "body");
+  }
+}
+
+// Guards against a host that runs out of memory, 160 MB at the smallest, while
+// 20 replicas send without end.
+TEST_CASE("Answers without end take a bounded amount of memory", "[replicas]")
+{
+  constexpr std::size_t kCopies = 200;
+  constexpr std::size_t kMaxGrowth = 16 << 20;
+  const auto [name, head, more] =
+    GENERATE(table<std::string, std::string, std::string>(
+      { { "a body without a length",
+          "HTTP/1.1 200 OK\r\n\r\n",
+          std::string(65536, 'x') },
+        { "a body in chunks",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+          "10000\r\n" + std::string(65536, 'x') + "\r\n" },
+        { "a chunk extension",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10;",
+          std::string(65536, 'x') },
+        { "a header field", "HTTP/1.1 200 OK\r\nA: ", std::string(65536, 'x') },
+        { "header fields", "HTTP/1.1 200 OK\r\n", "A: b\r\n" },
+        { "interim answers",
+          "HTTP/1.1 100 Continue\r\n\r\n",
+          "HTTP/1.1 100 Continue\r\n\r\n" },
+        { "junk", "junk", std::string(65536, 'x') } }));
+  INFO(name);
+  Fixture fixture;
+  for (CopyId copy = 1; copy <= kCopies; ++copy) {
+    fixture.Send(copy, "id");
+  }
+  REQUIRE(fixture.m_server.Accept() == kCopies);
+  const std::size_t before = ResidentBytes();
+  std::size_t most = before;
+  for (std::size_t i = 0; i < kCopies; ++i) {
+    fixture.m_server.Send(i, head);
+  }
+  const TimePoint end = fixture.m_clock.Now() + 1s;
+  while (fixture.m_clock.Now() < end && fixture.m_failures.size() < kCopies) {
+    for (std::size_t i = 0; i < kCopies; ++i) {
+      fixture.m_server.Send(i, more);
+    }
+    fixture.Turn();
+    most = std::max(most, ResidentBytes());
+    REQUIRE(fixture.m_connections.HeldBytes() <= fixture.m_limits.m_totalBytes);
+  }
+  REQUIRE(most - before <= kMaxGrowth);
+  REQUIRE(fixture.m_answers.empty());
+  // Endless bodies are ended for their size, the rest as malformed.
+  for (const auto& [copy, failure] : fixture.m_failures) {
+    REQUIRE(failure == CopyFailure::Malformed);
+  }
+}
