Pass the store's changes from one reader in each data centre to the other hosts

Now: packages/feed decides from whom a host learns, without input or output: the first of its data centre by CPU quota reads the store, the others poll it, two are in reserve. Each answer carries the time since the state was proved to be the store's; a reader that is silent, refuses or is too old is left at once. Revisions only grow. A draining replica is the last resort until its limit after the last time at which it was known not to drain.

Ruled out: longer pauses for all hosts (in force too late); gossip (the membership code of packages/control needs its own store protocol and probes each member).

--- a/packages/edge/include/goldcrestkeel/Edge.h
+++ b/packages/edge/include/goldcrestkeel/Edge.h
@@ -10,4 +10,5 @@
 #include <goldcrestkeel/edge/HttpCaller.h>
 #include <goldcrestkeel/edge/HttpMessage.h>
 #include <goldcrestkeel/edge/Loop.h>
+#include <goldcrestkeel/edge/SharedFeed.h>
 #include <goldcrestkeel/edge/TopologySource.h>
--- a/packages/edge/include/goldcrestkeel/edge/TopologySource.h
+++ b/packages/edge/include/goldcrestkeel/edge/TopologySource.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <goldcrestkeel/edge/SharedFeed.h>
 #include <goldcrestkeel/forward/HostRecord.h>
 #include <goldcrestkeel/forward/ReplicaRecord.h>
 #include <goldcrestkeel/forward/RoutingTable.h>
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,10 +21,13 @@
   /** A routing table was read. Takes effect only if its version is higher than
    *  that of the table in force. */
   virtual void OnRoutingTable(std::shared_ptr<const RoutingTable> aTable) = 0;
-  /** A replica was added or its record changed. */
-  virtual void OnReplica(const ReplicaRecord& aReplica) = 0;
+  /** A replica was added or its record changed. aChangedAfter: this happened
+   *  after that time; not set if that is unknown. */
+  virtual void OnReplica(const ReplicaRecord& aReplica,
+                         std::optional<TimePoint> aChangedAfter) = 0;
   /** A replica is no longer listed. */
-  virtual void OnReplicaRemoved(const std::string& aId) = 0;
+  virtual void OnReplicaRemoved(const std::string& aId,
+                                std::optional<TimePoint> aChangedAfter) = 0;
   /** Every replica listed at present has been reported by OnReplica(). */
   virtual void OnReplicaListComplete() = 0;
   /** The live entry hosts, including this one once it is listed. */
@@ -42,9 +47,8 @@
   return aLimit / 8;
 }
 
-/** Interval between two reads of the replicas. Draining replicas must not
- *  receive requests after aLimit; the rest of the limit is left for their use
- *  as a last resort. */
+/** Interval between two reads of the replicas, which must not receive requests
+ *  for longer than aLimit after they began to drain. */
 constexpr Duration
 ReplicaPollInterval(Duration aLimit)
 {
@@ -62,6 +66,8 @@
    *  interval: a request needs a service that has no listed replica. May be
    *  called for each request. */
   virtual void RefreshReplicas() = 0;
+  /** Feeds that other hosts may ask for; they live as long as the source. */
+  virtual std::vector<SharedFeed*> Feeds() = 0;
 };
 
 } // namespace goldcrestkeel
--- a/packages/edge/src/EdgeServer.cpp
+++ b/packages/edge/src/EdgeServer.cpp
@@ -1,5 +1,6 @@
 #include "CopyWriter.h"
 #include "EdgeMetrics.h"
+#include "FeedPolls.h"
 #include "ForwardReplies.h"
 #include "RelayFields.h"
 #include "ReplicaConnections.h"
@@ -118,8 +119,10 @@
 
   // TopologyListener
   void OnRoutingTable(std::shared_ptr<const RoutingTable> aTable) override;
-  void OnReplica(const ReplicaRecord& aReplica) override;
-  void OnReplicaRemoved(const std::string& aId) override;
+  void OnReplica(const ReplicaRecord& aReplica,
+                 std::optional<TimePoint> aChangedAfter) override;
+  void OnReplicaRemoved(const std::string& aId,
+                        std::optional<TimePoint> aChangedAfter) override;
   void OnReplicaListComplete() override;
   void OnHosts(const std::vector<HostRecord>& aHosts) override;
 
@@ -151,6 +154,9 @@
                   const std::string& aDetail,
                   std::optional<Duration> aRetryAfter);
   void RecordAnswer(const OpenRequest& aOpen, const ForwardResult& aResult);
+  /** Upper bound of the age of a change, for the log; -1 if it is unknown. */
+  double MillisecondsSince(std::optional<TimePoint> aChangedAfter) const;
+  void ReplyToPoll(SessionId aSession, CallerReply&& aReply);
 
   Loop& m_loop;
   DecisionLog& m_log;
@@ -181,6 +187,7 @@
   TimePoint m_stopDeadline;
   TimePoint m_stopAcceptingAt;
   std::function<void()> m_onStopped;
+  FeedPolls m_feedPolls;
   EdgeMetrics m_metrics;
   StatusServer m_readiness;
   std::optional<StatusServer> m_metricsServer;
@@ -211,6 +218,12 @@
                kMaxSessions,
                *this)
   , m_sessionTimer(aLoop, [this] { CheckSessions(); })
+  , m_feedPolls(aLoop,
+                aSettings.m_hostId,
+                aSource.Feeds(),
+                [this](SessionId aSession, CallerReply&& aReply) {
+                  ReplyToPoll(aSession, std::move(aReply));
+                })
   , m_readiness(aLoop, aSettings.m_readinessAddress, [this] {
     return ReadinessReply();
   })
@@ -227,10 +240,7 @@
   options.m_hostId = aSettings.m_hostId;
   options.m_dataCentre = aSettings.m_dataCentre;
   options.m_regions = aSettings.m_regions;
-  options.m_drainGracePeriod =
-    std::max(Duration(0),
-             aSettings.m_drainLimit -
-               ReplicaPollInterval(aSettings.m_drainLimit) - kMaxWatchDelay);
+  options.m_drainLimit = aSettings.m_drainLimit;
   options.m_repeatRatio = aSettings.m_repeatRatio;
   options.m_repeatSlack = aSettings.m_repeatSlack;
   options.m_repeatWindow = aSettings.m_repeatWindow;
@@ -384,6 +394,16 @@
 void
 EdgeServer::Impl::OnRequest(CallerSession& aSession, RequestMessage&& aRequest)
 {
+  if (aSession.Peer() == SessionPeer::Host) {
+    // Requests that are relayed carry fields that polls do not.
+    const bool relayed =
+      !FieldValue(aRequest.m_fields, kTableVersionField).empty();
+    const auto poll = relayed ? std::nullopt : ParseFeedPoll(aRequest.m_target);
+    if (poll) {
+      m_feedPolls.OnPoll(aSession.Id(), *poll);
+      return;
+    }
+  }
   const std::string_view host = FieldValue(aRequest.m_fields, "host");
   if (host.empty()) {
     ReplyError(
@@ -500,6 +520,14 @@
   }
 }
 
+void
+EdgeServer::Impl::ReplyToPoll(SessionId aSession, CallerReply&& aReply)
+{
+  if (CallerSession* session = FindSession(aSession)) {
+    session->Reply(std::move(aReply));
+  }
+}
+
 CallerSession*
 EdgeServer::Impl::FindSession(SessionId aId) const
 {
@@ -594,6 +622,13 @@
   aSession.Reply(std::move(reply));
 }
 
+double
+EdgeServer::Impl::MillisecondsSince(
+  std::optional<TimePoint> aChangedAfter) const
+{
+  return aChangedAfter ? (m_loop.Now() - *aChangedAfter).count() / 1000.0 : -1;
+}
+
 void
 EdgeServer::Impl::OnRoutingTable(std::shared_ptr<const RoutingTable> aTable)
 {
@@ -610,25 +645,29 @@
 }
 
 void
-EdgeServer::Impl::OnReplica(const ReplicaRecord& aReplica)
+EdgeServer::Impl::OnReplica(const ReplicaRecord& aReplica,
+                            std::optional<TimePoint> aChangedAfter)
 {
   m_log.Write(LogPriority::Request,
               "replica_listed",
               { { "replica", std::string_view(aReplica.m_id) },
                 { "service", std::string_view(aReplica.m_service) },
                 { "address", std::string_view(aReplica.m_address) },
-                { "draining", aReplica.m_draining } });
-  m_forwarder->UpdateReplica(m_loop.Now(), aReplica);
+                { "draining", aReplica.m_draining },
+                { "known_for_ms", MillisecondsSince(aChangedAfter) } });
+  m_forwarder->UpdateReplica(m_loop.Now(), aReplica, aChangedAfter);
   ArmForwardTimer();
 }
 
 void
-EdgeServer::Impl::OnReplicaRemoved(const std::string& aId)
+EdgeServer::Impl::OnReplicaRemoved(const std::string& aId,
+                                   std::optional<TimePoint> aChangedAfter)
 {
   m_log.Write(LogPriority::Request,
               "replica_gone",
-              { { "replica", std::string_view(aId) } });
-  m_forwarder->RemoveReplica(m_loop.Now(), aId);
+              { { "replica", std::string_view(aId) },
+                { "known_for_ms", MillisecondsSince(aChangedAfter) } });
+  m_forwarder->RemoveReplica(m_loop.Now(), aId, aChangedAfter);
 }
 
 void
@@ -663,6 +702,7 @@
   const TimePoint now = m_loop.Now();
   m_stopping = true;
   m_onStopped = std::move(aDone);
+  m_feedPolls.Stop();
   m_stopAcceptingAt = now + kAcceptTimeWhileStopping;
   m_stopDeadline = now + m_settings.m_grace - kGraceMargin;
 }
--- /dev/null
+++ b/packages/edge/src/FeedMessages.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <goldcrestkeel/Feed.h>
+#include <goldcrestkeel/edge/HttpMessage.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace goldcrestkeel {
+
+/** Poll of a reader by another host: an HTTP request whose answer is held until
+ *  there is a change, or until the wait time has passed. */
+struct FeedPoll
+{
+  std::string m_feed;
+  /** The reader that is meant; another process may have its address now. */
+  std::string m_reader;
+  FeedRevision m_after = 0;
+  Duration m_wait{ 0 };
+
+  bool operator==(const FeedPoll&) const = default;
+};
+
+/** Fields of the answer to a poll. */
+inline constexpr std::string_view kFeedHostField = "Goldcrestkeel-Host";
+inline constexpr std::string_view kFeedAgeField = "Goldcrestkeel-Age-Ms";
+
+/** Target of the request that carries aPoll. */
+std::string
+WriteFeedPoll(const FeedPoll& aPoll);
+/** Parses a target; std::nullopt if it is not that of a poll. */
+std::optional<FeedPoll>
+ParseFeedPoll(std::string_view aTarget);
+
+/** Encodes changes as CBOR. */
+std::string
+EncodeFeedChanges(const FeedChanges& aChanges);
+/** Throws std::exception with the reason if aBody is not valid. */
+FeedChanges
+DecodeFeedChanges(std::string_view aBody);
+
+/** Decimal number; std::nullopt if aText is not one. */
+std::optional<std::uint64_t>
+ParseFeedNumber(std::string_view aText);
+
+} // namespace goldcrestkeel
--- /dev/null
+++ b/packages/edge/src/FeedPolls.cpp
@@ -0,0 +1,129 @@
+#include "FeedPolls.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace goldcrestkeel {
+
+namespace {
+
+constexpr int kUnavailable = 503;
+
+} // namespace
+
+FeedPolls::FeedPolls(Loop& aLoop,
+                     std::string aHostId,
+                     std::vector<SharedFeed*> aFeeds,
+                     ReplyCallback aReply)
+  : m_loop(aLoop)
+  , m_hostId(std::move(aHostId))
+  , m_feeds(std::move(aFeeds))
+  , m_reply(std::move(aReply))
+  , m_timer(aLoop, [this] { AnswerWaiting(); })
+{
+  for (SharedFeed* feed : m_feeds) {
+    // Deferred, because a feed changes while its own decisions are under way.
+    feed->SetObserver([this] { m_timer.SetAfter(Duration(0)); });
+  }
+}
+
+FeedPolls::~FeedPolls()
+{
+  for (SharedFeed* feed : m_feeds) {
+    feed->SetObserver(nullptr);
+  }
+}
+
+void
+FeedPolls::OnPoll(SessionId aSession, const FeedPoll& aPoll)
+{
+  const auto feed =
+    std::find_if(m_feeds.begin(), m_feeds.end(), [&](const SharedFeed* aFeed) {
+      return aFeed->Name() == aPoll.m_feed;
+    });
+  if (m_stopped || feed == m_feeds.end() || aPoll.m_reader != m_hostId) {
+    Refuse(aSession);
+    return;
+  }
+  const WaitingPoll poll{
+    aSession, *feed, aPoll.m_after, m_loop.Now() + aPoll.m_wait
+  };
+  if (Answer(poll, false)) {
+    return;
+  }
+  m_waiting.push_back(poll);
+  if (m_waiting.size() == 1) {
+    m_timer.SetAt(poll.m_deadline);
+  }
+}
+
+bool
+FeedPolls::Answer(const WaitingPoll& aPoll, bool aDue)
+{
+  const FeedRevision revision = aPoll.m_feed->Revision();
+  const bool known = m_encoded.m_feed == aPoll.m_feed &&
+                     m_encoded.m_after == aPoll.m_after &&
+                     m_encoded.m_revision == revision;
+  const auto answer = aPoll.m_feed->AnswerFor(known ? revision : aPoll.m_after);
+  if (!answer || m_stopped) {
+    Refuse(aPoll.m_session);
+    return true;
+  }
+  if (!known) {
+    const FeedChanges& changes = answer->m_changes;
+    m_encoded = { aPoll.m_feed,
+                  aPoll.m_after,
+                  revision,
+                  changes.m_items.empty() && !changes.m_complete,
+                  EncodeFeedChanges(changes) };
+  }
+  if (m_encoded.m_empty && !aDue) {
+    return false;
+  }
+  CallerReply reply;
+  reply.m_fields.emplace_back(kFeedHostField, m_hostId);
+  reply.m_fields.emplace_back(kFeedAgeField,
+                              std::to_string(answer->m_age.count() / 1000));
+  reply.m_body = m_encoded.m_body;
+  m_reply(aPoll.m_session, std::move(reply));
+  return true;
+}
+
+void
+FeedPolls::Refuse(SessionId aSession)
+{
+  CallerReply reply;
+  reply.m_status = kUnavailable;
+  m_reply(aSession, std::move(reply));
+}
+
+void
+FeedPolls::AnswerWaiting()
+{
+  const TimePoint now = m_loop.Now();
+  std::deque<WaitingPoll> waiting = std::exchange(m_waiting, {});
+  for (const WaitingPoll& poll : waiting) {
+    if (!Answer(poll, now >= poll.m_deadline)) {
+      m_waiting.push_back(poll);
+    }
+  }
+  if (m_waiting.empty()) {
+    return;
+  }
+  const auto next =
+    std::min_element(m_waiting.begin(),
+                     m_waiting.end(),
+                     [](const WaitingPoll& aOne, const WaitingPoll& aOther) {
+                       return aOne.m_deadline < aOther.m_deadline;
+                     });
+  m_timer.SetAt(next->m_deadline);
+}
+
+void
+FeedPolls::Stop()
+{
+  m_stopped = true;
+  AnswerWaiting();
+}
+
+} // namespace goldcrestkeel
--- /dev/null
+++ b/packages/edge/src/SharedFeed.cpp
@@ -0,0 +1,166 @@
+#include "FeedMessages.h"
+
+#include <goldcrestkeel/edge/SharedFeed.h>
+
+#include <utility>
+
+namespace goldcrestkeel {
+
+namespace {
+
+/** How long a reader holds the answer to a poll while nothing changes. */
+constexpr Duration kPollWait{ 800000 };
+/** Time limit of a poll. The reader counts as failed after it. */
+constexpr Duration kPollTimeout = kPollWait + Duration(600000);
+
+constexpr int kOk = 200;
+
+} // namespace
+
+SharedFeed::SharedFeed(Loop& aLoop,
+                       DecisionLog& aLog,
+                       std::string aName,
+                       const HostRecord& aHost,
+                       StoreReader& aReader,
+                       ChangesCallback aChanges)
+  : m_loop(aLoop)
+  , m_log(aLog)
+  , m_name(std::move(aName))
+  , m_reader(aReader)
+  , m_onChanges(std::move(aChanges))
+  , m_follower(aHost, *m_random, *this)
+  , m_timer(aLoop, [this] {
+    m_follower.OnTimer(m_loop.Now());
+    ArmTimer();
+  })
+{
+}
+
+SharedFeed::~SharedFeed() = default;
+
+void
+SharedFeed::OnHosts(const std::vector<HostRecord>& aHosts)
+{
+  m_follower.OnHosts(m_loop.Now(), aHosts);
+  m_reader.SetShared(m_follower.IsShared());
+  if (m_follower.IsFirstReader()) {
+    m_reader.ReadSoon();
+  }
+  ArmTimer();
+}
+
+void
+SharedFeed::OnStoreChanges(const FeedChanges& aChanges,
+                           std::optional<TimePoint> aProvenAt)
+{
+  m_follower.OnStoreChanges(m_loop.Now(), aChanges, aProvenAt);
+}
+
+std::optional<ReaderAnswer>
+SharedFeed::AnswerFor(FeedRevision aAfter) const
+{
+  return m_follower.AnswerFor(m_loop.Now(), aAfter);
+}
+
+void
+SharedFeed::SetObserver(std::function<void()> aChanged)
+{
+  m_onChanged = std::move(aChanged);
+}
+
+void
+SharedFeed::PollReader(PollId aPoll,
+                       const HostRecord& aReader,
+                       FeedRevision aAfter)
+{
+  std::unique_ptr<HttpCaller>& caller = m_callers[aReader.m_relayAddress];
+  if (!caller) {
+    caller = std::make_unique<HttpCaller>(m_loop, aReader.m_relayAddress);
+  }
+  HttpCall call;
+  call.m_target = WriteFeedPoll({ m_name, aReader.m_id, aAfter, kPollWait });
+  call.m_timeout = kPollTimeout;
+  caller->Call(
+    call, [this, aPoll, reader = aReader.m_id](const HttpCallResult& aResult) {
+      OnPolled(aPoll, reader, aResult);
+    });
+}
+
+void
+SharedFeed::OnPolled(PollId aPoll,
+                     const std::string& aReader,
+                     const HttpCallResult& aResult)
+{
+  const TimePoint now = m_loop.Now();
+  const auto age = ParseFeedNumber(FieldValue(aResult.m_fields, kFeedAgeField));
+  if (aResult.m_outcome != CallOutcome::Answered) {
+    m_follower.OnPollFailed(now, aPoll, PollFailure::Unreachable);
+  } else if (aResult.m_status != kOk || !age ||
+             FieldValue(aResult.m_fields, kFeedHostField) != aReader) {
+    m_follower.OnPollFailed(now, aPoll, PollFailure::Refused);
+  } else {
+    try {
+      const ReaderAnswer answer{ DecodeFeedChanges(aResult.m_body),
+                                 std::chrono::milliseconds(*age) };
+      m_follower.OnAnswer(now, aPoll, answer);
+    } catch (const std::exception& error) {
+      m_log.Write(LogPriority::Process,
+                  "feed_answer_unusable",
+                  { { "feed", std::string_view(m_name) },
+                    { "reader", std::string_view(aReader) },
+                    { "reason", std::string_view(error.what()) } });
+      m_follower.OnPollFailed(now, aPoll, PollFailure::Malformed);
+    }
+  }
+  ArmTimer();
+}
+
+void
+SharedFeed::StartReading(FeedRevision aAfter)
+{
+  m_reader.Resume(aAfter);
+}
+
+void
+SharedFeed::StopReading()
+{
+  m_reader.Pause();
+}
+
+void
+SharedFeed::Deliver(const FeedChanges& aChanges,
+                    std::optional<TimePoint> aChangedAfter)
+{
+  m_onChanges(aChanges, aChangedAfter);
+  if (!aChanges.m_items.empty() && m_onChanged) {
+    m_onChanged();
+  }
+}
+
+void
+SharedFeed::LogSource(FeedSource aSource,
+                      std::string_view aReader,
+                      std::string_view aReason,
+                      std::optional<Duration> aAge)
+{
+  m_log.Write(LogPriority::Process,
+              "feed_source",
+              { { "feed", std::string_view(m_name) },
+                { "source", NameOf(aSource) },
+                { "reader", aReader },
+                { "reason", aReason },
+                { "revision", static_cast<std::int64_t>(Revision()) },
+                { "age_ms", aAge ? aAge->count() / 1000.0 : -1.0 } });
+}
+
+void
+SharedFeed::ArmTimer()
+{
+  if (const auto next = m_follower.NextTimer()) {
+    m_timer.SetAt(*next);
+  } else {
+    m_timer.Cancel();
+  }
+}
+
+} // namespace goldcrestkeel
--- /dev/null
+++ b/packages/feed/tests/ChangeLogTest.cpp
@@ -0,0 +1,92 @@
+#include <goldcrestkeel/Feed.h>
+
+#include <catch2/catch.hpp>
+
+using namespace goldcrestkeel;
+
+namespace {
+
+FeedItem
+Item(const std::string& aKey, FeedRevision aRevision, bool aDeleted = false)
+{
+  return {
+    aKey, aDeleted ? "" : "v" + std::to_string(aRevision), aRevision, aDeleted
+  };
+}
+
+} // namespace
+
+TEST_CASE("A change log", "[feed]")
+{
+  ChangeLog log(3);
+  const FeedChanges first =
+    log.Apply({ { Item("a", 2), Item("b", 4) }, 5, true });
+  REQUIRE(first.m_items.size() == 2);
+  REQUIRE(log.Revision() == 5);
+
+  SECTION("tells a new host all keys")
+  {
+    const FeedChanges all = log.Since(0);
+    REQUIRE(all.m_complete);
+    REQUIRE(all.m_items.size() == 2);
+    REQUIRE(all.m_revision == 5);
+  }
+
+  SECTION("tells another host what it lacks")
+  {
+    log.Apply({ { Item("a", 6), Item("b", 7, true) }, 7, false });
+    const FeedChanges changes = log.Since(6);
+    REQUIRE_FALSE(changes.m_complete);
+    REQUIRE(changes.m_items == std::vector<FeedItem>{ Item("b", 7, true) });
+    REQUIRE(log.Since(7).m_items.empty());
+
+    SECTION("or all keys if it lacks too many changes")
+    {
+      log.Apply({ { Item("c", 8), Item("d", 9) }, 9, false });
+      const FeedChanges all = log.Since(5);
+      REQUIRE(all.m_complete);
+      REQUIRE(all.m_items.size() == 3);
+      REQUIRE_FALSE(log.Since(7).m_complete);
+    }
+  }
+
+  // Guards against a server that had left and is used again because a host
+  // that was paused or cut off still names it.
+  SECTION("takes no older word")
+  {
+    log.Apply({ { Item("b", 7, true) }, 7, false });
+    SECTION("of a change")
+    {
+      const FeedChanges news = log.Apply({ { Item("b", 4) }, 6, false });
+      REQUIRE(news.m_items.empty());
+    }
+    SECTION("of a complete list")
+    {
+      const FeedChanges news =
+        log.Apply({ { Item("a", 2), Item("b", 4) }, 5, true });
+      REQUIRE(news.m_items.empty());
+      REQUIRE_FALSE(news.m_complete);
+    }
+    REQUIRE(log.Revision() == 7);
+    REQUIRE(log.Since(0).m_items == std::vector<FeedItem>{ Item("a", 2) });
+  }
+
+  SECTION("finds the deletions in a complete list")
+  {
+    const FeedChanges news = log.Apply({ { Item("b", 4) }, 9, true });
+    REQUIRE(news.m_items == std::vector<FeedItem>{ Item("a", 9, true) });
+    REQUIRE(log.Since(5).m_items == news.m_items);
+  }
+
+  SECTION("keeps a key that is newer than a complete list")
+  {
+    log.Apply({ { Item("c", 9) }, 9, false });
+    const FeedChanges news =
+      log.Apply({ { Item("a", 2), Item("b", 4) }, 9, true });
+    REQUIRE(news.m_items == std::vector<FeedItem>{ Item("c", 9, true) });
+    const FeedChanges later = log.Apply({ { Item("d", 12) }, 12, false });
+    REQUIRE(
+      log.Apply({ { Item("a", 2), Item("b", 4) }, 11, true }).m_items.empty());
+    REQUIRE(later.m_items.size() == 1);
+  }
+}
--- a/packages/forward/include/goldcrestkeel/forward/Forwarder.h
+++ b/packages/forward/include/goldcrestkeel/forward/Forwarder.h
@@ -159,9 +159,9 @@
   std::string m_dataCentre;
   /** Region of each data centre. */
   std::map<std::string, std::string> m_regions;
-  /** How long a replica may still be used, if its service has no other, after
-   *  it was reported as draining or was removed from service discovery. */
-  Duration m_drainGracePeriod{ 900000 };
+  /** How long after a replica began to drain, or was removed from service
+   *  discovery, requests may still arrive there. */
+  Duration m_drainLimit{ 3000000 };
   /** Budget of repeats (hedges and retries) of each service, summed over all
    *  hosts: this ratio of its requests plus m_repeatSlack repeats in any
    *  m_repeatWindow. */
@@ -204,10 +204,17 @@
   virtual void SetHosts(TimePoint aNow,
                         const std::vector<HostRecord>& aHosts) = 0;
 
-  /** Adds or updates a replica. */
-  virtual void UpdateReplica(TimePoint aNow, const ReplicaRecord& aRecord) = 0;
-  /** The replica is no longer listed by service discovery. */
-  virtual void RemoveReplica(TimePoint aNow, const std::string& aId) = 0;
+  /** Adds or updates a replica. aChangedAfter: the change was made after this
+   *  time; not set if that is unknown. A replica that drains is then used only
+   *  if its service has no other, and until m_drainLimit after that time. */
+  virtual void UpdateReplica(TimePoint aNow,
+                             const ReplicaRecord& aRecord,
+                             std::optional<TimePoint> aChangedAfter) = 0;
+  /** The replica is no longer listed by service discovery. aChangedAfter is as
+   *  for UpdateReplica(). */
+  virtual void RemoveReplica(TimePoint aNow,
+                             const std::string& aId,
+                             std::optional<TimePoint> aChangedAfter) = 0;
 
   virtual void Start(TimePoint aNow, const ForwardRequest& aRequest) = 0;
   /** The caller has disconnected; ForwardSink::Finish() is not called. */
--- a/packages/forward/src/BackendPool.cpp
+++ b/packages/forward/src/BackendPool.cpp
@@ -56,6 +56,12 @@
 constexpr double kSameDataCentreShare = 0.6;
 /** Allowance for hosts that joined since the list was read, as a fraction. */
 constexpr double kJoiningHostsRatio = 0.2;
+/** Time for a copy to reach a replica, with a new connection; none is sent to a
+ *  draining replica later than this before its limit. */
+constexpr Duration kDrainMargin{ 500000 };
+/** Time within which entries that lapsed in an outage of the store are listed
+ *  again, if their replicas live. */
+constexpr Duration kLapsedEntryReturn{ 2000000 };
 /** Maximum backoff until an unresponsive replica is probed again. */
 constexpr Duration kMaxBackoff{ 2000000 };
 
@@ -178,8 +184,20 @@
   aGroup.m_budget.SetSlack(m_options.m_repeatSlack / m_liveHosts);
 }
 
+TimePoint
+BackendPool::UsableUntil(TimePoint aNow,
+                         std::optional<TimePoint> aChangedAfter) const
+{
+  if (!aChangedAfter) {
+    return aNow;
+  }
+  return *aChangedAfter + m_options.m_drainLimit - kDrainMargin;
+}
+
 void
-BackendPool::Update(TimePoint aNow, const ReplicaRecord& aRecord)
+BackendPool::Update(TimePoint aNow,
+                    const ReplicaRecord& aRecord,
+                    std::optional<TimePoint> aChangedAfter)
 {
   EraseExpired(aNow);
   const auto existing = m_byId.find(aRecord.m_id);
@@ -207,12 +225,14 @@
   if (!aRecord.m_draining) {
     replica->m_usableUntil.reset();
   } else if (!wasDraining) {
-    replica->m_usableUntil = aNow + m_options.m_drainGracePeriod;
+    replica->m_usableUntil = UsableUntil(aNow, aChangedAfter);
   }
 }
 
 void
-BackendPool::Remove(TimePoint aNow, const std::string& aId)
+BackendPool::Remove(TimePoint aNow,
+                    const std::string& aId,
+                    std::optional<TimePoint> aChangedAfter)
 {
   const auto found = m_byId.find(aId);
   if (found == m_byId.end() || !found->second->m_listed) {
@@ -220,9 +240,14 @@
   }
   PooledReplica& replica = *found->second;
   replica.m_listed = false;
-  replica.m_usableUntil = std::min(
-    replica.m_usableUntil.value_or(aNow + m_options.m_drainGracePeriod),
-    aNow + m_options.m_drainGracePeriod);
+  // After a time without news, the entry may have lapsed in an outage of the
+  // store; that of a live replica is then back shortly.
+  const bool mayReturn =
+    aChangedAfter && aNow - *aChangedAfter >= m_options.m_drainLimit;
+  const TimePoint usableUntil = mayReturn ? aNow + kLapsedEntryReturn
+                                          : UsableUntil(aNow, aChangedAfter);
+  replica.m_usableUntil =
+    std::min(replica.m_usableUntil.value_or(usableUntil), usableUntil);
   EraseExpired(aNow);
 }
 
--- a/packages/forward/src/BackendPool.h
+++ b/packages/forward/src/BackendPool.h
@@ -141,10 +141,14 @@
    *  its connections. */
   void SetHosts(const std::vector<HostRecord>& aHosts);
 
-  /** Adds or updates a replica. */
-  void Update(TimePoint aNow, const ReplicaRecord& aRecord);
+  /** Adds or updates a replica; see Forwarder::UpdateReplica(). */
+  void Update(TimePoint aNow,
+              const ReplicaRecord& aRecord,
+              std::optional<TimePoint> aChangedAfter);
   /** The replica is no longer listed. */
-  void Remove(TimePoint aNow, const std::string& aId);
+  void Remove(TimePoint aNow,
+              const std::string& aId,
+              std::optional<TimePoint> aChangedAfter);
 
   /** Returns the group of a service and creates it on first use. The reference
    *  stays valid as long as the pool. */
@@ -196,6 +200,9 @@
   /** This host's share of the aConnections that aReplica accepts. */
   std::uint32_t MaxInFlightFor(const PooledReplica& aReplica,
                                std::uint32_t aConnections) const;
+  /** Until when a replica that left at aChangedAfter or later may be used. */
+  TimePoint UsableUntil(TimePoint aNow,
+                        std::optional<TimePoint> aChangedAfter) const;
   void EraseReplica(const std::shared_ptr<PooledReplica>& aReplica);
   /** Erases unlisted replicas whose drain grace period has ended. */
   void EraseExpired(TimePoint aNow);
--- a/packages/forward/src/Forwarder.cpp
+++ b/packages/forward/src/Forwarder.cpp
@@ -85,16 +85,20 @@
 }
 
 void
-ForwarderImpl::UpdateReplica(TimePoint aNow, const ReplicaRecord& aRecord)
+ForwarderImpl::UpdateReplica(TimePoint aNow,
+                             const ReplicaRecord& aRecord,
+                             std::optional<TimePoint> aChangedAfter)
 {
-  m_pool.Update(aNow, aRecord);
+  m_pool.Update(aNow, aRecord, aChangedAfter);
   DispatchWaiting(aNow, m_pool.Group(aRecord.m_service));
 }
 
 void
-ForwarderImpl::RemoveReplica(TimePoint aNow, const std::string& aId)
+ForwarderImpl::RemoveReplica(TimePoint aNow,
+                             const std::string& aId,
+                             std::optional<TimePoint> aChangedAfter)
 {
-  m_pool.Remove(aNow, aId);
+  m_pool.Remove(aNow, aId, aChangedAfter);
 }
 
 void
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -159,8 +159,12 @@
                 std::shared_ptr<const RoutingTable> aTable) override;
   void SetLiveHosts(std::uint32_t aHosts) override;
   void SetHosts(TimePoint aNow, const std::vector<HostRecord>& aHosts) override;
-  void UpdateReplica(TimePoint aNow, const ReplicaRecord& aRecord) override;
-  void RemoveReplica(TimePoint aNow, const std::string& aId) override;
+  void UpdateReplica(TimePoint aNow,
+                     const ReplicaRecord& aRecord,
+                     std::optional<TimePoint> aChangedAfter) override;
+  void RemoveReplica(TimePoint aNow,
+                     const std::string& aId,
+                     std::optional<TimePoint> aChangedAfter) override;
   void Start(TimePoint aNow, const ForwardRequest& aRequest) override;
   void Cancel(TimePoint aNow, ForwardId aRequest) override;
   void CopySent(TimePoint aNow, CopyId aCopy) override;
--- a/packages/forward/tests/BackendPoolTest.cpp
+++ b/packages/forward/tests/BackendPoolTest.cpp
@@ -38,8 +38,8 @@
   remote.m_id = "far";
   remote.m_dataCentre = "c";
   const TimePoint now{ 100s };
-  pool.Update(now, local);
-  pool.Update(now, remote);
+  pool.Update(now, local, now);
+  pool.Update(now, remote, now);
   const auto limit = [&](std::size_t aReplica) {
     return pool.Group("s").m_replicas[aReplica]->m_maxInFlight;
   };
@@ -93,7 +93,7 @@
   fixture.RunRequests(60, 10ms);
   ReplicaRecord remote = fixture.Replica("single", 7);
   remote.m_dataCentre = "c";
-  fixture.m_forwarder->UpdateReplica(fixture.m_now, remote);
+  fixture.m_forwarder->UpdateReplica(fixture.m_now, remote, fixture.m_now);
   fixture.Start();
   REQUIRE(fixture.m_sent.back().m_replica == "single-0");
   const std::size_t before = fixture.m_sent.size();
@@ -121,7 +121,8 @@
 
   SECTION("if the last replica was removed")
   {
-    fixture.m_forwarder->RemoveReplica(fixture.m_now, "single-0");
+    fixture.m_forwarder->RemoveReplica(
+      fixture.m_now, "single-0", fixture.m_now);
     fixture.Start();
     REQUIRE(fixture.m_noReplicaReports == 1);
   }
--- a/packages/forward/tests/ForwarderFixture.cpp
+++ b/packages/forward/tests/ForwarderFixture.cpp
@@ -87,7 +87,7 @@
   m_forwarder->SetLiveHosts(2);
   for (const std::string& service : services) {
     for (std::size_t i = 0; i < aReplicas; ++i) {
-      m_forwarder->UpdateReplica(m_now, Replica(service, i));
+      m_forwarder->UpdateReplica(m_now, Replica(service, i), m_now);
     }
   }
 }
--- a/packages/forward/tests/ForwarderTest.cpp
+++ b/packages/forward/tests/ForwarderTest.cpp
@@ -325,8 +325,10 @@
   SECTION("if too few shards have replicas")
   {
     fixture.ApplyRoute(fixture.GatherRoute(4, 0.75), 1);
-    fixture.m_forwarder->RemoveReplica(fixture.m_now, "shard0-0");
-    fixture.m_forwarder->RemoveReplica(fixture.m_now, "shard1-0");
+    fixture.m_forwarder->RemoveReplica(
+      fixture.m_now, "shard0-0", fixture.m_now);
+    fixture.m_forwarder->RemoveReplica(
+      fixture.m_now, "shard1-0", fixture.m_now);
     fixture.Advance(3s);
     const ForwardId request = fixture.Start();
     REQUIRE(fixture.m_results.at(request).m_error == ErrorKind::NoReplica);
@@ -340,7 +342,8 @@
   fixture.ApplyRoute(fixture.SingleRoute(true), 2);
   ReplicaRecord draining = fixture.Replica("single", 0);
   draining.m_draining = true;
-  fixture.m_forwarder->UpdateReplica(fixture.m_now, draining);
+  const TimePoint changedAfter = fixture.m_now - 1s;
+  fixture.m_forwarder->UpdateReplica(fixture.m_now, draining, changedAfter);
 
   SECTION("gets no requests while there is another")
   {
@@ -351,14 +354,51 @@
     }
   }
 
-  // The required limit is 3 s after the replica was reported as draining.
-  SECTION("is used only if there is no other, until its grace period ends")
+  // The limit is 3 s after the change, which may be as old as the knowledge
+  // before it; it does not start when the change is heard of.
+  SECTION("is used only if there is no other, until shortly before its limit")
   {
-    fixture.m_forwarder->RemoveReplica(fixture.m_now, "single-1");
-    fixture.Advance(800ms);
+    fixture.m_forwarder->RemoveReplica(fixture.m_now, "single-1", changedAfter);
+    fixture.Advance(1400ms);
     fixture.Start();
     REQUIRE(fixture.m_sent.size() == 1);
-    fixture.Advance(700ms);
+    fixture.Advance(200ms);
+    const ForwardId late = fixture.Start();
+    REQUIRE(fixture.m_results.at(late).m_error == ErrorKind::NoReplica);
+  }
+
+  // Guards against a request 5.1 s after a replica began to drain, where the
+  // host had heard of it after 4.4 s of 5 (further-grown, trouble-1).
+  SECTION("is not used if the change may be older than the limit")
+  {
+    ReplicaRecord other = fixture.Replica("single", 1);
+    other.m_draining = true;
+    fixture.m_forwarder->UpdateReplica(
+      fixture.m_now, other, fixture.m_now - 2600ms);
+    fixture.Advance(1600ms);
+    const ForwardId late = fixture.Start();
+    REQUIRE(fixture.m_results.at(late).m_error == ErrorKind::NoReplica);
+  }
+
+  SECTION("is not used if the age of the change is unknown")
+  {
+    ReplicaRecord other = fixture.Replica("single", 1);
+    other.m_draining = true;
+    fixture.m_forwarder->UpdateReplica(fixture.m_now, other, std::nullopt);
+    fixture.Start();
+    REQUIRE(fixture.m_sent.back().m_replica == "single-0");
+  }
+
+  // Guards against services without replicas after an outage of the store, in
+  // which entries lapse: live replicas are listed again within 2 s.
+  SECTION("that was removed after a time without news is used for 2 s")
+  {
+    fixture.m_forwarder->RemoveReplica(
+      fixture.m_now, "single-1", fixture.m_now - 10s);
+    fixture.Advance(1900ms);
+    fixture.Start();
+    REQUIRE(fixture.m_sent.back().m_replica == "single-1");
+    fixture.Advance(200ms);
     const ForwardId late = fixture.Start();
     REQUIRE(fixture.m_results.at(late).m_error == ErrorKind::NoReplica);
   }
@@ -367,8 +407,9 @@
   {
     ReplicaRecord restarted = fixture.Replica("single", 0);
     restarted.m_startedAt = 5;
-    fixture.m_forwarder->UpdateReplica(fixture.m_now, restarted);
-    fixture.m_forwarder->RemoveReplica(fixture.m_now, "single-1");
+    fixture.m_forwarder->UpdateReplica(fixture.m_now, restarted, fixture.m_now);
+    fixture.m_forwarder->RemoveReplica(
+      fixture.m_now, "single-1", fixture.m_now);
     fixture.Advance(5s);
     fixture.Start();
     REQUIRE(fixture.m_sent.back().m_replica == "single-0");
@@ -526,7 +567,7 @@
   for (std::size_t i = 0; i < 3; ++i) {
     ReplicaRecord record = fixture.Replica("single", i);
     record.m_dataCentre = std::string(1, static_cast<char>('c' - i));
-    fixture.m_forwarder->UpdateReplica(fixture.m_now, record);
+    fixture.m_forwarder->UpdateReplica(fixture.m_now, record, fixture.m_now);
   }
   for (int i = 0; i < 10; ++i) {
     fixture.Start();
--- a/packages/forward/tests/RelayTest.cpp
+++ b/packages/forward/tests/RelayTest.cpp
@@ -46,7 +46,7 @@
   {
     ReplicaRecord record = Replica("shard" + std::to_string(aShard), aNumber);
     record.m_dataCentre = aDataCentre;
-    m_forwarder->UpdateReplica(m_now, record);
+    m_forwarder->UpdateReplica(m_now, record, m_now);
   }
 
   void SetHosts(const std::vector<HostRecord>& aHosts)
