Reject messages whose framing or host is ambiguous

Cause: Transfer-Encoding: xchunked was accepted, and what followed was read as a further request; two Host fields were accepted. Ruled out: an encoding list that ends with chunked; no caller needs one here.

--- a/packages/edge/src/HttpMessage.cpp
+++ b/packages/edge/src/HttpMessage.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdint>
+#include <iterator>
 
 namespace goldcrestkeel {
 
@@ -67,6 +68,21 @@
   return ParseState::Malformed;
 }
 
+// Whether the header leaves no doubt about where the message ends and which
+// host it is for: at most one transfer coding, which is "chunked", and one
+// Host.
+template<typename Message>
+bool
+HasSoundHeader(const Message& aMessage)
+{
+  const auto [first, last] =
+    aMessage.equal_range(http::field::transfer_encoding);
+  const bool soundCoding =
+    first == last || (std::next(first) == last &&
+                      EqualsIgnoreCase(View(first->value()), "chunked"));
+  return soundCoding && aMessage.count(http::field::host) <= 1;
+}
+
 // Parses aBytes and removes the parsed bytes from its front. The Content-Length
 // is checked between the header and the body, because the parser reserves
 // memory for whatever length the message claims.
@@ -87,6 +103,10 @@
       state = ToParseState(error);
       break;
     }
+    if (aParser.is_header_done() && !HasSoundHeader(aParser.get())) {
+      aBytes.erase(0, parsed);
+      return ParseState::Malformed;
+    }
     if (aParser.is_header_done() &&
         aParser.content_length().value_or(0) > aBodyLimit) {
       state = ParseState::BodyTooLarge;
--- a/packages/edge/tests/HttpMessageTest.cpp
+++ b/packages/edge/tests/HttpMessageTest.cpp
@@ -48,6 +48,38 @@
                         "Content-Length: 4\r\n\r\nabcd";
     REQUIRE(reader.Read(bytes) == ParseState::Malformed);
   }
+  // RFC 9112, sections 6.1 and 6.3: what follows would be read as a further
+  // request here, and as the body at a server that ignores the coding.
+  SECTION("with a transfer coding other than chunked")
+  {
+    const std::string coding =
+      GENERATE("xchunked",
+               "chunked, identity",
+               "identity",
+               "gzip, chunked",
+               "chunked, chunked",
+               "chunked\r\nTransfer-Encoding: identity",
+               "");
+    INFO(coding);
+    std::string bytes =
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " + coding +
+      "\r\n\r\n0\r\n\r\n";
+    REQUIRE(reader.Read(bytes) == ParseState::Malformed);
+  }
+  SECTION("while chunked is read in any case of its letters")
+  {
+    std::string bytes = "POST / HTTP/1.1\r\nHost: h\r\n"
+                        "Transfer-Encoding: Chunked\r\n\r\n"
+                        "1\r\na\r\n0\r\n\r\n";
+    REQUIRE(reader.Read(bytes) == ParseState::Complete);
+    REQUIRE(reader.Take().m_body == "a");
+  }
+  // RFC 9112, section 3.2: the next hop might route by the other one.
+  SECTION("or with two Host fields")
+  {
+    std::string bytes = "GET / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n";
+    REQUIRE(reader.Read(bytes) == ParseState::Malformed);
+  }
   SECTION("and too large headers and bodies are distinguished")
   {
     std::string large = "GET / HTTP/1.1\r\nX: " + std::string(2000, 'x');
@@ -58,6 +90,14 @@
   }
 }
 
+TEST_CASE("Responses with an unknown transfer coding are rejected", "[http]")
+{
+  ResponseParser reader(false, kBodyLimit);
+  std::string bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\n"
+                      "\r\n0\r\n\r\n";
+  REQUIRE(reader.Read(bytes) == ParseState::Malformed);
+}
+
 TEST_CASE("Responses are parsed incrementally", "[http]")
 {
   ResponseParser reader(false, kBodyLimit);
