--- a/packages/edge/include/goldcrestkeel/edge/EdgeSettings.h
+++ b/packages/edge/include/goldcrestkeel/edge/EdgeSettings.h
@@ -13,9 +13,9 @@
 struct AnswerLimits
 {
   /** Largest body of one answer. */
-  std::uint64_t m_answerBytes = 4 * 1024 * 1024;
+  std::uint64_t m_answerBytes = 3 * 1024 * 1024;
   /** All incomplete answers together; beyond it, the largest one is ended. */
-  std::uint64_t m_totalBytes = 4 * 1024 * 1024;
+  std::uint64_t m_totalBytes = 3 * 1024 * 1024;
 
   bool operator==(const AnswerLimits&) const = default;
 };
@@ -46,6 +46,10 @@
   /** Address of the store that holds the configuration and the membership. */
   std::string m_storeAddress;
 
+  /** Number of entry hosts from which they pass changes of the store on to each
+   *  other; with fewer, each host reads the store. */
+  std::uint64_t m_minSharedHosts = 24;
+
   /** Retry and hedge budget of a service, over all entry hosts: in each
    *  m_repeatWindow, m_repeatRatio of its requests plus m_repeatSlack. */
   double m_repeatRatio = 0.1;
--- a/packages/edge/include/goldcrestkeel/edge/SharedFeed.h
+++ b/packages/edge/include/goldcrestkeel/edge/SharedFeed.h
@@ -41,11 +41,11 @@
     std::function<void(const FeedChanges&, std::optional<TimePoint>)>;
 
   /** aLoop, aLog and aReader must outlive the feed. aName distinguishes the
-   *  feeds of a host; aHost is this host. The reader counts as reading. */
+   *  feeds of a host. The reader counts as reading. */
   SharedFeed(Loop& aLoop,
              DecisionLog& aLog,
              std::string aName,
-             const HostRecord& aHost,
+             const FeedOptions& aOptions,
              StoreReader& aReader,
              ChangesCallback aChanges);
   ~SharedFeed() override;
--- a/packages/edge/src/EdgeMetrics.cpp
+++ b/packages/edge/src/EdgeMetrics.cpp
@@ -103,6 +103,17 @@
   impl.Set("log_lines_left_out",
            "Log lines that were not written",
            aGauges.m_logLinesDropped);
+  for (const FeedGauges& feed : aGauges.m_feeds) {
+    impl.Set("feed_" + feed.m_name + "_revision",
+             "Revision of the store up to which the feed is complete",
+             static_cast<double>(feed.m_revision));
+    impl.Set("feed_" + feed.m_name + "_age_seconds",
+             "Time since the feed was proved to be up to date; -1 if never",
+             feed.m_ageSeconds);
+    impl.Set("feed_" + feed.m_name + "_from_host",
+             "1 while the feed is learned from another host",
+             feed.m_fromHost);
+  }
   impl.Set("ready", "1 while the host reports itself ready", aGauges.m_ready);
   return prometheus::TextSerializer().Serialize(impl.m_registry.Collect());
 }
--- a/packages/edge/src/EdgeMetrics.h
+++ b/packages/edge/src/EdgeMetrics.h
@@ -7,12 +7,24 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace goldcrestkeel {
 
+/** State of a feed of the store's changes. */
+struct FeedGauges
+{
+  std::string m_name;
+  std::uint64_t m_revision = 0;
+  /** -1 if it is unknown. */
+  double m_ageSeconds = -1;
+  bool m_fromHost = false;
+};
+
 /** Values sampled whenever the metrics are read. */
 struct EdgeGauges
 {
+  std::vector<FeedGauges> m_feeds;
   RoutingVersion m_tableVersion = 0;
   std::uint32_t m_liveHosts = 0;
   std::size_t m_runningRequests = 0;
--- a/packages/edge/src/EdgeServer.cpp
+++ b/packages/edge/src/EdgeServer.cpp
@@ -280,6 +280,13 @@
   gauges.m_replicaConnectionsOpened = m_replicas.OpenedTotal();
   gauges.m_logLinesDropped = m_log.DroppedLines();
   gauges.m_ready = IsReady();
+  for (const SharedFeed* feed : m_source.Feeds()) {
+    const auto age = feed->Age();
+    gauges.m_feeds.push_back({ feed->Name(),
+                               feed->Revision(),
+                               age ? age->count() / 1e6 : -1,
+                               feed->Source() == FeedSource::Host });
+  }
   CallerReply reply;
   reply.m_body = m_metrics.Text(m_forwarder->Counters(), gauges);
   reply.m_fields.emplace_back("Content-Type", "text/plain; version=0.0.4");
--- a/packages/edge/src/EdgeSettings.cpp
+++ b/packages/edge/src/EdgeSettings.cpp
@@ -15,6 +15,8 @@
 constexpr double kMaxSeconds = 3600;
 /** Upper limit of every size in the settings, in bytes. */
 constexpr double kMaxBytes = 1e12;
+/** Upper limit of every count in the settings. */
+constexpr double kMaxCount = 1e6;
 
 // Reads values by JSON pointer and collects the faults, so that all are
 // reported together.
@@ -86,9 +88,12 @@
 
   void ReadBytes(const std::string& aPath, std::uint64_t& aValue)
   {
-    double value = static_cast<double>(aValue);
-    ReadNumber(aPath, value, kMaxBytes);
-    aValue = static_cast<std::uint64_t>(value);
+    ReadInteger(aPath, kMaxBytes, aValue);
+  }
+
+  void ReadCount(const std::string& aPath, std::uint64_t& aValue)
+  {
+    ReadInteger(aPath, kMaxCount, aValue);
   }
 
   void ReadSeconds(const std::string& aPath, Duration& aValue)
@@ -114,6 +119,13 @@
   }
 
 private:
+  void ReadInteger(const std::string& aPath, double aMax, std::uint64_t& aValue)
+  {
+    double value = static_cast<double>(aValue);
+    ReadNumber(aPath, value, aMax);
+    aValue = static_cast<std::uint64_t>(value);
+  }
+
   /** aUnit: unit of the setting, in microseconds. */
   void ReadDuration(const std::string& aPath, double aUnit, Duration& aValue)
   {
@@ -179,6 +191,7 @@
   reader.ReadSeconds("/repeats/window_s", settings.m_repeatWindow);
   reader.ReadMilliseconds("/limits/drain_ms", settings.m_drainLimit);
   reader.ReadMilliseconds("/limits/apply_ms", settings.m_applyLimit);
+  reader.ReadCount("/feeds/min_shared_hosts", settings.m_minSharedHosts);
   reader.ReadBytes("/limits/answer_bytes",
                    settings.m_answerLimits.m_answerBytes);
   reader.ReadBytes("/limits/answers_bytes",
--- a/packages/edge/src/SharedFeed.cpp
+++ b/packages/edge/src/SharedFeed.cpp
@@ -20,7 +20,7 @@
 SharedFeed::SharedFeed(Loop& aLoop,
                        DecisionLog& aLog,
                        std::string aName,
-                       const HostRecord& aHost,
+                       const FeedOptions& aOptions,
                        StoreReader& aReader,
                        ChangesCallback aChanges)
   : m_loop(aLoop)
@@ -28,7 +28,7 @@
   , m_name(std::move(aName))
   , m_reader(aReader)
   , m_onChanges(std::move(aChanges))
-  , m_follower(aHost, *m_random, *this)
+  , m_follower(aOptions, *m_random, *this)
   , m_timer(aLoop, [this] {
     m_follower.OnTimer(m_loop.Now());
     ArmTimer();
--- a/packages/feed/include/goldcrestkeel/feed/FeedFollower.h
+++ b/packages/feed/include/goldcrestkeel/feed/FeedFollower.h
@@ -75,9 +75,9 @@
 class FeedFollower
 {
 public:
-  /** aHost is this host. aRandom and aSink must outlive the follower. The
-   *  store counts as being read. */
-  FeedFollower(HostRecord aHost, RandomSource& aRandom, FeedSink& aSink);
+  /** aRandom and aSink must outlive the follower. The store counts as being
+   *  read. */
+  FeedFollower(FeedOptions aOptions, RandomSource& aRandom, FeedSink& aSink);
 
   /** The live hosts of the deployment. */
   void OnHosts(TimePoint aNow, const std::vector<HostRecord>& aHosts);
--- a/packages/feed/include/goldcrestkeel/feed/SourceSelector.h
+++ b/packages/feed/include/goldcrestkeel/feed/SourceSelector.h
@@ -38,6 +38,18 @@
   std::optional<TimePoint> m_until;
 };
 
+struct FeedOptions
+{
+  /** This host. */
+  HostRecord m_host;
+  /** With fewer hosts than this, each reads the store. */
+  std::size_t m_minSharedHosts = kMinSharedHosts;
+
+  /** An additional step between the store and a host is worth it only if it
+   *  saves many reads. */
+  static constexpr std::size_t kMinSharedHosts = 24;
+};
+
 /** Selects the reader of a host: the first of the hosts in its data centre, in
  *  an order that all of them agree on, that has not failed lately. Readers ask
  *  only those before them in this order, and the first reads the store, so that
@@ -46,8 +58,7 @@
 class SourceSelector
 {
 public:
-  /** aHost is this host. */
-  SourceSelector(HostRecord aHost, RandomSource& aRandom);
+  SourceSelector(FeedOptions aOptions, RandomSource& aRandom);
 
   /** Sets the live hosts of the deployment. */
   void SetHosts(const std::vector<HostRecord>& aHosts);
@@ -77,7 +88,7 @@
     bool m_lives = false;
   };
 
-  HostRecord m_host;
+  FeedOptions m_options;
   RandomSource& m_random;
   bool m_shared = false;
   std::size_t m_rank = kReaders;
--- a/packages/feed/src/FeedFollower.cpp
+++ b/packages/feed/src/FeedFollower.cpp
@@ -35,11 +35,11 @@
   return kPollFailures.at(static_cast<std::size_t>(aFailure));
 }
 
-FeedFollower::FeedFollower(HostRecord aHost,
+FeedFollower::FeedFollower(FeedOptions aOptions,
                            RandomSource& aRandom,
                            FeedSink& aSink)
   : m_sink(aSink)
-  , m_selector(std::move(aHost), aRandom)
+  , m_selector(std::move(aOptions), aRandom)
   , m_log(kRetainedChanges)
 {
 }
--- a/packages/feed/src/SourceSelector.cpp
+++ b/packages/feed/src/SourceSelector.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-/** With fewer hosts, each reads the store: an additional step between the store
- *  and a host is worth it only if it saves many reads. */
-constexpr std::size_t kMinSharedHosts = 24;
 /** Time until a reader that failed is polled again: minimum and random part. */
 constexpr Duration kBackoff{ 500000 };
 constexpr Duration kBackoffJitter{ 500000 };
@@ -39,8 +36,8 @@
   return kSources.at(static_cast<std::size_t>(aSource));
 }
 
-SourceSelector::SourceSelector(HostRecord aHost, RandomSource& aRandom)
-  : m_host(std::move(aHost))
+SourceSelector::SourceSelector(FeedOptions aOptions, RandomSource& aRandom)
+  : m_options(std::move(aOptions))
   , m_random(aRandom)
 {
 }
@@ -48,7 +45,7 @@
 void
 SourceSelector::SetHosts(const std::vector<HostRecord>& aHosts)
 {
-  m_shared = aHosts.size() >= kMinSharedHosts;
+  m_shared = aHosts.size() >= m_options.m_minSharedHosts;
   m_rank = kReaders;
   m_readers.clear();
   if (!m_shared) {
@@ -66,8 +63,8 @@
     return placeOf(aOne) < placeOf(aOther);
   };
   for (const HostRecord& host : aHosts) {
-    if (host.m_dataCentre == m_host.m_dataCentre &&
-        !host.m_relayAddress.empty() && isBefore(host, m_host)) {
+    if (host.m_dataCentre == m_options.m_host.m_dataCentre &&
+        !host.m_relayAddress.empty() && isBefore(host, m_options.m_host)) {
       m_readers.push_back(host);
     }
   }
--- a/packages/feed/tests/FeedFleet.cpp
+++ b/packages/feed/tests/FeedFleet.cpp
@@ -35,8 +35,8 @@
     ++m_life;
     m_alive = true;
     m_reading = true;
-    m_follower =
-      std::make_unique<FeedFollower>(m_record, *m_fleet.m_random, *this);
+    m_follower = std::make_unique<FeedFollower>(
+      FeedOptions{ m_record }, *m_fleet.m_random, *this);
     Schedule(0ms, [this] { ReadStore(); });
     Schedule(10ms, [this] {
       m_follower->OnHosts(m_fleet.m_now, m_fleet.m_records);
@@ -283,7 +283,7 @@
   for (std::size_t i = 0; i < m_hosts.size(); ++i) {
     const bool here =
       m_records[i].m_dataCentre == "dc" + std::to_string(aDataCentre);
-    SourceSelector selector(m_records[i], *m_random);
+    SourceSelector selector(FeedOptions{ m_records[i] }, *m_random);
     selector.SetHosts(m_records);
     if (here && selector.Rank() == aRank) {
       return i;
--- a/packages/forward/src/BackendPool.cpp
+++ b/packages/forward/src/BackendPool.cpp
@@ -244,8 +244,8 @@
   // store; that of a live replica is then back shortly.
   const bool mayReturn =
     aChangedAfter && aNow - *aChangedAfter >= m_options.m_drainLimit;
-  const TimePoint usableUntil = mayReturn ? aNow + kLapsedEntryReturn
-                                          : UsableUntil(aNow, aChangedAfter);
+  const TimePoint usableUntil =
+    mayReturn ? aNow + kLapsedEntryReturn : UsableUntil(aNow, aChangedAfter);
   replica.m_usableUntil =
     std::min(replica.m_usableUntil.value_or(usableUntil), usableUntil);
   EraseExpired(aNow);
