--- a/packages/feed/src/FeedFollower.cpp
+++ b/packages/feed/src/FeedFollower.cpp
@@ -139,7 +139,7 @@
       FeedSource::Host, m_followed, "reader is up to date", Age(aNow));
   }
   SetReading(false);
-  Follow(aNow, {});
+  Follow(aNow, "a better reader is tried");
 }
 
 void
