--- a/packages/edge/src/FeedMessages.cpp
+++ b/packages/edge/src/FeedMessages.cpp
@@ -1,5 +1,7 @@
 #include "FeedMessages.h"
 
+#include "Numbers.h"
+
 #include <goldcrestkeel/edge/HttpCaller.h>
 
 #include <nlohmann/json.hpp>
@@ -58,18 +60,6 @@
 
 } // namespace
 
-std::optional<std::uint64_t>
-ParseFeedNumber(std::string_view aText)
-{
-  std::uint64_t value = 0;
-  const char* const end = aText.data() + aText.size();
-  const auto parsed = std::from_chars(aText.data(), end, value);
-  if (aText.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
-    return std::nullopt;
-  }
-  return value;
-}
-
 std::string
 WriteFeedPoll(const FeedPoll& aPoll)
 {
@@ -95,8 +85,8 @@
       parameter.substr(std::min(equals + 1, parameter.size()));
     aTarget.remove_prefix(std::min(parameter.size() + 1, aTarget.size()));
   }
-  const auto after = ParseFeedNumber(parameters["after"]);
-  const auto wait = ParseFeedNumber(parameters["wait_ms"]);
+  const auto after = ParseNumber<std::uint64_t>(parameters["after"]);
+  const auto wait = ParseNumber<std::uint64_t>(parameters["wait_ms"]);
   if (!after || !wait) {
     return std::nullopt;
   }
--- a/packages/edge/src/FeedMessages.h
+++ b/packages/edge/src/FeedMessages.h
@@ -40,8 +40,4 @@
 FeedChanges
 DecodeFeedChanges(std::string_view aBody);
 
-/** Decimal number; std::nullopt if aText is not one. */
-std::optional<std::uint64_t>
-ParseFeedNumber(std::string_view aText);
-
 } // namespace goldcrestkeel
--- a/packages/edge/src/RelayFields.cpp
+++ b/packages/edge/src/RelayFields.cpp
@@ -1,7 +1,8 @@
 #include "RelayFields.h"
 
+#include "Numbers.h"
+
 #include <algorithm>
-#include <charconv>
 
 namespace goldcrestkeel {
 
@@ -21,19 +22,6 @@
   return text;
 }
 
-template<typename Number>
-std::optional<Number>
-ParseNumber(std::string_view aText)
-{
-  Number value = 0;
-  const char* const end = aText.data() + aText.size();
-  const auto parsed = std::from_chars(aText.data(), end, value);
-  if (aText.empty() || parsed.ec != std::errc() || parsed.ptr != end) {
-    return std::nullopt;
-  }
-  return value;
-}
-
 } // namespace
 
 bool
--- a/packages/edge/src/SharedFeed.cpp
+++ b/packages/edge/src/SharedFeed.cpp
@@ -1,4 +1,5 @@
 #include "FeedMessages.h"
+#include "Numbers.h"
 
 #include <goldcrestkeel/edge/SharedFeed.h>
 
@@ -112,7 +113,8 @@
                      const HttpCallResult& aResult)
 {
   const TimePoint now = m_loop.Now();
-  const auto age = ParseFeedNumber(FieldValue(aResult.m_fields, kFeedAgeField));
+  const auto age =
+    ParseNumber<std::uint64_t>(FieldValue(aResult.m_fields, kFeedAgeField));
   if (aResult.m_outcome != CallOutcome::Answered) {
     m_follower.OnPollFailed(now, aPoll, PollFailure::Unreachable);
   } else if (aResult.m_status != kOk || !age ||
--- a/packages/edge/tests/FeedPollsTest.cpp
+++ b/packages/edge/tests/FeedPollsTest.cpp
@@ -1,5 +1,7 @@
 #include "FeedPolls.h"
 
+#include "Numbers.h"
+
 #include <goldcrestkeel/Net.h>
 
 #include <catch2/catch.hpp>
@@ -76,7 +78,8 @@
     const CallerReply& reply = fixture.m_replies.at(1);
     REQUIRE(reply.m_status == 200);
     REQUIRE(FieldValue(reply.m_fields, kFeedHostField) == "h1");
-    REQUIRE(ParseFeedNumber(FieldValue(reply.m_fields, kFeedAgeField)));
+    REQUIRE(
+      ParseNumber<std::uint64_t>(FieldValue(reply.m_fields, kFeedAgeField)));
     const FeedChanges changes = DecodeFeedChanges(reply.m_body);
     REQUIRE(changes.m_complete);
     REQUIRE(changes.m_items.size() == 1);
