--- a/packages/edge/include/goldcrestkeel/edge/SharedFeed.h
+++ b/packages/edge/include/goldcrestkeel/edge/SharedFeed.h
@@ -25,11 +25,6 @@
   virtual void Resume(FeedRevision aAfter) = 0;
   /** Stops reading. */
   virtual void Pause() = 0;
-  /** Whether other hosts depend on this one: it then reads more often, and
-   *  proves more often that it is up to date. */
-  virtual void SetShared(bool aShared) = 0;
-  /** Ends a delay before the first read for changes. */
-  virtual void ReadSoon() = 0;
 };
 
 /** A feed that hosts pass on to each other. Reads it from another host or from
@@ -70,7 +65,9 @@
 
   const std::string& Name() const { return m_name; }
   FeedRevision Revision() const { return m_follower.Revision(); }
+  /** See FeedFollower::IsShared() and IsFirstReader(). */
   bool IsShared() const { return m_follower.IsShared(); }
+  bool IsFirstReader() const { return m_follower.IsFirstReader(); }
   FeedSource Source() const { return m_follower.Source(); }
   std::optional<Duration> Age() const { return m_follower.Age(m_loop.Now()); }
 
--- a/packages/edge/src/SharedFeed.cpp
+++ b/packages/edge/src/SharedFeed.cpp
@@ -52,10 +52,6 @@
 SharedFeed::OnHosts(const std::vector<HostRecord>& aHosts)
 {
   m_follower.OnHosts(m_loop.Now(), aHosts);
-  m_reader.SetShared(m_follower.IsShared());
-  if (m_follower.IsFirstReader()) {
-    m_reader.ReadSoon();
-  }
   ArmTimer();
 }
 
--- a/packages/edge/tests/FeedPollsTest.cpp
+++ b/packages/edge/tests/FeedPollsTest.cpp
@@ -20,8 +20,6 @@
 public:
   void Resume(FeedRevision) override {}
   void Pause() override {}
-  void SetShared(bool) override {}
-  void ReadSoon() override {}
 };
 
 class Fixture
