Answer idle polls without a scan of all keys, and derive what can be derived

Cause: a reader looked at each of 700 keys for each of its waiting polls whenever one of them was due, although nothing had changed. The rank of a host was stored beside the list it is the length of; ChangeLog::Apply() had five jobs; AnswerFor() was called with a revision that made it cheap only to learn the age. Change: Since() returns at once if there is no newer change; MayTell(), ChangesSince() and Age() in the place of AnswerFor(); Apply() in steps of their own. An attempt to collect the news of an answer before recording it would have lost a key that is created and deleted within one answer; this is a test now, as is the newer page of a list.

--- a/packages/edge/include/goldcrestkeel/edge/SharedFeed.h
+++ b/packages/edge/include/goldcrestkeel/edge/SharedFeed.h
@@ -57,11 +57,15 @@
   /** A read of the store failed. */
   void OnStoreLost();
 
-  /** Changes for another host that has those up to aAfter; see
-   *  FeedFollower::AnswerFor(). */
-  std::optional<ReaderAnswer> AnswerFor(FeedRevision aAfter) const;
-  /** Calls aChanged after each change of the state. */
-  void SetObserver(std::function<void()> aChanged);
+  /** What other hosts may be told; see FeedFollower. */
+  bool MayTell() const { return m_follower.MayTell(m_loop.Now()); }
+  FeedChanges ChangesSince(FeedRevision aAfter) const
+  {
+    return m_follower.ChangesSince(aAfter);
+  }
+  /** Calls aObserver after each change of the state, and when MayTell() may
+   * have ended. */
+  void SetObserver(std::function<void()> aObserver);
 
   const std::string& Name() const { return m_name; }
   FeedRevision Revision() const { return m_follower.Revision(); }
@@ -95,7 +99,7 @@
   std::string m_name;
   StoreReader& m_reader;
   ChangesCallback m_onChanges;
-  std::function<void()> m_onChanged;
+  std::function<void()> m_observer;
   std::unique_ptr<RandomSource> m_random = MakeSystemRandom();
   FeedFollower m_follower;
   /** Clients of readers, by address. */
--- a/packages/edge/src/FeedPolls.cpp
+++ b/packages/edge/src/FeedPolls.cpp
@@ -60,33 +60,40 @@
 bool
 FeedPolls::Answer(const WaitingPoll& aPoll, bool aDue)
 {
-  const FeedRevision revision = aPoll.m_feed->Revision();
-  const bool known = m_encoded.m_feed == aPoll.m_feed &&
-                     m_encoded.m_after == aPoll.m_after &&
-                     m_encoded.m_revision == revision;
-  const auto answer = aPoll.m_feed->AnswerFor(known ? revision : aPoll.m_after);
-  if (!answer || m_stopped) {
+  const SharedFeed& feed = *aPoll.m_feed;
+  if (m_stopped || !feed.MayTell()) {
     Refuse(aPoll.m_session);
     return true;
   }
-  if (!known) {
-    const FeedChanges& changes = answer->m_changes;
-    m_encoded = { aPoll.m_feed,
-                  aPoll.m_after,
-                  revision,
-                  changes.m_items.empty() && !changes.m_complete,
-                  EncodeFeedChanges(changes) };
-  }
-  if (m_encoded.m_empty && !aDue) {
-    return false;
+  const bool encoded = m_encoded.m_feed == &feed &&
+                       m_encoded.m_after == aPoll.m_after &&
+                       m_encoded.m_revision == feed.Revision();
+  if (!encoded) {
+    const FeedChanges changes = feed.ChangesSince(aPoll.m_after);
+    if (changes.m_items.empty() && !changes.m_complete) {
+      if (aDue) {
+        Reply(aPoll, EncodeFeedChanges(changes));
+      }
+      return aDue;
+    }
+    m_encoded = {
+      &feed, aPoll.m_after, changes.m_revision, EncodeFeedChanges(changes)
+    };
   }
+  Reply(aPoll, m_encoded.m_body);
+  return true;
+}
+
+void
+FeedPolls::Reply(const WaitingPoll& aPoll, std::string aBody)
+{
+  const Duration age = aPoll.m_feed->Age().value();
   CallerReply reply;
   reply.m_fields.emplace_back(kFeedHostField, m_hostId);
   reply.m_fields.emplace_back(kFeedAgeField,
-                              std::to_string(answer->m_age.count() / 1000));
-  reply.m_body = m_encoded.m_body;
+                              std::to_string(age.count() / 1000));
+  reply.m_body = std::move(aBody);
   m_reply(aPoll.m_session, std::move(reply));
-  return true;
 }
 
 void
--- a/packages/edge/src/FeedPolls.h
+++ b/packages/edge/src/FeedPolls.h
@@ -42,20 +42,19 @@
     FeedRevision m_after = 0;
     TimePoint m_deadline;
   };
-  /** The last encoded changes; most hosts lack the same ones. */
+  /** The last encoded changes, never empty; most hosts lack the same ones. */
   struct Encoded
   {
     const SharedFeed* m_feed = nullptr;
     FeedRevision m_after = 0;
     FeedRevision m_revision = 0;
-    /** There are no changes to tell. */
-    bool m_empty = true;
     std::string m_body;
   };
 
   /** Replies if there are changes, none can be told, or aDue is set; returns
    *  whether it did. */
   bool Answer(const WaitingPoll& aPoll, bool aDue);
+  void Reply(const WaitingPoll& aPoll, std::string aBody);
   void Refuse(SessionId aSession);
   void AnswerWaiting();
 
--- a/packages/edge/src/SharedFeed.cpp
+++ b/packages/edge/src/SharedFeed.cpp
@@ -39,8 +39,8 @@
               ArmTimer();
             })
   , m_lostTimer(aLoop, [this] {
-    if (m_onChanged) {
-      m_onChanged();
+    if (m_observer) {
+      m_observer();
     }
   })
 {
@@ -59,29 +59,23 @@
 SharedFeed::OnStoreChanges(const FeedChanges& aChanges,
                            std::optional<TimePoint> aProvenAt)
 {
-  m_follower.OnStoreChanges(m_loop.Now(), aChanges, aProvenAt);
+  m_follower.OnStoreChanges(aChanges, aProvenAt);
 }
 
 void
 SharedFeed::OnStoreLost()
 {
   m_follower.OnStoreLost(m_loop.Now());
-  if (m_onChanged) {
+  if (m_observer) {
     // Polls that are held are refused if the store stays away.
     m_lostTimer.SetAfter(kLostCheckDelay);
   }
 }
 
-std::optional<ReaderAnswer>
-SharedFeed::AnswerFor(FeedRevision aAfter) const
-{
-  return m_follower.AnswerFor(m_loop.Now(), aAfter);
-}
-
 void
-SharedFeed::SetObserver(std::function<void()> aChanged)
+SharedFeed::SetObserver(std::function<void()> aObserver)
 {
-  m_onChanged = std::move(aChanged);
+  m_observer = std::move(aObserver);
 }
 
 void
@@ -150,8 +144,8 @@
                     std::optional<TimePoint> aChangedAfter)
 {
   m_onChanges(aChanges, aChangedAfter);
-  if (!aChanges.m_items.empty() && m_onChanged) {
-    m_onChanged();
+  if (!aChanges.m_items.empty() && m_observer) {
+    m_observer();
   }
 }
 
--- a/packages/feed/include/goldcrestkeel/feed/ChangeLog.h
+++ b/packages/feed/include/goldcrestkeel/feed/ChangeLog.h
@@ -6,6 +6,8 @@
 #include <deque>
 #include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace goldcrestkeel {
 
@@ -30,7 +32,13 @@
   FeedRevision Revision() const { return m_revision; }
 
 private:
-  bool ApplyItem(const FeedItem& aItem);
+  /** Whether aItem is newer than what is known of its key. */
+  bool IsNews(const FeedItem& aItem) const;
+  void Record(const FeedItem& aItem);
+  /** Deletions of the existing keys that a complete list lacks. */
+  std::vector<FeedItem> MissingFrom(const FeedChanges& aList) const;
+  /** Drops the oldest changes above the limit. */
+  void DropOldChanges();
 
   std::size_t m_maxChanges;
   /** Existing keys, and deleted keys whose deletion is in m_changes. */
@@ -40,6 +48,9 @@
   /** Changes up to this revision may be missing from m_changes. */
   FeedRevision m_retainedAfter = 0;
   FeedRevision m_revision = 0;
+  /** Revision of the newest change; the pages of a list may have changes after
+   *  m_revision. */
+  FeedRevision m_newestChange = 0;
 };
 
 } // namespace goldcrestkeel
--- a/packages/feed/include/goldcrestkeel/feed/FeedFollower.h
+++ b/packages/feed/include/goldcrestkeel/feed/FeedFollower.h
@@ -88,8 +88,7 @@
   /** The store reported changes, or that there are none. aProvenAt: the state
    *  was that of the store at this time or later; not set if there may be more
    *  changes. */
-  void OnStoreChanges(TimePoint aNow,
-                      const FeedChanges& aChanges,
+  void OnStoreChanges(const FeedChanges& aChanges,
                       std::optional<TimePoint> aProvenAt);
   /** A read of the store failed. */
   void OnStoreLost(TimePoint aNow);
@@ -101,11 +100,15 @@
   std::optional<TimePoint> NextTimer() const;
   void OnTimer(TimePoint aNow);
 
-  /** Changes for a host that has those up to aAfter. Empty if this host does
-   *  not know whether it is up to date, so that the other one asks elsewhere.
+  /** Whether other hosts may be told ChangesSince() and Age(). If not, this
+   * host does not know whether it is up to date, and the others ask elsewhere.
    */
-  std::optional<ReaderAnswer> AnswerFor(TimePoint aNow,
-                                        FeedRevision aAfter) const;
+  bool MayTell(TimePoint aNow) const;
+  /** Changes for a host that has those up to aAfter. */
+  FeedChanges ChangesSince(FeedRevision aAfter) const
+  {
+    return m_log.Since(aAfter);
+  }
 
   FeedRevision Revision() const { return m_log.Revision(); }
   FeedSource Source() const;
--- a/packages/feed/include/goldcrestkeel/feed/SourceSelector.h
+++ b/packages/feed/include/goldcrestkeel/feed/SourceSelector.h
@@ -74,7 +74,7 @@
   /** Whether hosts read the store on behalf of others. */
   bool IsShared() const { return m_shared; }
   /** Position of this host in the order of readers; kReaders for all others. */
-  std::size_t Rank() const { return m_rank; }
+  std::size_t Rank() const { return m_shared ? m_readers.size() : kReaders; }
 
   /** Number of readers of a data centre, including those in reserve. */
   static constexpr std::size_t kReaders = 3;
@@ -89,8 +89,7 @@
   FeedOptions m_options;
   RandomSource& m_random;
   bool m_shared = false;
-  std::size_t m_rank = kReaders;
-  /** Readers before this host, in order. */
+  /** Readers before this host, in order; none unless m_shared is set. */
   std::vector<HostRecord> m_readers;
   /** The last failure of each reader that has not answered since. */
   std::map<std::string, Failure> m_failures;
--- a/packages/feed/src/FeedFollower.cpp
+++ b/packages/feed/src/FeedFollower.cpp
@@ -71,9 +71,9 @@
 Duration
 FeedFollower::MaxAge() const
 {
-  const auto places = static_cast<int>(m_selector.Rank()) -
-                      static_cast<int>(SourceSelector::kReaders);
-  return kMaxAge + places * kMaxAgeStep;
+  const auto places =
+    static_cast<int>(SourceSelector::kReaders - m_selector.Rank());
+  return kMaxAge - places * kMaxAgeStep;
 }
 
 void
@@ -98,8 +98,7 @@
 }
 
 void
-FeedFollower::OnStoreChanges(TimePoint,
-                             const FeedChanges& aChanges,
+FeedFollower::OnStoreChanges(const FeedChanges& aChanges,
                              std::optional<TimePoint> aProvenAt)
 {
   m_storeLostAt.reset();
@@ -223,16 +222,12 @@
   Follow(aNow, "reader is tried again");
 }
 
-std::optional<ReaderAnswer>
-FeedFollower::AnswerFor(TimePoint aNow, FeedRevision aAfter) const
+bool
+FeedFollower::MayTell(TimePoint aNow) const
 {
-  const std::optional<Duration> age = Age(aNow);
   const bool lost = m_reading && m_followed.empty() && m_storeLostAt &&
                     aNow - *m_storeLostAt > kLostGracePeriod;
-  if (m_log.Revision() == 0 || !age || lost) {
-    return std::nullopt;
-  }
-  return ReaderAnswer{ m_log.Since(aAfter), *age };
+  return m_log.Revision() > 0 && m_provenAt && !lost;
 }
 
 } // namespace goldcrestkeel
--- a/packages/feed/src/SourceSelector.cpp
+++ b/packages/feed/src/SourceSelector.cpp
@@ -41,7 +41,6 @@
 SourceSelector::SetHosts(const std::vector<HostRecord>& aHosts)
 {
   m_shared = aHosts.size() >= m_options.m_minSharedHosts;
-  m_rank = kReaders;
   m_readers.clear();
   if (!m_shared) {
     m_failures.clear();
@@ -64,8 +63,7 @@
     }
   }
   std::sort(m_readers.begin(), m_readers.end(), isBefore);
-  m_rank = std::min(m_readers.size(), kReaders);
-  m_readers.resize(m_rank);
+  m_readers.resize(std::min(m_readers.size(), kReaders));
   std::erase_if(m_failures, [&](const auto& aFailure) {
     return std::none_of(
       m_readers.begin(), m_readers.end(), [&](const HostRecord& aHost) {
@@ -96,7 +94,7 @@
   }
   if (!m_storeAt) {
     m_storeAt = aNow;
-    if (m_rank == kReaders) {
+    if (Rank() == kReaders) {
       *m_storeAt +=
         kStoreDelay + Duration(m_random.Below(kStoreJitter.count()));
     }
--- a/packages/feed/tests/ChangeLogTest.cpp
+++ b/packages/feed/tests/ChangeLogTest.cpp
@@ -71,6 +71,27 @@
     REQUIRE(log.Since(0).m_items == std::vector<FeedItem>{ Item("a", 2) });
   }
 
+  SECTION("takes the changes of one answer one after the other")
+  {
+    const FeedChanges news = log.Apply(
+      { { Item("c", 6), Item("c", 7, true), Item("b", 9), Item("b", 8) },
+        9,
+        false });
+    REQUIRE(news.m_items == std::vector<FeedItem>{
+                              Item("c", 6), Item("c", 7, true), Item("b", 9) });
+    REQUIRE(log.Since(5).m_items ==
+            std::vector<FeedItem>{ Item("b", 9), Item("c", 7, true) });
+  }
+
+  // The pages of a list are read one after the other, and its revision is that
+  // of the first.
+  SECTION("tells of a change that is newer than the list it came with")
+  {
+    log.Apply({ { Item("a", 2), Item("b", 8) }, 7, true });
+    REQUIRE(log.Revision() == 7);
+    REQUIRE(log.Since(7).m_items == std::vector<FeedItem>{ Item("b", 8) });
+  }
+
   SECTION("finds the deletions in a complete list")
   {
     const FeedChanges news = log.Apply({ { Item("b", 4) }, 9, true });
--- a/packages/feed/tests/FeedFleet.cpp
+++ b/packages/feed/tests/FeedFleet.cpp
@@ -140,8 +140,8 @@
     changes.m_revision = aRevision;
     changes.m_complete = first;
     changes.m_items = { { "k", "v", aRevision, false } };
-    m_follower->OnStoreChanges(
-      m_fleet.m_now, changes, std::max(aSentAt, m_fleet.m_now - 250ms));
+    m_follower->OnStoreChanges(changes,
+                               std::max(aSentAt, m_fleet.m_now - 250ms));
     Schedule(news ? kWatchPause : 0ms, [this] { ReadStore(); });
   }
   void OnReadFailed(unsigned aRead)
@@ -179,14 +179,17 @@
   }
   void Serve(Host& aCaller, PollId aPoll, FeedRevision aAfter, TimePoint aUntil)
   {
-    const auto answer = m_follower->AnswerFor(m_fleet.m_now, aAfter);
-    if (!answer) {
+    const ReaderAnswer answer{
+      m_follower->ChangesSince(aAfter),
+      m_follower->Age(m_fleet.m_now).value_or(Duration(0))
+    };
+    if (!m_follower->MayTell(m_fleet.m_now)) {
       aCaller.Schedule(kNetworkDelay, [&aCaller, aPoll] {
         aCaller.FailPoll(aPoll, PollFailure::Refused);
       });
-    } else if (!answer->m_changes.m_items.empty() || m_fleet.m_now >= aUntil) {
+    } else if (!answer.m_changes.m_items.empty() || m_fleet.m_now >= aUntil) {
       aCaller.Schedule(kNetworkDelay, [&aCaller, aPoll, answer] {
-        aCaller.EndPoll(aPoll, *answer);
+        aCaller.EndPoll(aPoll, answer);
       });
     } else {
       Schedule(20ms, [this, &aCaller, aPoll, aAfter, aUntil] {
