Check the header of a message once

Cause: the framing, the hosts and the length were checked again with each part of a long body. Change: one check, when the header is complete. Result: edge_test and the fuzz target of messages passed; what is refused is the same.

--- a/packages/edge/src/HttpMessage.cpp
+++ b/packages/edge/src/HttpMessage.cpp
@@ -68,24 +68,28 @@
   return ParseState::Malformed;
 }
 
-// Whether the header leaves no doubt about where the message ends and which
-// host it is for: at most one transfer coding, which is "chunked", and one
-// Host.
-template<typename Message>
-bool
-HasSoundHeader(const Message& aMessage)
+// Checks a header before the body is parsed; Partial if it is accepted. It must
+// leave no doubt about where the message ends and which host it is for. The
+// parser would reserve memory for whatever length the message claims.
+template<typename Parser>
+ParseState
+CheckHeader(const Parser& aParser, std::uint64_t aBodyLimit)
 {
+  const auto& message = aParser.get();
   const auto [first, last] =
-    aMessage.equal_range(http::field::transfer_encoding);
-  const bool soundCoding =
+    message.equal_range(http::field::transfer_encoding);
+  const bool chunkedOrNone =
     first == last || (std::next(first) == last &&
                       EqualsIgnoreCase(View(first->value()), "chunked"));
-  return soundCoding && aMessage.count(http::field::host) <= 1;
+  if (!chunkedOrNone || message.count(http::field::host) > 1) {
+    return ParseState::Malformed;
+  }
+  return aParser.content_length().value_or(0) > aBodyLimit
+           ? ParseState::BodyTooLarge
+           : ParseState::Partial;
 }
 
-// Parses aBytes and removes the parsed bytes from its front. The Content-Length
-// is checked between the header and the body, because the parser reserves
-// memory for whatever length the message claims.
+// Parses aBytes and removes the parsed bytes from its front.
 template<typename Parser>
 ParseState
 ParseInput(Parser& aParser, std::string& aBytes, std::uint64_t aBodyLimit)
@@ -93,7 +97,8 @@
   std::size_t parsed = 0;
   ParseState state = ParseState::Partial;
   while (parsed < aBytes.size() && !aParser.is_done()) {
-    aParser.eager(aParser.is_header_done());
+    const bool hadHeader = aParser.is_header_done();
+    aParser.eager(hadHeader);
     beast::error_code error;
     const std::size_t count = aParser.put(
       boost::asio::buffer(aBytes.data() + parsed, aBytes.size() - parsed),
@@ -103,14 +108,12 @@
       state = ToParseState(error);
       break;
     }
-    if (aParser.is_header_done() && !HasSoundHeader(aParser.get())) {
-      aBytes.erase(0, parsed);
-      return ParseState::Malformed;
-    }
-    if (aParser.is_header_done() &&
-        aParser.content_length().value_or(0) > aBodyLimit) {
-      state = ParseState::BodyTooLarge;
-      break;
+    if (!hadHeader && aParser.is_header_done()) {
+      const ParseState checked = CheckHeader(aParser, aBodyLimit);
+      if (checked != ParseState::Partial) {
+        aBytes.erase(0, parsed);
+        return checked;
+      }
     }
     if (count == 0) {
       break;
