Send polls between hosts as JSON instead of a query of their own

Cause: the change had written a parser of queries and of percent escapes, for a message that the JSON library can carry. Change: the poll is the body of a POST; one that cannot be read is refused with a log line.

--- a/packages/edge/src/EdgeServer.cpp
+++ b/packages/edge/src/EdgeServer.cpp
@@ -219,6 +219,7 @@
                *this)
   , m_sessionTimer(aLoop, [this] { CheckSessions(); })
   , m_feedPolls(aLoop,
+                aLog,
                 aSettings.m_hostId,
                 aSource.Feeds(),
                 [this](SessionId aSession, CallerReply&& aReply) {
@@ -401,15 +402,12 @@
 void
 EdgeServer::Impl::OnRequest(CallerSession& aSession, RequestMessage&& aRequest)
 {
-  if (aSession.Peer() == SessionPeer::Host) {
-    // Requests that are relayed carry fields that polls do not.
-    const bool relayed =
-      !FieldValue(aRequest.m_fields, kTableVersionField).empty();
-    const auto poll = relayed ? std::nullopt : ParseFeedPoll(aRequest.m_target);
-    if (poll) {
-      m_feedPolls.OnPoll(aSession.Id(), *poll);
-      return;
-    }
+  // Requests that are relayed carry fields that polls do not.
+  if (aSession.Peer() == SessionPeer::Host &&
+      aRequest.m_target == kFeedPollTarget &&
+      FieldValue(aRequest.m_fields, kTableVersionField).empty()) {
+    m_feedPolls.OnPoll(aSession.Id(), aRequest.m_body);
+    return;
   }
   const std::string_view host = FieldValue(aRequest.m_fields, "host");
   if (host.empty()) {
--- a/packages/edge/src/FeedMessages.cpp
+++ b/packages/edge/src/FeedMessages.cpp
@@ -1,14 +1,8 @@
 #include "FeedMessages.h"
 
-#include "Numbers.h"
-
-#include <goldcrestkeel/edge/HttpCaller.h>
-
 #include <nlohmann/json.hpp>
 
-#include <charconv>
-#include <map>
-#include <stdexcept>
+#include <algorithm>
 
 namespace goldcrestkeel {
 
@@ -16,28 +10,9 @@
 
 using nlohmann::json;
 
-constexpr std::string_view kPath = "/goldcrestkeel/changes?";
 /** Upper limit of the wait time; longer ones are shortened. */
 constexpr std::uint64_t kMaxWaitMs = 10000;
 
-std::string
-Unescape(std::string_view aText)
-{
-  std::string text;
-  for (std::size_t i = 0; i < aText.size(); ++i) {
-    unsigned byte = 0;
-    const char* const digits = aText.data() + i + 1;
-    if (aText[i] == '%' && i + 2 < aText.size() &&
-        std::from_chars(digits, digits + 2, byte, 16).ptr == digits + 2) {
-      text += static_cast<char>(byte);
-      i += 2;
-    } else {
-      text += aText[i];
-    }
-  }
-  return text;
-}
-
 json
 EncodeItem(const FeedItem& aItem)
 {
@@ -61,39 +36,25 @@
 } // namespace
 
 std::string
-WriteFeedPoll(const FeedPoll& aPoll)
+EncodeFeedPoll(const FeedPoll& aPoll)
 {
-  return std::string(kPath) + "feed=" + EscapeQueryValue(aPoll.m_feed) +
-         "&reader=" + EscapeQueryValue(aPoll.m_reader) +
-         "&after=" + std::to_string(aPoll.m_after) +
-         "&wait_ms=" + std::to_string(aPoll.m_wait.count() / 1000);
+  return json{
+    { "feed", aPoll.m_feed },
+    { "reader", aPoll.m_reader },
+    { "after", aPoll.m_after },
+    { "wait_ms", aPoll.m_wait.count() / 1000 }
+  }.dump();
 }
 
-std::optional<FeedPoll>
-ParseFeedPoll(std::string_view aTarget)
+FeedPoll
+DecodeFeedPoll(std::string_view aBody)
 {
-  if (!aTarget.starts_with(kPath)) {
-    return std::nullopt;
-  }
-  aTarget.remove_prefix(kPath.size());
-  std::map<std::string_view, std::string_view> parameters;
-  while (!aTarget.empty()) {
-    const std::string_view parameter =
-      aTarget.substr(0, std::min(aTarget.find('&'), aTarget.size()));
-    const std::size_t equals = std::min(parameter.find('='), parameter.size());
-    parameters[parameter.substr(0, equals)] =
-      parameter.substr(std::min(equals + 1, parameter.size()));
-    aTarget.remove_prefix(std::min(parameter.size() + 1, aTarget.size()));
-  }
-  const auto after = ParseNumber<std::uint64_t>(parameters["after"]);
-  const auto wait = ParseNumber<std::uint64_t>(parameters["wait_ms"]);
-  if (!after || !wait) {
-    return std::nullopt;
-  }
-  return FeedPoll{ Unescape(parameters["feed"]),
-                   Unescape(parameters["reader"]),
-                   *after,
-                   std::chrono::milliseconds(std::min(*wait, kMaxWaitMs)) };
+  const json document = json::parse(aBody);
+  const auto wait = document.at("wait_ms").get<std::uint64_t>();
+  return { document.at("feed").get<std::string>(),
+           document.at("reader").get<std::string>(),
+           document.at("after").get<FeedRevision>(),
+           std::chrono::milliseconds(std::min(wait, kMaxWaitMs)) };
 }
 
 std::string
--- a/packages/edge/src/FeedMessages.h
+++ b/packages/edge/src/FeedMessages.h
@@ -26,12 +26,16 @@
 inline constexpr std::string_view kFeedHostField = "Goldcrestkeel-Host";
 inline constexpr std::string_view kFeedAgeField = "Goldcrestkeel-Age-Ms";
 
-/** Target of the request that carries aPoll. */
+/** Method and target of the request that carries a poll. */
+inline constexpr std::string_view kFeedPollMethod = "POST";
+inline constexpr std::string_view kFeedPollTarget = "/goldcrestkeel/changes";
+
+/** Encodes a poll as JSON, the body of its request. */
 std::string
-WriteFeedPoll(const FeedPoll& aPoll);
-/** Parses a target; std::nullopt if it is not that of a poll. */
-std::optional<FeedPoll>
-ParseFeedPoll(std::string_view aTarget);
+EncodeFeedPoll(const FeedPoll& aPoll);
+/** Throws std::exception with the reason if aBody is not valid. */
+FeedPoll
+DecodeFeedPoll(std::string_view aBody);
 
 /** Encodes changes as CBOR. */
 std::string
--- a/packages/edge/src/FeedPolls.cpp
+++ b/packages/edge/src/FeedPolls.cpp
@@ -12,10 +12,12 @@
 } // namespace
 
 FeedPolls::FeedPolls(Loop& aLoop,
+                     DecisionLog& aLog,
                      std::string aHostId,
                      std::vector<SharedFeed*> aFeeds,
                      ReplyCallback aReply)
   : m_loop(aLoop)
+  , m_log(aLog)
   , m_hostId(std::move(aHostId))
   , m_feeds(std::move(aFeeds))
   , m_reply(std::move(aReply))
@@ -35,18 +37,28 @@
 }
 
 void
-FeedPolls::OnPoll(SessionId aSession, const FeedPoll& aPoll)
+FeedPolls::OnPoll(SessionId aSession, std::string_view aBody)
 {
+  FeedPoll request;
+  try {
+    request = DecodeFeedPoll(aBody);
+  } catch (const std::exception& error) {
+    m_log.Write(LogPriority::Request,
+                "feed_poll_unusable",
+                { { "reason", std::string_view(error.what()) } });
+    Refuse(aSession);
+    return;
+  }
   const auto feed =
     std::find_if(m_feeds.begin(), m_feeds.end(), [&](const SharedFeed* aFeed) {
-      return aFeed->Name() == aPoll.m_feed;
+      return aFeed->Name() == request.m_feed;
     });
-  if (m_stopped || feed == m_feeds.end() || aPoll.m_reader != m_hostId) {
+  if (m_stopped || feed == m_feeds.end() || request.m_reader != m_hostId) {
     Refuse(aSession);
     return;
   }
   const WaitingPoll poll{
-    aSession, *feed, aPoll.m_after, m_loop.Now() + aPoll.m_wait
+    aSession, *feed, request.m_after, m_loop.Now() + request.m_wait
   };
   if (Answer(poll, false)) {
     return;
--- a/packages/edge/src/FeedPolls.h
+++ b/packages/edge/src/FeedPolls.h
@@ -3,12 +3,14 @@
 #include "CallerSession.h"
 #include "FeedMessages.h"
 
+#include <goldcrestkeel/edge/DecisionLog.h>
 #include <goldcrestkeel/edge/Loop.h>
 #include <goldcrestkeel/edge/SharedFeed.h>
 
 #include <deque>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace goldcrestkeel {
@@ -21,8 +23,9 @@
   /** Sends a reply on a session; nothing happens if the session has ended. */
   using ReplyCallback = std::function<void(SessionId, CallerReply&&)>;
 
-  /** aLoop and aFeeds must outlive the object. */
+  /** aLoop, aLog and aFeeds must outlive the object. */
   FeedPolls(Loop& aLoop,
+            DecisionLog& aLog,
             std::string aHostId,
             std::vector<SharedFeed*> aFeeds,
             ReplyCallback aReply);
@@ -30,7 +33,8 @@
   FeedPolls(const FeedPolls&) = delete;
   FeedPolls& operator=(const FeedPolls&) = delete;
 
-  void OnPoll(SessionId aSession, const FeedPoll& aPoll);
+  /** aBody is that of the request; an invalid one is refused. */
+  void OnPoll(SessionId aSession, std::string_view aBody);
   /** Refuses all polls from now on, so that the other hosts ask elsewhere. */
   void Stop();
 
@@ -59,6 +63,7 @@
   void AnswerWaiting();
 
   Loop& m_loop;
+  DecisionLog& m_log;
   std::string m_hostId;
   std::vector<SharedFeed*> m_feeds;
   ReplyCallback m_reply;
--- a/packages/edge/src/SharedFeed.cpp
+++ b/packages/edge/src/SharedFeed.cpp
@@ -89,7 +89,9 @@
     caller = std::make_unique<HttpCaller>(m_loop, aReader.m_relayAddress);
   }
   HttpCall call;
-  call.m_target = WriteFeedPoll({ m_name, aReader.m_id, aAfter, aWait });
+  call.m_method = kFeedPollMethod;
+  call.m_target = kFeedPollTarget;
+  call.m_body = EncodeFeedPoll({ m_name, aReader.m_id, aAfter, aWait });
   call.m_timeout = aWait + kPollAnswerTime;
   caller->Call(
     call, [this, aPoll, reader = aReader.m_id](const HttpCallResult& aResult) {
--- a/packages/edge/tests/FeedPollsTest.cpp
+++ b/packages/edge/tests/FeedPollsTest.cpp
@@ -35,7 +35,7 @@
   }
   void Poll(SessionId aSession, FeedRevision aAfter, Duration aWait = 10s)
   {
-    m_polls.OnPoll(aSession, { "feed", "h1", aAfter, aWait });
+    m_polls.OnPoll(aSession, EncodeFeedPoll({ "feed", "h1", aAfter, aWait }));
   }
 
   int m_logDescriptor = open("/dev/null", O_WRONLY);
@@ -50,6 +50,7 @@
   };
   std::map<SessionId, CallerReply> m_replies;
   FeedPolls m_polls{ m_loop,
+                     m_log,
                      "h1",
                      { &m_feed },
                      [this](SessionId aSession, CallerReply&& aReply) {
@@ -111,7 +112,13 @@
 
   SECTION("is refused if it is meant for another host")
   {
-    fixture.m_polls.OnPoll(1, { "feed", "h2", 0, 10s });
+    fixture.m_polls.OnPoll(1, EncodeFeedPoll({ "feed", "h2", 0, 10s }));
+    REQUIRE(fixture.m_replies.at(1).m_status == 503);
+  }
+
+  SECTION("is refused if it cannot be read")
+  {
+    fixture.m_polls.OnPoll(1, "{}");
     REQUIRE(fixture.m_replies.at(1).m_status == 503);
   }
 
@@ -129,13 +136,18 @@
 TEST_CASE("Messages between hosts about changes", "[feed]")
 {
   const FeedPoll poll{ "replicas", "h 1&x", 12, 800ms };
-  REQUIRE(ParseFeedPoll(WriteFeedPoll(poll)) == poll);
-  REQUIRE_FALSE(ParseFeedPoll("/other?feed=a&after=1&wait_ms=1"));
-  REQUIRE_FALSE(ParseFeedPoll("/goldcrestkeel/changes?feed=a&after=x"));
+  const std::string request = EncodeFeedPoll(poll);
+  REQUIRE(DecodeFeedPoll(request) == poll);
+  for (std::size_t size = 0; size < request.size(); ++size) {
+    REQUIRE_THROWS(DecodeFeedPoll(request.substr(0, size)));
+  }
+  REQUIRE_THROWS(
+    DecodeFeedPoll(R"({"feed":"a","reader":"b","after":"x","wait_ms":1})"));
+  REQUIRE_THROWS(DecodeFeedPoll(R"({"feed":"a","reader":"b","after":1})"));
   // A wait is bounded, since the session is held for it.
   REQUIRE(
-    ParseFeedPoll("/goldcrestkeel/changes?after=1&wait_ms=99999999")->m_wait ==
-    10s);
+    DecodeFeedPoll(R"({"feed":"a","reader":"b","after":1,"wait_ms":99999999})")
+      .m_wait == 10s);
 
   FeedChanges changes;
   changes.m_revision = 9;
