Run the simulations of tests and benchmarks on one event queue

Cause: the queue of events in virtual time stood four times, and the fleet of the feed tests was the fifth. Change: testing/include/goldcrestkeel/testing/EventQueue.h, used by FeedFleet, VirtualFleet, CommandFleet, Simulation and the share benchmark.

--- a/benchmark/CommandFleet.cpp
+++ b/benchmark/CommandFleet.cpp
@@ -54,7 +54,6 @@
 CommandFleet::CommandFleet(const FleetOptions& aOptions)
   : m_options(aOptions)
   , m_random(MakeSeededRandom(aOptions.m_seed))
-  , m_now(Duration{ 1000000 })
 {
   for (std::size_t i = 0; i < aOptions.m_hosts; ++i) {
     m_hosts.push_back(std::make_unique<Host>());
@@ -69,7 +68,7 @@
 WallTime
 CommandFleet::TrueWallTime() const
 {
-  return kWallClockStart + ToWallTime(m_now.time_since_epoch());
+  return kWallClockStart + ToWallTime(Now().time_since_epoch());
 }
 
 WallTime
@@ -81,22 +80,17 @@
 void
 CommandFleet::After(Duration aDelay, std::function<void()> aTask)
 {
-  m_queue.emplace(m_now + aDelay, std::move(aTask));
+  m_queue.After(aDelay, std::move(aTask));
 }
 
 void
 CommandFleet::RunFor(Duration aDuration)
 {
-  const TimePoint end = m_now + aDuration;
-  while (!m_queue.empty() && m_queue.begin()->first <= end) {
-    const auto first = m_queue.begin();
-    m_now = std::max(m_now, first->first);
-    const std::function<void()> task = std::move(first->second);
-    m_queue.erase(first);
+  const TimePoint end = Now() + aDuration;
+  while (m_queue.RunNext(end)) {
     ++m_events;
-    task();
   }
-  m_now = end;
+  m_queue.RunUntil(end);
 }
 
 // ---- Hosts ----------------------------------------------------------------
@@ -112,8 +106,8 @@
     if (!host.m_running || host.m_incarnation != aIncarnation) {
       return;
     }
-    if (host.m_pausedUntil > m_now) {
-      PostToHost(aHost, aIncarnation, host.m_pausedUntil - m_now, task);
+    if (host.m_pausedUntil > Now()) {
+      PostToHost(aHost, aIncarnation, host.m_pausedUntil - Now(), task);
       return;
     }
     task(host);
@@ -126,7 +120,7 @@
 {
   Host& host = *m_hosts[aHost];
   GuardActions actions;
-  host.m_guard->Handle(m_now, HostWallTime(host), aEvent, actions);
+  host.m_guard->Handle(Now(), HostWallTime(host), aEvent, actions);
   Execute(aHost, host.m_incarnation, std::move(actions));
 }
 
@@ -135,7 +129,7 @@
 {
   Host& host = *m_hosts[aHost];
   GuardActions actions;
-  host.m_guard->FireTimers(m_now, HostWallTime(host), actions);
+  host.m_guard->FireTimers(Now(), HostWallTime(host), actions);
   Execute(aHost, host.m_incarnation, std::move(actions));
 }
 
@@ -147,10 +141,10 @@
   if (!next || *next >= host.m_timerAt) {
     return;
   }
-  const TimePoint due = std::max(*next, m_now + Duration{ 1 });
+  const TimePoint due = std::max(*next, Now() + Duration{ 1 });
   host.m_timerAt = due;
   PostToHost(
-    aHost, host.m_incarnation, due - m_now, [this, aHost, due](Host& aTarget) {
+    aHost, host.m_incarnation, due - Now(), [this, aHost, due](Host& aTarget) {
       if (aTarget.m_timerAt == due) {
         aTarget.m_timerAt = TimePoint::max();
         FireTimers(aHost);
@@ -212,7 +206,7 @@
   host.m_incarnation = m_nextIncarnation++;
   host.m_running = true;
   host.m_draining = false;
-  host.m_pausedUntil = m_now;
+  host.m_pausedUntil = Now();
   host.m_pauseAfterDecision = Duration{ 0 };
   host.m_timerAt = TimePoint::max();
   PostToHost(aHost, host.m_incarnation, Duration{ 0 }, [this, aHost](Host&) {
@@ -224,7 +218,7 @@
 CommandFleet::Pause(std::size_t aHost, Duration aDuration)
 {
   Host& host = *m_hosts[aHost];
-  host.m_pausedUntil = std::max(host.m_pausedUntil, m_now + aDuration);
+  host.m_pausedUntil = std::max(host.m_pausedUntil, Now() + aDuration);
 }
 
 void
@@ -324,7 +318,7 @@
     [this, aHost, event, done = std::move(aDone)](Host& aTarget) {
       const std::string key = event.m_command.m_key;
       aTarget.m_requests[event.m_request] =
-        [this, key, done, start = m_now](const AnswerCommand& aAnswer) {
+        [this, key, done, start = Now()](const AnswerCommand& aAnswer) {
           const CommandOutcome& outcome = aAnswer.m_outcome;
           if (outcome.m_ran == Ran::No) {
             m_answeredNotRun.insert(key);
@@ -339,7 +333,7 @@
             GK_INVARIANT(Runs(key) != 0,
                          InvariantId::ReplyMatchesRequest,
                          key + " was answered \"ran\" but has not run");
-            const Duration added = m_now - start - m_attemptDuration[key];
+            const Duration added = Now() - start - m_attemptDuration[key];
             m_addedLatencyMs.push_back(
               std::max(0.0, static_cast<double>(added.count()) / 1000));
           }
@@ -359,8 +353,8 @@
   Submit(aHost, aCommand, aDeadline, [answer](const CommandOutcome& aOutcome) {
     *answer = aOutcome;
   });
-  const TimePoint end = m_now + aDeadline + Duration{ 100000 };
-  while (!*answer && m_now < end) {
+  const TimePoint end = Now() + aDeadline + Duration{ 100000 };
+  while (!*answer && Now() < end) {
     RunFor(Duration{ 1000 });
   }
   return *answer;
@@ -432,7 +426,7 @@
       ? kPeerTimeout + Duration{ m_random->Below(kMaxLateDelayUs) }
       : m_options.m_peerDelay;
   SubmitCommand event{
-    m_nextRequest++, aAction.m_command, aAction.m_deadline - m_now, true
+    m_nextRequest++, aAction.m_command, aAction.m_deadline - Now(), true
   };
   PostToHost(to, m_hosts[to]->m_incarnation, delay, [=, this](Host& aTarget) {
     aTarget.m_requests[event.m_request] = [=,
@@ -502,7 +496,7 @@
 {
   const auto session = m_sessions.find(aSession);
   const bool alive =
-    session != m_sessions.end() && session->second.m_end > m_now;
+    session != m_sessions.end() && session->second.m_end > Now();
   return alive ? aSession : std::string();
 }
 
@@ -615,7 +609,7 @@
     }
     case StoreOperation::CreateSession: {
       const std::string id = "session-" + std::to_string(m_nextSession++);
-      m_sessions[id] = Session{ aCall.m_ttl, m_now + aCall.m_ttl };
+      m_sessions[id] = Session{ aCall.m_ttl, Now() + aCall.m_ttl };
       return { StoreStatus::Ok, {}, 0, id };
     }
     case StoreOperation::RenewSession: {
@@ -626,7 +620,7 @@
       const auto slack = static_cast<std::uint64_t>(
         kMaxSessionOverrun * static_cast<double>(session.m_ttl.count()));
       session.m_end =
-        m_now + session.m_ttl + Duration{ m_random->Below(slack + 1) };
+        Now() + session.m_ttl + Duration{ m_random->Below(slack + 1) };
       return StatusOnly(StoreStatus::Ok);
     }
     case StoreOperation::DestroySession:
@@ -709,14 +703,14 @@
       break;
     case DeliveryOutcome::Delivered:
     case DeliveryOutcome::MismatchedReply:
-      fail(aAction.m_replyDeadline - m_now, SubFailureKind::TimedOut);
+      fail(aAction.m_replyDeadline - Now(), SubFailureKind::TimedOut);
       break;
   }
   const Duration queued = m_queueTime ? m_queueTime() : Duration{ 0 };
-  After(delay + queued, [=, this, sentAt = m_now] {
+  After(delay + queued, [=, this, sentAt = Now()] {
     const WallTime error = m_backendClockError ? m_backendClockError() : 0;
     if (TrueWallTime() + error > aAction.m_startBefore ||
-        m_now > aAction.m_deadline) {
+        Now() > aAction.m_deadline) {
       CompleteAttempt(
         aHost,
         incarnation,
@@ -752,7 +746,7 @@
   }
   const Duration service{ 1000 + m_random->Below(kServiceTimeRangeUs) };
   const Duration delay = service + m_options.m_backendDelay;
-  m_attemptDuration[key] = m_now + delay - aSentAt;
+  m_attemptDuration[key] = Now() + delay - aSentAt;
   BackendReply reply{
     aAction.m_attempt, aAction.m_attempt, key, ResultFor(aAction.m_command)
   };
--- a/benchmark/CommandFleet.h
+++ b/benchmark/CommandFleet.h
@@ -2,6 +2,7 @@
 
 #include <goldcrestkeel/Control.h>
 #include <goldcrestkeel/Core.h>
+#include <goldcrestkeel/testing/EventQueue.h>
 
 #include <cstdint>
 #include <functional>
@@ -65,7 +66,7 @@
   CommandFleet& operator=(const CommandFleet&) = delete;
 
   // Time.
-  TimePoint Now() const { return m_now; }
+  TimePoint Now() const { return m_queue.Now(); }
   /** Wall clock without a clock error, in Unix milliseconds. */
   WallTime TrueWallTime() const;
   /** Schedules aTask at Now() + aDelay. */
@@ -127,9 +128,9 @@
   /** Makes all store calls of the next aDuration fail or time out. */
   void InjectStoreOutage(Duration aDuration)
   {
-    m_storeDownUntil = m_now + aDuration;
+    m_storeDownUntil = Now() + aDuration;
   }
-  bool IsStoreDown() const { return m_now < m_storeDownUntil; }
+  bool IsStoreDown() const { return Now() < m_storeDownUntil; }
   /** Hooks that choose the outcome of each call; Delivered if not set. */
   std::function<DeliveryOutcome(std::size_t aHost, const StoreCall&)>
     m_storeFaultHook;
@@ -243,8 +244,7 @@
 
   FleetOptions m_options;
   std::unique_ptr<RandomSource> m_random;
-  TimePoint m_now;
-  std::multimap<TimePoint, std::function<void()>> m_queue;
+  testing::EventQueue m_queue{ TimePoint(Duration{ 1000000 }) };
   std::vector<std::unique_ptr<Host>> m_hosts;
   CommandRequestId m_nextRequest = 1;
   std::uint64_t m_nextIncarnation = 1;
--- a/benchmark/Limits.cpp
+++ b/benchmark/Limits.cpp
@@ -51,12 +51,7 @@
   {
     ScheduleChanges(kChanges);
     int overLimit = 0;
-    while (!m_events.empty()) {
-      const auto event = m_events.begin();
-      m_now = event->first;
-      const std::function<void()> action = event->second;
-      m_events.erase(event);
-      action();
+    while (m_events.RunNext()) {
       overLimit += TotalConnectionShare() > kConnections;
     }
     return overLimit;
@@ -91,7 +86,7 @@
     member.m_random = MakeSeededRandom(static_cast<std::uint64_t>(id));
     EngineOptions options;
     if (m_useEngineShare && !aInitial) {
-      options.m_joinedAt = m_now;
+      options.m_joinedAt = m_events.Now();
     }
     member.m_engine = MakeQueryEngine(options, *member.m_random);
     ServiceSpec spec;
@@ -102,7 +97,7 @@
     replica.m_shard = "s0";
     replica.m_connections = kConnections;
     spec.m_replicas.push_back(replica);
-    member.m_engine->SetService(m_now, spec);
+    member.m_engine->SetService(m_events.Now(), spec);
     if (aInitial) {
       for (int host = 0; host < kInitialHosts; ++host) {
         member.m_knownHosts.insert(host);
@@ -161,7 +156,7 @@
   {
     aMember.m_assumedLiveHosts = static_cast<std::uint32_t>(
       std::max<std::size_t>(aMember.m_knownHosts.size(), 1));
-    aMember.m_engine->SetLiveHosts(m_now, aMember.m_assumedLiveHosts);
+    aMember.m_engine->SetLiveHosts(m_events.Now(), aMember.m_assumedLiveHosts);
   }
 
   std::uint32_t TotalConnectionShare()
@@ -170,7 +165,7 @@
     for (auto& [id, member] : m_members) {
       if (member.m_live) {
         sum += m_useEngineShare
-                 ? member.m_engine->ConnectionShare(m_now, "s0-r0")
+                 ? member.m_engine->ConnectionShare(m_events.Now(), "s0-r0")
                  : kConnections / member.m_assumedLiveHosts;
       }
     }
@@ -179,13 +174,12 @@
 
   void After(std::uint64_t aMicroseconds, std::function<void()> aAction)
   {
-    m_events.emplace(m_now + Duration{ aMicroseconds }, std::move(aAction));
+    m_events.After(Duration{ aMicroseconds }, std::move(aAction));
   }
 
   std::unique_ptr<RandomSource> m_random;
   bool m_useEngineShare;
-  TimePoint m_now{ Duration{ 0 } };
-  std::multimap<TimePoint, std::function<void()>> m_events;
+  testing::EventQueue m_events{ TimePoint(Duration{ 0 }) };
   std::map<int, SimulatedHost> m_members;
   int m_nextId = 0;
 };
--- a/benchmark/Simulation.cpp
+++ b/benchmark/Simulation.cpp
@@ -97,9 +97,9 @@
     options.m_crashGuard = aOptions.m_crashGuard;
     options.m_admission = aOptions.m_admission;
     host.m_engine = MakeQueryEngine(options, *host.m_random);
-    host.m_engine->SetLiveHosts(m_now,
+    host.m_engine->SetLiveHosts(Now(),
                                 static_cast<std::uint32_t>(aOptions.m_engines));
-    host.m_engine->SetService(m_now, spec);
+    host.m_engine->SetService(Now(), spec);
     PollReplicaStatuses(i);
   }
 }
@@ -109,25 +109,19 @@
 void
 Simulation::At(TimePoint aTime, std::function<void()> aAction)
 {
-  m_events.push({ std::max(aTime, m_now), ++m_sequence, std::move(aAction) });
+  m_events.At(std::max(aTime, Now()), std::move(aAction));
 }
 
 void
 Simulation::After(Duration aDelay, std::function<void()> aAction)
 {
-  At(m_now + aDelay, std::move(aAction));
+  At(Now() + aDelay, std::move(aAction));
 }
 
 void
 Simulation::Run(TimePoint aEnd)
 {
-  while (!m_events.empty() && m_events.top().m_at <= aEnd) {
-    const Event event = m_events.top();
-    m_events.pop();
-    m_now = event.m_at;
-    event.m_action();
-  }
-  m_now = aEnd;
+  m_events.RunUntil(aEnd);
 }
 
 // ---- Network and replicas -------------------------------------------------
@@ -216,7 +210,7 @@
       Actions actions;
       Engine(aPending->m_engine)
         .Handle(
-          m_now, SubFailure{ aPending->m_send.m_attempt, aKind }, actions);
+          Now(), SubFailure{ aPending->m_send.m_attempt, aKind }, actions);
       ExecuteActions(aPending->m_engine, actions);
     });
   };
@@ -228,7 +222,7 @@
     return;
   }
   ++replica.m_arrived;
-  replica.m_lastArrival = m_now;
+  replica.m_lastArrival = Now();
   if (m_replicaStates[aReplica].m_queue.size() >= m_options.m_maxQueueLength) {
     refuse(SubFailureKind::Shed);
     return;
@@ -291,7 +285,7 @@
     reply.m_draining = replica.m_draining && m_options.m_reportDraining;
     After(returnDelay, [this, aPending, reply] {
       Actions actions;
-      Engine(aPending->m_engine).Handle(m_now, reply, actions);
+      Engine(aPending->m_engine).Handle(Now(), reply, actions);
       ExecuteActions(aPending->m_engine, actions);
     });
   }
@@ -328,7 +322,7 @@
             Actions actions;
             Engine(pending->m_engine)
               .Handle(
-                m_now,
+                Now(),
                 SubFailure{ pending->m_send.m_attempt, SubFailureKind::Reset },
                 actions);
             ExecuteActions(pending->m_engine, actions);
@@ -352,10 +346,10 @@
   request.m_query = m_nextQuery++;
   request.m_service = "catalogue";
   m_engines[static_cast<std::size_t>(aEngine)].m_unanswered[request.m_query] = {
-    m_now, std::move(aDone)
+    Now(), std::move(aDone)
   };
   Actions actions;
-  Engine(aEngine).Handle(m_now, request, actions);
+  Engine(aEngine).Handle(Now(), request, actions);
   ExecuteActions(aEngine, actions);
 }
 
@@ -377,7 +371,7 @@
 {
   const Duration interval{ static_cast<Duration::rep>(
     Exponential(*m_random, 1e6 / aRate)) };
-  if (m_now + interval > aEnd) {
+  if (Now() + interval > aEnd) {
     return;
   }
   After(interval, [this, aEngine, aRate, aEnd, aRequest] {
@@ -430,7 +424,7 @@
       }
       const auto [start, done] = unanswered->second;
       host.m_unanswered.erase(unanswered);
-      done({ start, m_now, std::move(finish) });
+      done({ start, Now(), std::move(finish) });
     }
   }
   ScheduleTimer(aEngine);
@@ -442,17 +436,17 @@
 {
   EngineHost& host = m_engines[static_cast<std::size_t>(aEngine)];
   const auto next = host.m_engine->NextTimer();
-  if (!next || (*next >= host.m_timerAt && host.m_timerAt > m_now)) {
+  if (!next || (*next >= host.m_timerAt && host.m_timerAt > Now())) {
     return;
   }
-  host.m_timerAt = std::max(*next, m_now);
+  host.m_timerAt = std::max(*next, Now());
   At(host.m_timerAt, [this, aEngine] {
     EngineHost& engineHost = m_engines[static_cast<std::size_t>(aEngine)];
-    if (engineHost.m_timerAt <= m_now) {
+    if (engineHost.m_timerAt <= Now()) {
       engineHost.m_timerAt = TimePoint::max();
     }
     Actions actions;
-    engineHost.m_engine->FireTimers(m_now, actions);
+    engineHost.m_engine->FireTimers(Now(), actions);
     ExecuteActions(aEngine, actions);
   });
 }
@@ -470,7 +464,7 @@
       After(m_options.m_suspectPropagationDelay,
             [this, other, reports = host.m_engine->Suspects()] {
               Actions actions;
-              Engine(other).MergeSuspects(m_now, reports, actions);
+              Engine(other).MergeSuspects(Now(), reports, actions);
               ExecuteActions(other, actions);
             });
     }
@@ -483,7 +477,7 @@
   for (std::size_t i = 0; i < m_replicas.size(); ++i) {
     const FakeReplica& replica = m_replicas[i];
     if (!replica.m_alive) {
-      Engine(aEngine).StatusUnavailable(m_now, replica.m_id);
+      Engine(aEngine).StatusUnavailable(Now(), replica.m_id);
       continue;
     }
     ReplicaStatus status;
@@ -504,7 +498,7 @@
     held.m_shard = replica.m_shard;
     status.m_versions.push_back(std::move(held));
     Actions actions;
-    Engine(aEngine).Handle(m_now, status, actions);
+    Engine(aEngine).Handle(Now(), status, actions);
     ExecuteActions(aEngine, actions);
   }
   After(m_options.m_statusInterval,
--- a/benchmark/Simulation.h
+++ b/benchmark/Simulation.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include <goldcrestkeel/Core.h>
+#include <goldcrestkeel/testing/EventQueue.h>
 
 #include <deque>
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -92,7 +92,7 @@
 
   using Callback = std::function<void(const SearchOutcome&)>;
 
-  TimePoint Now() const { return m_now; }
+  TimePoint Now() const { return m_events.Now(); }
   RandomSource& Random() { return *m_random; }
   QueryEngine& Engine(int aEngine) { return *m_engines[aEngine].m_engine; }
   std::vector<FakeReplica>& Replicas() { return m_replicas; }
@@ -158,18 +158,6 @@
     std::uint64_t m_sharedSuspectsVersion = 0;
     int m_dataCentre = 0;
   };
-  struct Event
-  {
-    TimePoint m_at;
-    std::uint64_t m_sequence = 0;
-    std::function<void()> m_action;
-    bool operator<(const Event& aOther) const
-    {
-      return m_at != aOther.m_at ? m_at > aOther.m_at
-                                 : m_sequence > aOther.m_sequence;
-    }
-  };
-
   void ExecuteActions(int aEngine, Actions& aActions);
   void ScheduleTimer(int aEngine);
   void Send(int aEngine, const SendSubRequest& aSend);
@@ -190,9 +178,7 @@
 
   SimulationOptions m_options;
   std::unique_ptr<RandomSource> m_random;
-  TimePoint m_now{ Duration{ 0 } };
-  std::uint64_t m_sequence = 0;
-  std::priority_queue<Event> m_events;
+  testing::EventQueue m_events{ TimePoint(Duration{ 0 }) };
   std::vector<EngineHost> m_engines;
   std::vector<FakeReplica> m_replicas;
   std::vector<ReplicaState> m_replicaStates;
--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -67,7 +67,8 @@
     return()
   endif()
   add_executable(${aName}_test ${sources})
-  target_include_directories(${aName}_test PRIVATE src tests)
+  target_include_directories(${aName}_test PRIVATE
+    src tests ${CMAKE_SOURCE_DIR}/testing/include)
   target_link_libraries(${aName}_test PRIVATE ${ARG_DEPENDS} gk_catch_main
                                               gk_options)
   add_test(NAME ${aName} COMMAND ${aName}_test)
--- a/packages/control/tests/VirtualFleet.cpp
+++ b/packages/control/tests/VirtualFleet.cpp
@@ -44,7 +44,7 @@
   self.m_address = host.m_name;
   self.m_dataCentre = "dc" + std::to_string(aHost % m_options.m_dataCentres);
   self.m_incarnation =
-    static_cast<std::uint64_t>(m_now.time_since_epoch().count() / 1000);
+    static_cast<std::uint64_t>(Now().time_since_epoch().count() / 1000);
   host.m_node = std::make_unique<ControlNode>(self, *host.m_random);
   const std::uint64_t process = host.m_processId;
   // Each host reads the host list once a second until its process ends.
@@ -59,7 +59,7 @@
         list.push_back(
           { m_hosts[listed].m_name, m_hosts[listed].m_name, false });
       }
-      aNode.SetHostList(m_now, list, aActions);
+      aNode.SetHostList(Now(), list, aActions);
     });
     After(kSecond, [self = weak.lock()] { (*self)(); });
   };
@@ -139,33 +139,26 @@
 void
 VirtualFleet::At(TimePoint aTime, std::function<void()> aAction)
 {
-  m_events.push({ aTime, ++m_lastEventSequence, std::move(aAction) });
+  m_events.At(aTime, std::move(aAction));
 }
 
 void
 VirtualFleet::After(Duration aDelay, std::function<void()> aAction)
 {
-  At(m_now + aDelay, std::move(aAction));
+  m_events.After(aDelay, std::move(aAction));
 }
 
 bool
 VirtualFleet::RunUntil(const std::function<bool()>& aDone, Duration aLimit)
 {
-  const TimePoint end = m_now + aLimit;
-  while (!m_events.empty() && m_events.top().m_at <= end) {
-    if (aDone()) {
-      return true;
+  const TimePoint end = Now() + aLimit;
+  while (!aDone()) {
+    if (!m_events.RunNext(end)) {
+      m_events.RunUntil(end);
+      return false;
     }
-    auto run = std::move(const_cast<Event&>(m_events.top()).m_run);
-    m_now = m_events.top().m_at;
-    m_events.pop();
-    run();
   }
-  if (aDone()) {
-    return true;
-  }
-  m_now = end;
-  return false;
+  return true;
 }
 
 void
@@ -178,8 +171,8 @@
 VirtualFleet::ScheduleTimers(std::size_t aHost)
 {
   Host& host = m_hosts[aHost];
-  const TimePoint next = std::max(host.m_node->NextTimer(), m_now);
-  if (next >= host.m_timerAt && host.m_timerAt > m_now) {
+  const TimePoint next = std::max(host.m_node->NextTimer(), Now());
+  if (next >= host.m_timerAt && host.m_timerAt > Now()) {
     return;
   }
   host.m_timerAt = next;
@@ -189,7 +182,7 @@
         m_hosts[aHost].m_timerAt == next) {
       m_hosts[aHost].m_timerAt = TimePoint::max();
       Deliver(aHost, process, [this](ControlNode& aNode, auto& aActions) {
-        aNode.FireTimers(m_now, aActions);
+        aNode.FireTimers(Now(), aActions);
       });
     }
   });
@@ -266,7 +259,7 @@
         Deliver(
           aHost, process, [this, aAction](ControlNode& aNode, auto& aActions) {
             aNode.ProbeFailed(
-              m_now, aAction.m_probe, ProbeFailure::Refused, aActions);
+              Now(), aAction.m_probe, ProbeFailure::Refused, aActions);
           });
       });
       return;
@@ -277,7 +270,7 @@
             m_hosts[to].m_processId,
             [this, request, aAction](ControlNode& aNode, auto& aActions) {
               aNode.ProbeReceived(
-                m_now, request, aAction.m_message, aAction.m_target, aActions);
+                Now(), request, aAction.m_message, aAction.m_target, aActions);
             });
   });
 }
@@ -296,7 +289,7 @@
     Deliver(
       to, process, [this, probe, aAction](ControlNode& aNode, auto& aActions) {
         aNode.ProbeReplied(
-          m_now, probe, aAction.m_message, aAction.m_targetAlive, aActions);
+          Now(), probe, aAction.m_message, aAction.m_targetAlive, aActions);
       });
   });
 }
@@ -310,7 +303,7 @@
     After(aDone || aDown ? RandomDelay() : kSecond, [=, this] {
       Deliver(aHost, process, [=, this](ControlNode& aNode, auto& aActions) {
         aNode.PushFinished(
-          m_now, aAction.m_host, aAction.m_revision, aDone, aDown, aActions);
+          Now(), aAction.m_host, aAction.m_revision, aDone, aDown, aActions);
       });
     });
   };
@@ -328,7 +321,7 @@
             [=, this](ControlNode& aNode, auto& aActions) {
               finish(
                 aNode.PushReceived(
-                  m_now, aAction.m_revision, *aAction.m_document, aActions),
+                  Now(), aAction.m_revision, *aAction.m_document, aActions),
                 false);
             });
   });
@@ -343,12 +336,12 @@
   Duration delay = kSecond;
   if (IsDelivered(aHost, to) && m_hosts[to].m_up && !m_hosts[to].m_paused) {
     document = m_hosts[to].m_node->Manager().NewerDocument(
-      m_now, aAction.m_knownRevision);
+      Now(), aAction.m_knownRevision);
     delay = RandomDelay() * 2;
   }
   After(delay, [=, this] {
     Deliver(aHost, process, [=, this](ControlNode& aNode, auto& aActions) {
-      aNode.FetchFinished(m_now,
+      aNode.FetchFinished(Now(),
                           aAction.m_host,
                           document ? std::optional<std::string>(*document)
                                    : std::nullopt,
@@ -394,7 +387,7 @@
                        const StoreResult& aResult, Duration aDelay) {
     After(aDelay, [=, this] {
       Deliver(aHost, process, [=, this](ControlNode& aNode, auto& aActions) {
-        aNode.StoreReplied(m_now, token, aResult, aActions);
+        aNode.StoreReplied(Now(), token, aResult, aActions);
       });
     });
   };
@@ -440,7 +433,7 @@
     }
     After(m_store.m_delay, [=, this] {
       Deliver(aHost, process, [=, this](ControlNode& aNode, auto& aActions) {
-        aNode.StoreReplied(m_now, token, result, aActions);
+        aNode.StoreReplied(Now(), token, result, aActions);
       });
     });
   };
@@ -469,11 +462,11 @@
 VirtualFleet::OnStoreWrite()
 {
   const Configuration stored = StoredConfiguration();
-  const bool change = m_writtenAt.emplace(stored.m_revision, m_now).second;
+  const bool change = m_writtenAt.emplace(stored.m_revision, Now()).second;
   const bool behind =
     std::any_of(m_hosts.begin(), m_hosts.end(), [&](const Host& aHost) {
       return aHost.m_up && !aHost.m_paused &&
-             aHost.m_node->Manager().Serving(m_now) &&
+             aHost.m_node->Manager().Serving(Now()) &&
              aHost.m_node->Manager().Current()->m_revision < stored.m_revision;
     });
   m_lostIfAcceptedAtWrite += change && behind ? 1 : 0;
@@ -490,7 +483,7 @@
 VirtualFleet::CheckServing(const Host& aHost)
 {
   if (!aHost.m_up || aHost.m_paused ||
-      !aHost.m_node->Manager().Serving(m_now)) {
+      !aHost.m_node->Manager().Serving(Now())) {
     return;
   }
   const Revision revision = aHost.m_node->Manager().Current()->m_revision;
@@ -515,7 +508,7 @@
   const auto written = m_writtenAt.find(revision);
   if (written != m_writtenAt.end()) {
     m_maxPropagationTime =
-      std::max(m_maxPropagationTime, m_now - written->second);
+      std::max(m_maxPropagationTime, Now() - written->second);
   }
 }
 
@@ -623,13 +616,13 @@
   request.m_operationId = aOperation;
   request.m_operator = "ana";
   request.m_from = "127.0.0.1";
-  request.m_changedAt = m_now.time_since_epoch().count() / 1000;
+  request.m_changedAt = Now().time_since_epoch().count() / 1000;
   request.m_change = "set " + aService + " to " + std::to_string(aCoverage);
   request.m_updatedServices = { Service(aService, aCoverage) };
   Deliver(aHost,
           m_hosts[aHost].m_processId,
           [this, request](ControlNode& aNode, auto& aActions) {
-            aNode.Change(m_now, request, aActions);
+            aNode.Change(Now(), request, aActions);
           });
 }
 
--- a/packages/control/tests/VirtualFleet.h
+++ b/packages/control/tests/VirtualFleet.h
@@ -2,11 +2,11 @@
 
 #include <goldcrestkeel/Control.h>
 #include <goldcrestkeel/Core.h>
+#include <goldcrestkeel/testing/EventQueue.h>
 
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <set>
 #include <string>
 #include <vector>
@@ -104,7 +104,7 @@
               double aCoverage);
   ServiceSpec Service(const std::string& aName, double aCoverage) const;
 
-  TimePoint Now() const { return m_now; }
+  TimePoint Now() const { return m_events.Now(); }
   Host& At(std::size_t aHost) { return m_hosts[aHost]; }
   const ControlNode& Node(std::size_t aHost) const;
   std::size_t Size() const { return m_hosts.size(); }
@@ -139,17 +139,6 @@
   std::function<void(std::size_t, const ControlAction&)> m_onSend;
 
 private:
-  struct Event
-  {
-    TimePoint m_at;
-    std::uint64_t m_sequence = 0;
-    std::function<void()> m_run;
-    bool operator>(const Event& aOther) const
-    {
-      return std::tie(m_at, m_sequence) >
-             std::tie(aOther.m_at, aOther.m_sequence);
-    }
-  };
   using Handler = std::function<void(ControlNode&, ControlActions&)>;
 
   void After(Duration aDelay, std::function<void()> aAction);
@@ -189,10 +178,8 @@
   FakeStore m_store;
   int m_groupWithoutStore = -1;
   std::vector<std::function<void()>> m_watchers;
-  std::priority_queue<Event, std::vector<Event>, std::greater<>> m_events;
-  std::uint64_t m_lastEventSequence = 0;
   std::uint64_t m_lastRequest = 0;
-  TimePoint m_now{ std::chrono::hours{ 1 } };
+  testing::EventQueue m_events{ TimePoint(std::chrono::hours{ 1 }) };
   std::multimap<std::string, ChangeResult> m_answers;
   std::map<Revision, TimePoint> m_writtenAt;
   Duration m_maxPropagationTime{ 0 };
--- a/packages/feed/tests/FeedFleet.cpp
+++ b/packages/feed/tests/FeedFleet.cpp
@@ -40,7 +40,7 @@
       FeedOptions{ m_record }, *m_fleet.m_random, *this);
     Schedule(0ms, [this] { ReadStore(); });
     Schedule(10ms, [this] {
-      m_follower->OnHosts(m_fleet.m_now, m_fleet.m_records);
+      m_follower->OnHosts(m_fleet.Now(), m_fleet.m_records);
       ArmTimer();
     });
   }
@@ -64,8 +64,8 @@
     if (aLife != m_life) {
       return;
     }
-    if (m_fleet.m_now < m_pausedUntil) {
-      m_fleet.After(m_pausedUntil - m_fleet.m_now,
+    if (m_fleet.Now() < m_pausedUntil) {
+      m_fleet.After(m_pausedUntil - m_fleet.Now(),
                     [this, aLife, aAction] { RunWhenAwake(aLife, aAction); });
       return;
     }
@@ -76,9 +76,9 @@
   {
     const unsigned timer = ++m_timer;
     if (const auto next = m_follower->NextTimer()) {
-      Schedule(std::max(Duration(0), *next - m_fleet.m_now), [this, timer] {
+      Schedule(std::max(Duration(0), *next - m_fleet.Now()), [this, timer] {
         if (timer == m_timer) {
-          m_follower->OnTimer(m_fleet.m_now);
+          m_follower->OnTimer(m_fleet.Now());
           ArmTimer();
         }
       });
@@ -97,7 +97,7 @@
       // The renewal that goes out with the watch.
       Schedule(kProbeTimeout, [this, read] {
         if (read == m_read && m_reading) {
-          m_follower->OnStoreLost(m_fleet.m_now);
+          m_follower->OnStoreLost(m_fleet.Now());
         }
       });
     }
@@ -108,7 +108,7 @@
       return;
     }
     Schedule(kWatchTimeout, [this, read] { OnReadFailed(read); });
-    WaitAtStore(read, m_fleet.m_now, m_fleet.m_now + kWatchWait);
+    WaitAtStore(read, m_fleet.Now(), m_fleet.Now() + kWatchWait);
   }
   void WaitAtStore(unsigned aRead, TimePoint aSentAt, TimePoint aUntil)
   {
@@ -118,7 +118,7 @@
         return;
       }
       if (m_fleet.m_storeRevision > m_follower->Revision() ||
-          m_fleet.m_now >= aUntil) {
+          m_fleet.Now() >= aUntil) {
         Schedule(kNetworkDelay,
                  [this, aRead, aSentAt, revision = m_fleet.m_storeRevision] {
                    OnRead(aRead, aSentAt, revision);
@@ -141,7 +141,7 @@
     changes.m_complete = first;
     changes.m_items = { { "k", "v", aRevision, false } };
     m_follower->OnStoreChanges(changes,
-                               std::max(aSentAt, m_fleet.m_now - 250ms));
+                               std::max(aSentAt, m_fleet.Now() - 250ms));
     Schedule(news ? kWatchPause : 0ms, [this] { ReadStore(); });
   }
   void OnReadFailed(unsigned aRead)
@@ -150,7 +150,7 @@
       return;
     }
     ++m_read;
-    m_follower->OnStoreLost(m_fleet.m_now);
+    m_follower->OnStoreLost(m_fleet.Now());
     Schedule(kRetryDelay, [this] { ReadStore(); });
   }
 
@@ -172,7 +172,7 @@
                [this, aPoll] { FailPoll(aPoll, PollFailure::Unreachable); });
       return;
     }
-    const TimePoint until = m_fleet.m_now + aWait;
+    const TimePoint until = m_fleet.Now() + aWait;
     reader->Schedule(kNetworkDelay, [reader, this, aPoll, aAfter, until] {
       reader->Serve(*this, aPoll, aAfter, until);
     });
@@ -181,13 +181,13 @@
   {
     const ReaderAnswer answer{
       m_follower->ChangesSince(aAfter),
-      m_follower->Age(m_fleet.m_now).value_or(Duration(0))
+      m_follower->Age(m_fleet.Now()).value_or(Duration(0))
     };
-    if (!m_follower->MayTell(m_fleet.m_now)) {
+    if (!m_follower->MayTell(m_fleet.Now())) {
       aCaller.Schedule(kNetworkDelay, [&aCaller, aPoll] {
         aCaller.FailPoll(aPoll, PollFailure::Refused);
       });
-    } else if (!answer.m_changes.m_items.empty() || m_fleet.m_now >= aUntil) {
+    } else if (!answer.m_changes.m_items.empty() || m_fleet.Now() >= aUntil) {
       aCaller.Schedule(kNetworkDelay, [&aCaller, aPoll, answer] {
         aCaller.EndPoll(aPoll, answer);
       });
@@ -201,7 +201,7 @@
   {
     if (m_poll == aPoll) {
       m_poll = 0;
-      m_follower->OnAnswer(m_fleet.m_now, aPoll, aAnswer);
+      m_follower->OnAnswer(m_fleet.Now(), aPoll, aAnswer);
       ArmTimer();
     }
   }
@@ -209,7 +209,7 @@
   {
     if (m_poll == aPoll) {
       m_poll = 0;
-      m_follower->OnPollFailed(m_fleet.m_now, aPoll, aFailure);
+      m_follower->OnPollFailed(m_fleet.Now(), aPoll, aFailure);
       ArmTimer();
     }
   }
@@ -232,7 +232,7 @@
         return;
       }
       if (fails) {
-        m_follower->OnStoreLost(m_fleet.m_now);
+        m_follower->OnStoreLost(m_fleet.Now());
         Schedule(kProbeInterval, [this, aRead] { ProbeStore(aRead); });
       } else {
         ReadStore();
@@ -289,20 +289,13 @@
 void
 FeedFleet::After(Duration aTime, std::function<void()> aAction)
 {
-  m_events.push({ m_now + aTime, m_eventNumber++, std::move(aAction) });
+  m_events.After(aTime, std::move(aAction));
 }
 
 void
 FeedFleet::Run(Duration aTime)
 {
-  const TimePoint end = m_now + aTime;
-  while (!m_events.empty() && m_events.top().m_at <= end) {
-    const Event event = m_events.top();
-    m_events.pop();
-    m_now = event.m_at;
-    event.m_action();
-  }
-  m_now = end;
+  m_events.RunUntil(Now() + aTime);
 }
 
 void
@@ -329,7 +322,7 @@
 void
 FeedFleet::Pause(std::size_t aHost, Duration aTime)
 {
-  m_hosts[aHost]->m_pausedUntil = m_now + aTime;
+  m_hosts[aHost]->m_pausedUntil = Now() + aTime;
 }
 
 void
@@ -360,7 +353,7 @@
 bool
 FeedFleet::IsAlive(std::size_t aHost) const
 {
-  return m_hosts[aHost]->m_alive && m_hosts[aHost]->m_pausedUntil <= m_now;
+  return m_hosts[aHost]->m_alive && m_hosts[aHost]->m_pausedUntil <= Now();
 }
 
 FeedRevision
--- a/packages/feed/tests/FeedFleet.h
+++ b/packages/feed/tests/FeedFleet.h
@@ -1,12 +1,10 @@
 #pragma once
 
 #include <goldcrestkeel/Feed.h>
+#include <goldcrestkeel/testing/EventQueue.h>
 
-#include <deque>
 #include <functional>
-#include <map>
 #include <memory>
-#include <queue>
 #include <string>
 #include <vector>
 
@@ -21,6 +19,7 @@
   FeedFleet(std::size_t aDataCentres, std::size_t aHostsEach, unsigned aSeed);
   ~FeedFleet();
 
+  TimePoint Now() const { return m_events.Now(); }
   /** A change at the store. */
   void Change();
   /** Runs for a time. */
@@ -46,7 +45,6 @@
   FeedSource SourceOf(std::size_t aHost) const;
   std::size_t size() const { return m_hosts.size(); }
 
-  TimePoint m_now{ std::chrono::seconds(100) };
   FeedRevision m_storeRevision = 1;
   bool m_storeDown = false;
   std::uint64_t m_storeCalls = 0;
@@ -54,22 +52,9 @@
 
 private:
   friend class Host;
-  struct Event
-  {
-    TimePoint m_at;
-    std::uint64_t m_number;
-    std::function<void()> m_action;
-    bool operator<(const Event& aOther) const
-    {
-      return std::pair(m_at, m_number) >
-             std::pair(aOther.m_at, aOther.m_number);
-    }
-  };
-
   std::vector<HostRecord> m_records;
   std::vector<std::unique_ptr<Host>> m_hosts;
-  std::priority_queue<Event> m_events;
-  std::uint64_t m_eventNumber = 0;
+  EventQueue m_events{ TimePoint(std::chrono::seconds(100)) };
 };
 
 } // namespace goldcrestkeel::testing
