--- a/packages/edge/include/goldcrestkeel/edge/SharedFeed.h
+++ b/packages/edge/include/goldcrestkeel/edge/SharedFeed.h
@@ -37,7 +37,7 @@
     std::function<void(const FeedChanges&, std::optional<TimePoint>)>;
 
   /** aLoop, aLog and aReader must outlive the feed. aName distinguishes the
-   *  feeds of a host. The reader counts as reading. */
+   *  feeds of a host. aReader is expected to read already. */
   SharedFeed(Loop& aLoop,
              DecisionLog& aLog,
              std::string aName,
@@ -58,13 +58,16 @@
   void OnStoreLost();
 
   /** What other hosts may be told; see FeedFollower. */
-  bool MayTell() const { return m_follower.MayTell(m_loop.Now()); }
+  bool CanServeFollowers() const
+  {
+    return m_follower.CanServeFollowers(m_loop.Now());
+  }
   FeedChanges ChangesSince(FeedRevision aAfter) const
   {
     return m_follower.ChangesSince(aAfter);
   }
-  /** Calls aObserver after each change of the state, and when MayTell() may
-   * have ended. */
+  /** Calls aObserver after each change of the state, and when
+   * CanServeFollowers() may have ended. */
   void SetObserver(std::function<void()> aObserver);
 
   const std::string& Name() const { return m_name; }
--- a/packages/edge/src/EdgeServer.cpp
+++ b/packages/edge/src/EdgeServer.cpp
@@ -659,7 +659,7 @@
                 { "service", std::string_view(aReplica.m_service) },
                 { "address", std::string_view(aReplica.m_address) },
                 { "draining", aReplica.m_draining },
-                { "known_for_ms", MillisecondsSince(aChangedAfter) } });
+                { "max_age_ms", MillisecondsSince(aChangedAfter) } });
   m_forwarder->UpdateReplica(m_loop.Now(), aReplica, aChangedAfter);
   ArmForwardTimer();
 }
@@ -671,7 +671,7 @@
   m_log.Write(LogPriority::Request,
               "replica_gone",
               { { "replica", std::string_view(aId) },
-                { "known_for_ms", MillisecondsSince(aChangedAfter) } });
+                { "max_age_ms", MillisecondsSince(aChangedAfter) } });
   m_forwarder->RemoveReplica(m_loop.Now(), aId, aChangedAfter);
 }
 
--- a/packages/edge/src/FeedPolls.cpp
+++ b/packages/edge/src/FeedPolls.cpp
@@ -73,7 +73,7 @@
 FeedPolls::Answer(const WaitingPoll& aPoll, bool aDue)
 {
   const SharedFeed& feed = *aPoll.m_feed;
-  if (m_stopped || !feed.MayTell()) {
+  if (m_stopped || !feed.CanServeFollowers()) {
     Refuse(aPoll.m_session);
     return true;
   }
--- a/packages/edge/src/HttpMessage.cpp
+++ b/packages/edge/src/HttpMessage.cpp
@@ -68,9 +68,9 @@
   return ParseState::Malformed;
 }
 
-// Checks a header before the body is parsed; Partial if it is accepted. It must
-// leave no doubt about where the message ends and which host it is for. The
-// parser would reserve memory for whatever length the message claims.
+// Checks a header before the body is parsed; Partial if it is accepted. Framing
+// and host must be unambiguous (RFC 9112, sections 3.2 and 6.1), and the length
+// within the limit, because the parser reserves memory for it.
 template<typename Parser>
 ParseState
 CheckHeader(const Parser& aParser, std::uint64_t aBodyLimit)
--- a/packages/feed/include/goldcrestkeel/feed/ChangeLog.h
+++ b/packages/feed/include/goldcrestkeel/feed/ChangeLog.h
@@ -33,7 +33,7 @@
 
 private:
   /** Whether aItem is newer than what is known of its key. */
-  bool IsNews(const FeedItem& aItem) const;
+  bool IsNewer(const FeedItem& aItem) const;
   void Record(const FeedItem& aItem);
   /** Deletions of the existing keys that a complete list lacks. */
   std::vector<FeedItem> MissingFrom(const FeedChanges& aList) const;
--- a/packages/feed/include/goldcrestkeel/feed/FeedFollower.h
+++ b/packages/feed/include/goldcrestkeel/feed/FeedFollower.h
@@ -78,8 +78,8 @@
 class FeedFollower
 {
 public:
-  /** aRandom and aSink must outlive the follower. The store counts as being
-   *  read. */
+  /** aRandom and aSink must outlive the follower. The sink is expected to read
+   *  the store already. */
   FeedFollower(FeedOptions aOptions, RandomSource& aRandom, FeedSink& aSink);
 
   /** The live hosts of the deployment. */
@@ -103,7 +103,7 @@
   /** Whether other hosts may be told ChangesSince() and Age(). If not, this
    * host does not know whether it is up to date, and the others ask elsewhere.
    */
-  bool MayTell(TimePoint aNow) const;
+  bool CanServeFollowers(TimePoint aNow) const;
   /** Changes for a host that has those up to aAfter. */
   FeedChanges ChangesSince(FeedRevision aAfter) const
   {
--- a/packages/feed/src/ChangeLog.cpp
+++ b/packages/feed/src/ChangeLog.cpp
@@ -13,7 +13,7 @@
 }
 
 bool
-ChangeLog::IsNews(const FeedItem& aItem) const
+ChangeLog::IsNewer(const FeedItem& aItem) const
 {
   const auto known = m_items.find(aItem.m_key);
   return known == m_items.end() ? !aItem.m_deleted
@@ -68,29 +68,29 @@
     return { {}, m_revision, false };
   }
   const bool first = m_revision == 0;
-  FeedChanges news;
-  news.m_complete = aChanges.m_complete;
+  FeedChanges applied;
+  applied.m_complete = aChanges.m_complete;
   for (const FeedItem& item : aChanges.m_items) {
-    if (IsNews(item)) {
+    if (IsNewer(item)) {
       Record(item);
-      news.m_items.push_back(item);
+      applied.m_items.push_back(item);
     }
   }
   if (aChanges.m_complete) {
     for (FeedItem& item : MissingFrom(aChanges)) {
       Record(item);
-      news.m_items.push_back(std::move(item));
+      applied.m_items.push_back(std::move(item));
     }
   }
   m_revision = std::max(m_revision, aChanges.m_revision);
-  news.m_revision = m_revision;
+  applied.m_revision = m_revision;
   if (first) {
-    // All keys are news to every other host.
+    // Other hosts that lack some of these keys get the whole state.
     m_changes.clear();
     m_retainedAfter = m_revision;
   }
   DropOldChanges();
-  return news;
+  return applied;
 }
 
 FeedChanges
--- a/packages/feed/src/FeedFollower.cpp
+++ b/packages/feed/src/FeedFollower.cpp
@@ -223,7 +223,7 @@
 }
 
 bool
-FeedFollower::MayTell(TimePoint aNow) const
+FeedFollower::CanServeFollowers(TimePoint aNow) const
 {
   const bool lost = m_reading && m_followed.empty() && m_storeLostAt &&
                     aNow - *m_storeLostAt > kLostGracePeriod;
--- a/packages/feed/src/SourceSelector.cpp
+++ b/packages/feed/src/SourceSelector.cpp
@@ -47,8 +47,8 @@
     m_storeAt.reset();
     return;
   }
-  // Only hosts before this one in an order that is the same for all, so that
-  // hosts never follow each other in a circle.
+  // Only hosts before this one in an order that is the same on all hosts, so
+  // that hosts never follow each other in a cycle.
   const auto isBefore = [](const HostRecord& aOne, const HostRecord& aOther) {
     const auto placeOf = [](const HostRecord& aHost) {
       return std::tuple(
--- a/packages/feed/tests/FeedFleet.cpp
+++ b/packages/feed/tests/FeedFleet.cpp
@@ -183,7 +183,7 @@
       m_follower->ChangesSince(aAfter),
       m_follower->Age(m_fleet.Now()).value_or(Duration(0))
     };
-    if (!m_follower->MayTell(m_fleet.Now())) {
+    if (!m_follower->CanServeFollowers(m_fleet.Now())) {
       aCaller.Schedule(kNetworkDelay, [&aCaller, aPoll] {
         aCaller.FailPoll(aPoll, PollFailure::Refused);
       });
