Log the request limits that replicas name

The logs could not tell whether hosts ignore a limit, apply it each for itself, or exceed it by repeats. The field is decoded in the adapter; a line at begin and end, and every 4 s, has the limit and the copies of this host since the last line. No decision depends on it yet. An unreadable limit is logged and leaves the previous one in force.

--- a/packages/edge/include/goldcrestkeel/edge/FieldNames.h
+++ b/packages/edge/include/goldcrestkeel/edge/FieldNames.h
@@ -18,6 +18,9 @@
   /** Load of a replica: running requests, waiting requests and slots, as
    *  "running,waiting,slots". */
   std::string m_load;
+  /** Requests a second that a replica takes from all entry hosts together; a
+   *  decimal number. Present in its answers for as long as the limit holds. */
+  std::string m_requestLimit;
   /** Present if the replica did not execute the request. */
   std::string m_notRun;
   /** Stamps of the replicas whose results are part of a gathered answer,
--- a/packages/edge/src/EdgeServer.cpp
+++ b/packages/edge/src/EdgeServer.cpp
@@ -50,6 +50,9 @@
  *  counted hosts. */
 constexpr std::uint32_t kCountedHostsPerJoining = 5;
 
+/** Logged in place of a request limit if the replica names none. */
+constexpr double kNoLimit = -1;
+
 std::string_view
 PathOf(std::string_view aTarget)
 {
@@ -103,6 +106,7 @@
   void AbortCopy(CopyId aCopy) override { m_replicas.Abort(aCopy); }
   void Finish(ForwardId aRequest, ForwardResult&& aResult) override;
   void LogDecision(const ForwardDecision& aDecision) override;
+  void LogRequestLimit(const RequestLimitReport& aReport) override;
   void NoReplicaListed() override { m_source.RefreshReplicas(); }
 
   // CopyListener
@@ -605,6 +609,20 @@
                 { "age_ms", aDecision.m_age.count() / 1000.0 } });
 }
 
+void
+EdgeServer::Impl::LogRequestLimit(const RequestLimitReport& aReport)
+{
+  m_log.Write(
+    LogPriority::Request,
+    "replica_limit",
+    { { "service", aReport.m_service },
+      { "replica", aReport.m_replica },
+      { "limit_per_s", aReport.m_limit.value_or(kNoLimit) },
+      { "copies", static_cast<std::int64_t>(aReport.m_copies) },
+      { "since_ms", aReport.m_since.count() / 1000.0 },
+      { "reason", std::string_view(aReport.m_invalid ? "invalid" : "") } });
+}
+
 void
 EdgeServer::Impl::ReplyError(CallerSession& aSession,
                              const RequestMessage& aRequest,
--- a/packages/edge/src/ReplicaConnections.cpp
+++ b/packages/edge/src/ReplicaConnections.cpp
@@ -1,9 +1,11 @@
 #include "ReplicaConnections.h"
 
+#include "Numbers.h"
 #include "RelayFields.h"
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <utility>
 
 namespace goldcrestkeel {
@@ -47,6 +49,17 @@
   return report;
 }
 
+void
+DecodeRequestLimit(std::string_view aText, ReplicaAnswer& aAnswer)
+{
+  const auto limit = ParseNumber<double>(aText);
+  if (limit && std::isfinite(*limit) && *limit >= 0) {
+    aAnswer.m_requestLimit = limit;
+  } else {
+    aAnswer.m_invalidRequestLimit = !aText.empty();
+  }
+}
+
 Duration
 IdleTimeoutOf(const ResponseMessage& aAnswer)
 {
@@ -373,6 +386,8 @@
   answer.m_notRun =
     answer.m_notRun || FieldValue(aAnswer.m_fields, kCopiesField) == "0";
   answer.m_load = ParseLoad(FieldValue(aAnswer.m_fields, m_names.m_load));
+  DecodeRequestLimit(FieldValue(aAnswer.m_fields, m_names.m_requestLimit),
+                     answer);
   answer.m_body = std::move(aAnswer.m_body);
   answer.m_fields = EndToEndFields(std::move(aAnswer.m_fields));
   return answer;
--- a/packages/edge/tests/ReplicaConnectionsTest.cpp
+++ b/packages/edge/tests/ReplicaConnectionsTest.cpp
@@ -49,8 +49,8 @@
   }
 
   LoopbackServer m_server;
-  EdgeFieldNames m_names{ "Id",   "Deadline", "Target", "Stamp",
-                          "Load", "Not-Run",  "Shards", "Missing" };
+  EdgeFieldNames m_names{ "Id",    "Deadline", "Target", "Stamp",  "Load",
+                          "Limit", "Not-Run",  "Shards", "Missing" };
   SystemClock m_clock;
   Loop m_loop{ m_clock };
   AnswerLimits m_limits;
@@ -195,3 +195,32 @@
     REQUIRE(failure == CopyFailure::Malformed);
   }
 }
+
+TEST_CASE("The request limit that a replica names is read", "[replicas]")
+{
+  Fixture fixture;
+  fixture.Send(1, "one");
+  const auto answer = [&](const std::string& aLimit) {
+    fixture.m_server.Send(0,
+                          "HTTP/1.1 200 OK\r\nLimit: " + aLimit +
+                            "\r\nContent-Length: 0\r\n\r\n");
+    fixture.Turn();
+    return fixture.m_answers.at(1);
+  };
+
+  SECTION("as a decimal number")
+  {
+    REQUIRE(answer("35.2").m_requestLimit == 35.2);
+  }
+  SECTION("and other bytes are reported as invalid")
+  {
+    const ReplicaAnswer invalid = answer("many");
+    REQUIRE_FALSE(invalid.m_requestLimit);
+    REQUIRE(invalid.m_invalidRequestLimit);
+  }
+  SECTION("and so are numbers that are no rate")
+  {
+    REQUIRE(
+      answer(GENERATE("-1", "nan", "inf", "1e999")).m_invalidRequestLimit);
+  }
+}
--- a/packages/forward/include/goldcrestkeel/forward/Forwarder.h
+++ b/packages/forward/include/goldcrestkeel/forward/Forwarder.h
@@ -65,6 +65,11 @@
   /** The request reached another instance than the one it was addressed to. */
   bool m_wrongInstance = false;
   std::optional<LoadReport> m_load;
+  /** Requests a second that the replica takes from all entry hosts together;
+   *  not set if it names no limit. */
+  std::optional<double> m_requestLimit;
+  /** It names a limit that is not a number; the previous one stays in force. */
+  bool m_invalidRequestLimit = false;
   /** For the answer of another entry host: the shards that it covers, as
    *  indexes into the route's list, and the stamp of each. */
   std::vector<std::uint32_t> m_shards;
@@ -124,6 +129,23 @@
   Duration m_age{ 0 };
 };
 
+/** A replica names a request limit in its answers, for the log. The views are
+ *  valid only during LogRequestLimit(). */
+struct RequestLimitReport
+{
+  std::string_view m_service;
+  std::string_view m_replica;
+  /** Requests a second from all hosts together; not set once the replica names
+   *  no limit any more. */
+  std::optional<double> m_limit;
+  /** Copies that this host has sent to the replica since the last report. */
+  std::uint32_t m_copies = 0;
+  /** Time since the last report; 0 if the replica has just named a limit. */
+  Duration m_since{ 0 };
+  /** The replica named a limit that is not a number. */
+  bool m_invalid = false;
+};
+
 /** Performs the I/O for a forwarder. From within these methods only
  *  Forwarder::CopySent() may be called back. */
 class ForwardSink
@@ -148,6 +170,7 @@
   /** Ends a request. Called once for each request that is not cancelled. */
   virtual void Finish(ForwardId aRequest, ForwardResult&& aResult) = 0;
   virtual void LogDecision(const ForwardDecision& aDecision) = 0;
+  virtual void LogRequestLimit(const RequestLimitReport& aReport) = 0;
   /** Called if service discovery lists no replica, except draining ones, of a
    *  service that a request needs. */
   virtual void NoReplicaListed() = 0;
--- a/packages/forward/src/BackendPool.h
+++ b/packages/forward/src/BackendPool.h
@@ -83,6 +83,13 @@
   std::uint32_t m_inFlightAtReport = 0;
   TimePoint m_loadReportedAt;
 
+  /** Requests a second that the replica takes from all hosts together, as its
+   *  last answer named it. */
+  std::optional<double> m_requestLimit;
+  /** Copies sent since m_limitReportedAt, when the limit was last logged. */
+  std::uint32_t m_copiesSinceReport = 0;
+  TimePoint m_limitReportedAt;
+
   /** Until when the replica counts as full after it refused a request. */
   TimePoint m_fullUntil;
 
--- a/packages/forward/src/Forwarder.cpp
+++ b/packages/forward/src/Forwarder.cpp
@@ -25,6 +25,9 @@
  *  and some processing. */
 constexpr Duration kTargetMargin{ 16000 };
 
+/** Interval of the log lines on a replica that names a request limit. */
+constexpr Duration kLimitReportInterval{ 4000000 };
+
 bool
 IsSuccess(const ReplicaAnswer& aAnswer)
 {
@@ -227,6 +230,7 @@
   PooledReplica& replica = *copy.m_replica;
   const Duration latency = aNow - copy.m_sentAt.value_or(copy.m_startedAt);
   BackendPool::RecordAnswer(aNow, *copy.m_group, replica, latency, aAnswer);
+  UpdateRequestLimit(aNow, *copy.m_group, replica, aAnswer);
   const bool success = IsSuccess(aAnswer);
   if (aNow < copy.m_deadline) {
     replica.m_failureRate.Add(aNow, !success);
@@ -259,6 +263,33 @@
   DispatchWaiting(aNow, *copy.m_group);
 }
 
+void
+ForwarderImpl::UpdateRequestLimit(TimePoint aNow,
+                                  const BackendGroup& aGroup,
+                                  PooledReplica& aReplica,
+                                  const ReplicaAnswer& aAnswer)
+{
+  const bool invalid = aAnswer.m_invalidRequestLimit;
+  const std::optional<double> limit =
+    invalid ? aReplica.m_requestLimit : aAnswer.m_requestLimit;
+  const bool begins = limit && !aReplica.m_requestLimit;
+  const bool ends = !limit && aReplica.m_requestLimit;
+  aReplica.m_requestLimit = limit;
+  const Duration since = aNow - aReplica.m_limitReportedAt;
+  const bool due = since >= kLimitReportInterval && (limit || invalid);
+  if (!begins && !ends && !due) {
+    return;
+  }
+  m_sink.LogRequestLimit({ aGroup.m_name,
+                           aReplica.m_record.m_id,
+                           limit,
+                           begins ? 0 : aReplica.m_copiesSinceReport,
+                           begins ? Duration(0) : since,
+                           invalid });
+  aReplica.m_copiesSinceReport = 0;
+  aReplica.m_limitReportedAt = aNow;
+}
+
 void
 ForwarderImpl::CopyFailed(TimePoint aNow, CopyId aCopy, CopyFailure aFailure)
 {
--- a/packages/forward/src/ForwarderDispatch.cpp
+++ b/packages/forward/src/ForwarderDispatch.cpp
@@ -103,6 +103,7 @@
   const TimePoint deadline = copy.m_deadline;
   m_copies.emplace(id, copy);
   ++aReplica->m_inFlight;
+  ++aReplica->m_copiesSinceReport;
   subRequest.m_state = SubRequest::State::Running;
   subRequest.m_copies.push_back(id);
   subRequest.m_triedReplicas.push_back(aReplica->m_record.m_id);
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -275,6 +275,12 @@
   /** Closes unsent copies at once and sent ones after aDelay. */
   void AbandonCopies(TimePoint aNow, SubRequest& aSubRequest, Duration aDelay);
 
+  /** Takes the request limit that an answer of aReplica names, and logs it when
+   *  it begins, ends, and at intervals. */
+  void UpdateRequestLimit(TimePoint aNow,
+                          const BackendGroup& aGroup,
+                          PooledReplica& aReplica,
+                          const ReplicaAnswer& aAnswer);
   /** Releases the copy's in-flight slot and erases it. */
   void EndCopy(CopyId aCopy);
   /** Once all copies have failed, sends another or fails the sub-request. */
--- a/packages/forward/tests/ForwarderFixture.h
+++ b/packages/forward/tests/ForwarderFixture.h
@@ -60,6 +60,10 @@
   void AbortCopy(CopyId aCopy) override { m_aborted.push_back(aCopy); }
   void Finish(ForwardId aRequest, ForwardResult&& aResult) override;
   void LogDecision(const ForwardDecision&) override {}
+  void LogRequestLimit(const RequestLimitReport& aReport) override
+  {
+    m_limitReports.push_back(aReport);
+  }
   void NoReplicaListed() override { ++m_noReplicaReports; }
 
   TimePoint m_now{ std::chrono::seconds(1000) };
@@ -73,6 +77,8 @@
   std::vector<SentCopy> m_relays;
   RelayedShards m_lastRelayedShards;
   std::size_t m_noReplicaReports = 0;
+  /** Their views are not valid. */
+  std::vector<RequestLimitReport> m_limitReports;
   std::vector<CopyId> m_aborted;
   std::map<ForwardId, ForwardResult> m_results;
   ForwardId m_next = 1;
