Keep to the request limits that replicas name

Cause: the field was not read; replicas were chosen by latency, load and connections. Class: a limit for all hosts together that no single host can see the use of. Ruled out by the new log lines: a limit that each host applies for itself (no host sent less than before), repeats on top (two hosts sent 242 of 276 first copies), a restart (broken before it).

Now each host has a share of the limit, divided like connections, and issues permits to itself at regular intervals. A replica without a permit counts as full, which every path to replicas (first copies, hedges, retries, queue) respects.

--- a/packages/forward/src/BackendPool.cpp
+++ b/packages/forward/src/BackendPool.cpp
@@ -112,7 +112,7 @@
 {
   for (const auto& [name, service] : aTable.m_services) {
     m_connections[name] = service.m_connections;
-    UpdateConnectionLimits(Group(name));
+    UpdateShares(Group(name));
   }
 }
 
@@ -121,7 +121,7 @@
 {
   m_liveHosts = std::max(1U, aHosts);
   for (auto& [name, group] : m_groups) {
-    UpdateConnectionLimits(*group);
+    UpdateShares(*group);
   }
 }
 
@@ -147,19 +147,16 @@
     ++m_hostsPerDataCentre[host.m_dataCentre];
   }
   for (auto& [name, group] : m_groups) {
-    UpdateConnectionLimits(*group);
+    UpdateShares(*group);
   }
 }
 
-std::uint32_t
-BackendPool::MaxInFlightFor(const PooledReplica& aReplica,
-                            std::uint32_t aConnections) const
+double
+BackendPool::ShareOf(const PooledReplica& aReplica) const
 {
-  const std::uint32_t even = std::max(1U, aConnections / m_liveHosts);
   const auto found = m_hostsPerDataCentre.find(aReplica.m_record.m_dataCentre);
-  if (even >= kEvenSplitThreshold || found == m_hostsPerDataCentre.end() ||
-      found->second >= m_liveHosts) {
-    return even;
+  if (found == m_hostsPerDataCentre.end() || found->second >= m_liveHosts) {
+    return 1.0 / m_liveHosts;
   }
   // m_liveHosts also counts hosts that are about to join, some of them possibly
   // in the replica's data centre.
@@ -169,17 +166,30 @@
     sameDataCentre ? found->second * joining : m_liveHosts - found->second;
   const double share =
     sameDataCentre ? kSameDataCentreShare : 1 - kSameDataCentreShare;
-  return std::max(1U, static_cast<std::uint32_t>(share * aConnections / hosts));
+  return share / hosts;
+}
+
+std::uint32_t
+BackendPool::MaxInFlightFor(const PooledReplica& aReplica,
+                            std::uint32_t aConnections) const
+{
+  const std::uint32_t even = std::max(1U, aConnections / m_liveHosts);
+  if (even >= kEvenSplitThreshold) {
+    return even;
+  }
+  return std::max(1U,
+                  static_cast<std::uint32_t>(ShareOf(aReplica) * aConnections));
 }
 
 void
-BackendPool::UpdateConnectionLimits(BackendGroup& aGroup) const
+BackendPool::UpdateShares(BackendGroup& aGroup) const
 {
   const auto connections = m_connections.find(aGroup.m_name);
   for (const auto& replica : aGroup.m_replicas) {
     if (connections != m_connections.end()) {
       replica->m_maxInFlight = MaxInFlightFor(*replica, connections->second);
     }
+    replica->m_requestLimit.SetShare(ShareOf(*replica));
   }
   aGroup.m_budget.SetSlack(m_options.m_repeatSlack / m_liveHosts);
 }
@@ -221,7 +231,7 @@
   replica->m_listed = true;
   replica->m_distance = DistanceTo(aRecord.m_dataCentre);
   replica->m_warmupEndsAt = aNow + aRecord.m_warmupLeft;
-  UpdateConnectionLimits(Group(aRecord.m_service));
+  UpdateShares(Group(aRecord.m_service));
   if (!aRecord.m_draining) {
     replica->m_usableUntil.reset();
   } else if (!wasDraining) {
@@ -279,7 +289,7 @@
   std::unique_ptr<BackendGroup>& group = m_groups[aService];
   if (!group) {
     group = std::make_unique<BackendGroup>(aService, m_options);
-    UpdateConnectionLimits(*group);
+    UpdateShares(*group);
   }
   return *group;
 }
@@ -296,7 +306,7 @@
     return ReplicaTier::Unavailable;
   }
   if (aReplica.m_inFlight >= aReplica.m_maxInFlight ||
-      HasLongQueue(aNow, aReplica)) {
+      HasLongQueue(aNow, aReplica) || !aReplica.m_requestLimit.Allows(aNow)) {
     return probing ? ReplicaTier::Unavailable : ReplicaTier::Full;
   }
   if (aReplica.m_usableUntil) {
--- a/packages/forward/src/BackendPool.h
+++ b/packages/forward/src/BackendPool.h
@@ -2,6 +2,7 @@
 
 #include "DecayingRate.h"
 #include "RepeatBudget.h"
+#include "RequestLimit.h"
 
 #include <goldcrestkeel/core/Random.h>
 #include <goldcrestkeel/forward/Forwarder.h>
@@ -34,8 +35,8 @@
   Degraded,
   /** It drains or is no longer listed; used only if there is no other. */
   Draining,
-  /** This host has reached its in-flight limit, or the replica reports or
-   *  signalled overload. */
+  /** This host has reached its in-flight limit or its share of the request
+   *  limit, or the replica reports or signalled overload. */
   Full,
   /** It was replaced, is unreachable or unresponsive, or its drain grace period
    *  has ended. */
@@ -83,9 +84,8 @@
   std::uint32_t m_inFlightAtReport = 0;
   TimePoint m_loadReportedAt;
 
-  /** Requests a second that the replica takes from all hosts together, as its
-   *  last answer named it. */
-  std::optional<double> m_requestLimit;
+  /** As the last answer of the replica named it. */
+  RequestLimit m_requestLimit;
   /** Copies sent since m_limitReportedAt, when the limit was last logged. */
   std::uint32_t m_copiesSinceReport = 0;
   TimePoint m_limitReportedAt;
@@ -203,7 +203,11 @@
                const BackendGroup& aGroup,
                const PooledReplica& aReplica);
   Distance DistanceTo(const std::string& aDataCentre) const;
-  void UpdateConnectionLimits(BackendGroup& aGroup) const;
+  /** Updates the shares of this host in what the replicas take. */
+  void UpdateShares(BackendGroup& aGroup) const;
+  /** Fraction of what aReplica takes from all hosts together that is for this
+   *  host. */
+  double ShareOf(const PooledReplica& aReplica) const;
   /** This host's share of the aConnections that aReplica accepts. */
   std::uint32_t MaxInFlightFor(const PooledReplica& aReplica,
                                std::uint32_t aConnections) const;
--- a/packages/forward/src/Forwarder.cpp
+++ b/packages/forward/src/Forwarder.cpp
@@ -270,11 +270,11 @@
                                   const ReplicaAnswer& aAnswer)
 {
   const bool invalid = aAnswer.m_invalidRequestLimit;
-  const std::optional<double> limit =
-    invalid ? aReplica.m_requestLimit : aAnswer.m_requestLimit;
-  const bool begins = limit && !aReplica.m_requestLimit;
-  const bool ends = !limit && aReplica.m_requestLimit;
-  aReplica.m_requestLimit = limit;
+  const std::optional<double> before = aReplica.m_requestLimit.PerSecond();
+  const std::optional<double> limit = invalid ? before : aAnswer.m_requestLimit;
+  const bool begins = limit && !before;
+  const bool ends = !limit && before;
+  aReplica.m_requestLimit.Set(aNow, limit, m_random);
   const Duration since = aNow - aReplica.m_limitReportedAt;
   const bool due = since >= kLimitReportInterval && (limit || invalid);
   if (!begins && !ends && !due) {
--- a/packages/forward/src/ForwarderDispatch.cpp
+++ b/packages/forward/src/ForwarderDispatch.cpp
@@ -104,6 +104,7 @@
   m_copies.emplace(id, copy);
   ++aReplica->m_inFlight;
   ++aReplica->m_copiesSinceReport;
+  aReplica->m_requestLimit.Use(aNow);
   subRequest.m_state = SubRequest::State::Running;
   subRequest.m_copies.push_back(id);
   subRequest.m_triedReplicas.push_back(aReplica->m_record.m_id);
--- /dev/null
+++ b/packages/forward/tests/ForwardFleet.cpp
@@ -0,0 +1,397 @@
+#include "ForwardFleet.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <numeric>
+
+namespace goldcrestkeel::testing {
+
+namespace {
+
+constexpr Duration kNearDelay{ 1000 };
+constexpr Duration kFarDelay{ 8000 };
+/** How long before its request a host must have learned a limit to be held to
+ *  it. */
+constexpr Duration kLearningTime{ 500000 };
+/** Largest share of the callers of a host, relative to the smallest one. */
+constexpr double kUnevenShares = 3;
+
+} // namespace
+
+/** A replica that runs requests in its slots and queues the others. */
+class ForwardFleet::Replica
+{
+public:
+  struct Arrival
+  {
+    TimePoint m_at;
+    bool m_knewLimit = false;
+  };
+
+  Replica(ForwardFleet& aFleet, ReplicaRecord aRecord)
+    : m_fleet(aFleet)
+    , m_record(std::move(aRecord))
+  {
+  }
+
+  void Arrive(bool aKnewLimit, std::function<void(ReplicaAnswer&&)> aReply)
+  {
+    m_arrivals.push_back({ m_fleet.Now(), aKnewLimit });
+    m_queue.push_back(std::move(aReply));
+    StartNext();
+  }
+
+  ForwardFleet& m_fleet;
+  ReplicaRecord m_record;
+  std::optional<double> m_limit;
+  std::vector<Arrival> m_arrivals;
+
+private:
+  void StartNext()
+  {
+    if (m_running >= m_record.m_slots || m_queue.empty()) {
+      return;
+    }
+    ++m_running;
+    auto reply = std::move(m_queue.front());
+    m_queue.pop_front();
+    const double work = static_cast<double>(m_fleet.m_options.m_work.count()) *
+                        (0.5 + m_fleet.m_random->Unit());
+    m_fleet.m_events.After(
+      Duration(static_cast<Duration::rep>(work)), [this, reply] {
+        --m_running;
+        ReplicaAnswer answer;
+        answer.m_status = 200;
+        answer.m_stamp = "stamp";
+        answer.m_load = { m_running,
+                          static_cast<std::uint32_t>(m_queue.size()),
+                          m_record.m_slots };
+        answer.m_requestLimit = m_limit;
+        reply(std::move(answer));
+        StartNext();
+      });
+  }
+
+  std::uint32_t m_running = 0;
+  std::deque<std::function<void(ReplicaAnswer&&)>> m_queue;
+};
+
+/** A host with its forwarder; events that come too late for it are dropped. */
+class ForwardFleet::Host : public ForwardSink
+{
+public:
+  Host(ForwardFleet& aFleet, std::size_t aIndex)
+    : m_fleet(aFleet)
+    , m_record(aFleet.m_records[aIndex])
+    , m_random(
+        MakeSeededRandom(aFleet.m_options.m_seed * 1000 + aIndex * 7 + 1))
+  {
+    ForwarderOptions options;
+    options.m_hostId = m_record.m_id;
+    options.m_dataCentre = m_record.m_dataCentre;
+    for (std::size_t i = 0; i < aFleet.m_options.m_dataCentres; ++i) {
+      options.m_regions["dc" + std::to_string(i)] = "r" + std::to_string(i);
+    }
+    options.m_repeatSlack = 50;
+    m_forwarder = MakeForwarder(options, *m_random, *this);
+    const TimePoint now = aFleet.Now();
+    m_forwarder->SetTable(now, aFleet.m_table);
+    m_forwarder->SetLiveHosts(aFleet.m_records.size());
+    m_forwarder->SetHosts(now, aFleet.m_records);
+    for (const auto& replica : aFleet.m_replicas) {
+      m_forwarder->UpdateReplica(now, replica->m_record, now);
+    }
+  }
+
+  void Start()
+  {
+    const TimePoint now = m_fleet.Now();
+    ForwardRequest request;
+    request.m_id = m_next++;
+    request.m_table = m_fleet.m_table;
+    request.m_route = &m_fleet.m_table->m_routes.front();
+    request.m_deadline = now + m_fleet.m_options.m_timeout;
+    m_startedAt[request.m_id] = now;
+    ++m_fleet.m_outcomes.m_requests;
+    m_forwarder->Start(now, request);
+    ArmTimer();
+  }
+
+  void SendCopy(CopyId aCopy,
+                ForwardId,
+                const ReplicaRecord& aReplica,
+                TimePoint) override
+  {
+    m_forwarder->CopySent(m_fleet.Now(), aCopy);
+    Replica& replica = *m_fleet.m_replicaById.at(aReplica.m_id);
+    const Duration delay =
+      aReplica.m_dataCentre == m_record.m_dataCentre ? kNearDelay : kFarDelay;
+    const auto learned = m_learnedAt.find(aReplica.m_id);
+    const bool knew = learned != m_learnedAt.end() &&
+                      learned->second + kLearningTime <= m_fleet.Now();
+    const std::weak_ptr<bool> alive = m_alive;
+    m_fleet.m_events.After(delay, [this, alive, &replica, knew, delay, aCopy] {
+      replica.Arrive(
+        knew, [this, alive, &replica, delay, aCopy](ReplicaAnswer&& aAnswer) {
+          m_fleet.m_events.After(
+            delay, [this, alive, &replica, aCopy, aAnswer] {
+              if (alive.lock()) {
+                WhenAwake([this, &replica, aCopy, aAnswer] {
+                  OnAnswer(replica, aCopy, aAnswer);
+                });
+              }
+            });
+        });
+    });
+  }
+  void SendRelay(CopyId,
+                 ForwardId,
+                 const ReplicaRecord&,
+                 TimePoint,
+                 const RelayedShards&) override
+  {
+  }
+  void AbortCopy(CopyId) override {}
+  void LogDecision(const ForwardDecision&) override {}
+  void LogRequestLimit(const RequestLimitReport&) override {}
+  void NoReplicaListed() override {}
+
+  void Finish(ForwardId aRequest, ForwardResult&& aResult) override
+  {
+    const auto started = m_startedAt.extract(aRequest);
+    const Duration age = m_fleet.Now() - started.mapped();
+    Outcomes& outcomes = m_fleet.m_outcomes;
+    outcomes.m_missingShards += aResult.m_missingShards;
+    if (!aResult.m_error) {
+      ++(age <= m_fleet.m_options.m_target ? outcomes.m_inTarget
+                                           : outcomes.m_late);
+    } else if (aResult.m_retryAfter) {
+      ++outcomes.m_refused;
+      outcomes.m_refusalTime += age;
+    } else {
+      ++outcomes.m_failed;
+    }
+  }
+
+  /** Runs aAction now, or when the pause of the host ends. */
+  void WhenAwake(std::function<void()> aAction)
+  {
+    const std::weak_ptr<bool> alive = m_alive;
+    if (m_fleet.Now() >= m_pausedUntil) {
+      aAction();
+      return;
+    }
+    m_fleet.m_events.At(m_pausedUntil, [alive, aAction] {
+      if (alive.lock()) {
+        aAction();
+      }
+    });
+  }
+
+  TimePoint m_pausedUntil;
+
+private:
+  void OnAnswer(const Replica& aReplica, CopyId aCopy, ReplicaAnswer aAnswer)
+  {
+    const std::string& id = aReplica.m_record.m_id;
+    if (aAnswer.m_requestLimit) {
+      m_learnedAt.emplace(id, m_fleet.Now());
+    } else {
+      m_learnedAt.erase(id);
+    }
+    m_forwarder->CopyAnswered(m_fleet.Now(), aCopy, std::move(aAnswer));
+    ArmTimer();
+  }
+
+  void ArmTimer()
+  {
+    const auto next = m_forwarder->NextTimer();
+    if (!next || (m_timerAt && *m_timerAt <= *next)) {
+      return;
+    }
+    m_timerAt = next;
+    const TimePoint at = std::max(*next, m_fleet.Now());
+    const std::weak_ptr<bool> alive = m_alive;
+    m_fleet.m_events.At(at, [this, alive, at = *next] {
+      if (!alive.lock() || m_timerAt != at) {
+        return;
+      }
+      m_timerAt.reset();
+      WhenAwake([this] {
+        m_forwarder->OnTimer(m_fleet.Now());
+        ArmTimer();
+      });
+    });
+  }
+
+  ForwardFleet& m_fleet;
+  HostRecord m_record;
+  std::unique_ptr<RandomSource> m_random;
+  std::unique_ptr<Forwarder> m_forwarder;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+  std::optional<TimePoint> m_timerAt;
+  ForwardId m_next = 1;
+  std::map<ForwardId, TimePoint> m_startedAt;
+  /** When the host first got an answer that names the limit, by replica. */
+  std::map<std::string, TimePoint> m_learnedAt;
+};
+
+ForwardFleet::ForwardFleet(const ForwardFleetOptions& aOptions)
+  : m_options(aOptions)
+  , m_random(MakeSeededRandom(aOptions.m_seed))
+  , m_table(std::make_shared<RoutingTable>())
+{
+  Route route;
+  route.m_name = "route";
+  route.m_host = "shop.example";
+  route.m_pathPrefix = "/";
+  route.m_idempotent = true;
+  route.m_timeout = aOptions.m_timeout;
+  route.m_target = aOptions.m_target;
+  route.m_attempts = 2;
+  std::vector<std::string> services;
+  for (std::size_t i = 0; i < std::max<std::size_t>(1, aOptions.m_shards);
+       ++i) {
+    services.push_back("shard" + std::to_string(i));
+    m_table->m_services[services.back()] = { services.back(), 600 };
+  }
+  if (aOptions.m_shards > 0) {
+    route.m_gather = GatherRule{ services, 5, aOptions.m_minShardRatio };
+  } else {
+    route.m_services = { { services.front(), 1 } };
+  }
+  m_table->m_version = 1;
+  m_table->m_routes = { route };
+  m_table->Index();
+  AddReplicas(services);
+
+  const std::size_t hosts = aOptions.m_dataCentres * aOptions.m_hostsEach;
+  double sum = 0;
+  for (std::size_t i = 0; i < hosts; ++i) {
+    m_records.push_back({ "host" + std::to_string(i),
+                          "dc" + std::to_string(i % aOptions.m_dataCentres),
+                          "",
+                          1 });
+    sum += 1 + (kUnevenShares - 1) * m_random->Unit();
+    m_callerShares.push_back(sum);
+  }
+  for (std::size_t i = 0; i < hosts; ++i) {
+    m_hosts.push_back(MakeHost(i));
+  }
+  ScheduleCaller();
+}
+
+ForwardFleet::~ForwardFleet() = default;
+
+std::unique_ptr<ForwardFleet::Host>
+ForwardFleet::MakeHost(std::size_t aIndex)
+{
+  return std::make_unique<Host>(*this, aIndex);
+}
+
+void
+ForwardFleet::AddReplicas(const std::vector<std::string>& aServices)
+{
+  for (const std::string& service : aServices) {
+    for (std::size_t i = 0; i < m_options.m_dataCentres; ++i) {
+      ReplicaRecord record;
+      record.m_id = service + "-" + std::to_string(i);
+      record.m_service = service;
+      record.m_address = "10.0.0.1:" + std::to_string(1000 + m_replicas.size());
+      record.m_dataCentre = "dc" + std::to_string(i);
+      record.m_slots = m_options.m_slots;
+      m_replicas.push_back(std::make_unique<Replica>(*this, record));
+      m_replicaById[record.m_id] = m_replicas.back().get();
+    }
+  }
+}
+
+void
+ForwardFleet::ScheduleCaller()
+{
+  // Poisson arrivals.
+  const double seconds =
+    -std::log(1 - m_random->Unit()) / m_options.m_requestRate;
+  m_events.After(Duration(static_cast<Duration::rep>(seconds * 1e6)), [this] {
+    const double at = m_random->Unit() * m_callerShares.back();
+    const std::size_t index =
+      std::upper_bound(m_callerShares.begin(), m_callerShares.end(), at) -
+      m_callerShares.begin();
+    if (m_hosts[index]) {
+      m_hosts[index]->WhenAwake(
+        [host = m_hosts[index].get()] { host->Start(); });
+    }
+    ScheduleCaller();
+  });
+}
+
+void
+ForwardFleet::Run(Duration aTime)
+{
+  m_events.RunUntil(Now() + aTime);
+}
+
+ForwardFleet::Replica&
+ForwardFleet::ReplicaOf(std::size_t aService, std::size_t aDataCentre) const
+{
+  return *m_replicas.at(aService * m_options.m_dataCentres + aDataCentre);
+}
+
+void
+ForwardFleet::NameLimit(std::size_t aService,
+                        std::size_t aDataCentre,
+                        std::optional<double> aLimit)
+{
+  ReplicaOf(aService, aDataCentre).m_limit = aLimit;
+}
+
+void
+ForwardFleet::Restart(std::size_t aHost)
+{
+  m_hosts[aHost].reset();
+  m_hosts[aHost] = MakeHost(aHost);
+}
+
+void
+ForwardFleet::Pause(std::size_t aHost, Duration aTime)
+{
+  m_hosts[aHost]->m_pausedUntil = Now() + aTime;
+}
+
+std::size_t
+ForwardFleet::MostRequests(std::size_t aService,
+                           std::size_t aDataCentre,
+                           TimePoint aFrom,
+                           Duration aWindow) const
+{
+  std::vector<TimePoint> counted;
+  for (const auto& arrival : ReplicaOf(aService, aDataCentre).m_arrivals) {
+    if (arrival.m_at >= aFrom && arrival.m_knewLimit) {
+      counted.push_back(arrival.m_at);
+    }
+  }
+  std::size_t most = 0;
+  std::size_t first = 0;
+  for (std::size_t last = 0; last < counted.size(); ++last) {
+    while (counted[last] - counted[first] >= aWindow) {
+      ++first;
+    }
+    most = std::max(most, last - first + 1);
+  }
+  return most;
+}
+
+std::size_t
+ForwardFleet::RequestsSince(std::size_t aService,
+                            std::size_t aDataCentre,
+                            TimePoint aFrom) const
+{
+  const auto& arrivals = ReplicaOf(aService, aDataCentre).m_arrivals;
+  return std::count_if(
+    arrivals.begin(), arrivals.end(), [&](const Replica::Arrival& aArrival) {
+      return aArrival.m_at >= aFrom;
+    });
+}
+
+} // namespace goldcrestkeel::testing
--- /dev/null
+++ b/packages/forward/tests/ForwardFleet.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <goldcrestkeel/Forward.h>
+#include <goldcrestkeel/testing/EventQueue.h>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace goldcrestkeel::testing {
+
+/** Size and load of a ForwardFleet. */
+struct ForwardFleetOptions
+{
+  std::size_t m_dataCentres = 3;
+  std::size_t m_hostsEach = 2;
+  /** Shards of the only route; 0: the route has a single service. Each service
+   *  has one replica in each data centre. */
+  std::size_t m_shards = 0;
+  double m_minShardRatio = 1;
+  /** Callers' requests a second over all hosts. */
+  double m_requestRate = 180;
+  Duration m_work{ 20000 };
+  std::uint32_t m_slots = 3;
+  Duration m_target{ 250000 };
+  Duration m_timeout{ 1000000 };
+  unsigned m_seed = 1;
+};
+
+/** Hosts that forward the requests of many callers to the same replicas, in
+ *  virtual time. Each host has another share of the callers. */
+class ForwardFleet
+{
+public:
+  class Host;
+  class Replica;
+
+  /** What callers got. */
+  struct Outcomes
+  {
+    std::uint64_t m_requests = 0;
+    std::uint64_t m_inTarget = 0;
+    std::uint64_t m_late = 0;
+    /** Refused as not run, and the sum of the time until then. */
+    std::uint64_t m_refused = 0;
+    Duration m_refusalTime{ 0 };
+    std::uint64_t m_failed = 0;
+    std::uint64_t m_missingShards = 0;
+  };
+
+  explicit ForwardFleet(const ForwardFleetOptions& aOptions);
+  ~ForwardFleet();
+
+  void Run(Duration aTime);
+  /** The replica of a service in a data centre names a limit from now on, in
+   *  requests a second; std::nullopt: it names none any more. */
+  void NameLimit(std::size_t aService,
+                 std::size_t aDataCentre,
+                 std::optional<double> aLimit);
+  void SetRequestRate(double aRate) { m_options.m_requestRate = aRate; }
+  /** The host stops at once, and another process takes its place. */
+  void Restart(std::size_t aHost);
+  /** The host does nothing for a while, and what arrives waits. */
+  void Pause(std::size_t aHost, Duration aTime);
+
+  /** Largest number of requests that the replica got within aWindow, from hosts
+   *  that had learned its limit 0.5 s before. Counts windows that begin at
+   *  aFrom or later. */
+  std::size_t MostRequests(std::size_t aService,
+                           std::size_t aDataCentre,
+                           TimePoint aFrom,
+                           Duration aWindow) const;
+  /** Requests that the replica got since aFrom. */
+  std::size_t RequestsSince(std::size_t aService,
+                            std::size_t aDataCentre,
+                            TimePoint aFrom) const;
+  TimePoint Now() const { return m_events.Now(); }
+  std::size_t size() const { return m_hosts.size(); }
+
+  /** Since the last reset by the test. */
+  Outcomes m_outcomes;
+
+private:
+  friend class Host;
+  friend class Replica;
+
+  void AddReplicas(const std::vector<std::string>& aServices);
+  void ScheduleCaller();
+  std::unique_ptr<Host> MakeHost(std::size_t aIndex);
+  Replica& ReplicaOf(std::size_t aService, std::size_t aDataCentre) const;
+
+  ForwardFleetOptions m_options;
+  EventQueue m_events{ TimePoint(std::chrono::seconds(100)) };
+  std::unique_ptr<RandomSource> m_random;
+  std::shared_ptr<RoutingTable> m_table;
+  std::vector<HostRecord> m_records;
+  /** By service, then by data centre. */
+  std::vector<std::unique_ptr<Replica>> m_replicas;
+  std::map<std::string, Replica*> m_replicaById;
+  std::vector<std::unique_ptr<Host>> m_hosts;
+  /** Cumulative shares of the callers, by host. */
+  std::vector<double> m_callerShares;
+};
+
+} // namespace goldcrestkeel::testing
--- /dev/null
+++ b/packages/forward/tests/RequestLimitTest.cpp
@@ -0,0 +1,69 @@
+#include "ForwardFleet.h"
+
+#include <catch2/catch.hpp>
+
+using namespace goldcrestkeel;
+using namespace goldcrestkeel::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration kWindow = 4s;
+
+/** Requests that a replica may get in a window: one and a half times its limit,
+ *  and five. */
+std::size_t
+AllowedInWindow(double aLimit)
+{
+  return static_cast<std::size_t>(1.5 * 4 * aLimit + 5);
+}
+
+} // namespace
+
+TEST_CASE("The hosts together keep to the request limit of a replica",
+          "[request-limit]")
+{
+  ForwardFleetOptions options;
+  options.m_hostsEach = GENERATE(1, 2, 15);
+  options.m_seed = GENERATE(range(1, 4));
+  const double limit = 30;
+  CAPTURE(options.m_hostsEach, options.m_seed);
+  ForwardFleet fleet(options);
+  fleet.Run(6s);
+
+  SECTION("while another replica takes the rest")
+  {
+    fleet.NameLimit(0, 0, limit);
+    fleet.NameLimit(0, 1, limit);
+    fleet.Run(4s);
+    const TimePoint from = fleet.Now();
+    fleet.m_outcomes = {};
+    fleet.Run(16s);
+    for (const std::size_t dataCentre : { 0, 1 }) {
+      REQUIRE(fleet.MostRequests(0, dataCentre, from, kWindow) <=
+              AllowedInWindow(limit));
+    }
+    REQUIRE(fleet.m_outcomes.m_refused + fleet.m_outcomes.m_failed == 0);
+  }
+
+  SECTION("after hosts restarted, paused and got a burst of requests")
+  {
+    fleet.NameLimit(0, 0, limit);
+    fleet.NameLimit(0, 1, limit);
+    fleet.Run(4s);
+    const TimePoint from = fleet.Now();
+    fleet.Restart(0);
+    fleet.Pause(1, 2s);
+    fleet.Run(3s);
+    fleet.SetRequestRate(options.m_requestRate * 2);
+    fleet.Run(4s);
+    fleet.SetRequestRate(options.m_requestRate / 20);
+    fleet.Run(8s);
+    fleet.SetRequestRate(options.m_requestRate);
+    fleet.Run(8s);
+    for (const std::size_t dataCentre : { 0, 1 }) {
+      REQUIRE(fleet.MostRequests(0, dataCentre, from, kWindow) <=
+              AllowedInWindow(limit));
+    }
+  }
+}
