Use the permits of limited replicas regardless of distance

Cause: permits of limited replicas in other data centres expired unused, because distance made them the last choice, and the replica without a limit had to take the rest.

--- a/packages/forward/src/BackendPool.cpp
+++ b/packages/forward/src/BackendPool.cpp
@@ -407,8 +407,12 @@
     static_cast<double>(ExpectedLatency(aNow, aGroup, aReplica).count());
   const double failures = aReplica.m_failureRate.At(aNow);
   const double warmup = aNow < aReplica.m_warmupEndsAt ? kWarmupFactor : 1;
-  return expected * DistanceFactor(aReplica.m_distance) *
-         (1 + kFailurePenalty * failures) * warmup *
+  // Unused permits of a request limit expire, and replicas without a limit have
+  // to take the rest.
+  const double distance = aReplica.m_requestLimit.PerSecond()
+                            ? 1
+                            : DistanceFactor(aReplica.m_distance);
+  return expected * distance * (1 + kFailurePenalty * failures) * warmup *
          (1 + kScoreNoise * m_random.Unit());
 }
 
--- a/packages/forward/tests/RequestLimitTest.cpp
+++ b/packages/forward/tests/RequestLimitTest.cpp
@@ -43,7 +43,9 @@
       REQUIRE(fleet.MostRequests(0, dataCentre, from, kWindow) <=
               AllowedInWindow(limit));
     }
+    // Callers are served as before.
     REQUIRE(fleet.m_outcomes.m_refused + fleet.m_outcomes.m_failed == 0);
+    REQUIRE(fleet.m_outcomes.m_inTarget > 0.97 * fleet.m_outcomes.m_requests);
   }
 
   SECTION("after hosts restarted, paused and got a burst of requests")
