Refuse at once what the request limits of all replicas cannot carry in time

Cause: when all usable replicas of a service had used up their limits, requests waited for permits until their deadline, were served late in turn, or refused after 4 s.

Now the time until a permit is estimated from the rates of the limits and the queue. A request that could not be answered by the target is refused before anything is sent, so that "not run" is true and callers can come again elsewhere; a shard in that state is left out if the answer may lack it.

--- a/packages/forward/src/BackendPool.cpp
+++ b/packages/forward/src/BackendPool.cpp
@@ -62,6 +62,7 @@
 /** Time within which entries that lapsed in an outage of the store are listed
  *  again, if their replicas live. */
 constexpr Duration kLapsedEntryReturn{ 2000000 };
+constexpr double kMicrosecondsPerSecond = 1e6;
 /** Maximum backoff until an unresponsive replica is probed again. */
 constexpr Duration kMaxBackoff{ 2000000 };
 
@@ -357,6 +358,32 @@
                      });
 }
 
+Duration
+BackendPool::TimeToPermit(TimePoint aNow,
+                          const BackendGroup& aGroup,
+                          const std::function<std::size_t()>& aQueued)
+{
+  double rate = 0;
+  Duration earliest = Duration::max();
+  for (const auto& replica : aGroup.m_replicas) {
+    if (TierOf(aNow, *replica) == ReplicaTier::Unavailable) {
+      continue;
+    }
+    const Duration time = replica->m_requestLimit.TimeToPermit(aNow);
+    if (time <= Duration(0)) {
+      return Duration(0);
+    }
+    rate += replica->m_requestLimit.Rate();
+    earliest = std::min(earliest, time);
+  }
+  if (rate == 0) {
+    return Duration(0);
+  }
+  const double queueTimeUs =
+    static_cast<double>(aQueued()) / rate * kMicrosecondsPerSecond;
+  return earliest + Duration(static_cast<Duration::rep>(queueTimeUs));
+}
+
 bool
 BackendPool::HasListedReplica(const BackendGroup& aGroup)
 {
--- a/packages/forward/src/BackendPool.h
+++ b/packages/forward/src/BackendPool.h
@@ -9,6 +9,7 @@
 #include <goldcrestkeel/forward/HostRecord.h>
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -181,6 +182,13 @@
                                const BackendGroup& aGroup,
                                const std::vector<std::string>& aExclude);
 
+  /** Time until a permit for one more sub-request, behind aQueued() others, if
+   *  all usable replicas of aGroup have request limits that are used up; 0
+   *  otherwise. */
+  static Duration TimeToPermit(TimePoint aNow,
+                               const BackendGroup& aGroup,
+                               const std::function<std::size_t()>& aQueued);
+
   /** Whether service discovery lists a non-draining replica of aGroup. */
   static bool HasListedReplica(const BackendGroup& aGroup);
 
--- a/packages/forward/src/Forwarder.cpp
+++ b/packages/forward/src/Forwarder.cpp
@@ -25,9 +25,6 @@
  *  and some processing. */
 constexpr Duration kTargetMargin{ 16000 };
 
-/** Interval of the log lines on a replica that names a request limit. */
-constexpr Duration kLimitReportInterval{ 4000000 };
-
 bool
 IsSuccess(const ReplicaAnswer& aAnswer)
 {
@@ -263,33 +260,6 @@
   DispatchWaiting(aNow, *copy.m_group);
 }
 
-void
-ForwarderImpl::UpdateRequestLimit(TimePoint aNow,
-                                  const BackendGroup& aGroup,
-                                  PooledReplica& aReplica,
-                                  const ReplicaAnswer& aAnswer)
-{
-  const bool invalid = aAnswer.m_invalidRequestLimit;
-  const std::optional<double> before = aReplica.m_requestLimit.PerSecond();
-  const std::optional<double> limit = invalid ? before : aAnswer.m_requestLimit;
-  const bool begins = limit && !before;
-  const bool ends = !limit && before;
-  aReplica.m_requestLimit.Set(aNow, limit, m_random);
-  const Duration since = aNow - aReplica.m_limitReportedAt;
-  const bool due = since >= kLimitReportInterval && (limit || invalid);
-  if (!begins && !ends && !due) {
-    return;
-  }
-  m_sink.LogRequestLimit({ aGroup.m_name,
-                           aReplica.m_record.m_id,
-                           limit,
-                           begins ? 0 : aReplica.m_copiesSinceReport,
-                           begins ? Duration(0) : since,
-                           invalid });
-  aReplica.m_copiesSinceReport = 0;
-  aReplica.m_limitReportedAt = aNow;
-}
-
 void
 ForwarderImpl::CopyFailed(TimePoint aNow, CopyId aCopy, CopyFailure aFailure)
 {
--- a/packages/forward/src/ForwarderFinish.cpp
+++ b/packages/forward/src/ForwarderFinish.cpp
@@ -56,7 +56,7 @@
   std::uint32_t served = 0;
   bool unlisted = false;
   for (const SubRequest& subRequest : aForward.m_subRequests) {
-    if (BackendPool::HasUsableReplica(aNow, *subRequest.m_group, {})) {
+    if (IsServedInTime(aNow, aForward, *subRequest.m_group)) {
       ++served;
     }
     unlisted = unlisted || !BackendPool::HasListedReplica(*subRequest.m_group);
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -275,12 +275,21 @@
   /** Closes unsent copies at once and sent ones after aDelay. */
   void AbandonCopies(TimePoint aNow, SubRequest& aSubRequest, Duration aDelay);
 
+  // ForwarderLimits.cpp: request limits of replicas.
   /** Takes the request limit that an answer of aReplica names, and logs it when
    *  it begins, ends, and at intervals. */
   void UpdateRequestLimit(TimePoint aNow,
                           const BackendGroup& aGroup,
                           PooledReplica& aReplica,
                           const ReplicaAnswer& aAnswer);
+  /** Number of queued sub-requests that come before a new one. */
+  std::size_t QueuedAhead(const BackendGroup& aGroup,
+                          std::uint32_t aPriority) const;
+  /** Whether aGroup has a usable replica and, if request limits hold a new
+   *  sub-request back, it can still be answered by the target of the route. */
+  bool IsServedInTime(TimePoint aNow,
+                      const RunningForward& aForward,
+                      const BackendGroup& aGroup) const;
   /** Releases the copy's in-flight slot and erases it. */
   void EndCopy(CopyId aCopy);
   /** Once all copies have failed, sends another or fails the sub-request. */
--- /dev/null
+++ b/packages/forward/src/ForwarderLimits.cpp
@@ -0,0 +1,81 @@
+#include "ForwarderImpl.h"
+
+#include <algorithm>
+
+namespace goldcrestkeel {
+
+namespace {
+
+/** Interval of the log lines on a replica that names a request limit. */
+constexpr Duration kLimitReportInterval{ 4000000 };
+/** Maximum estimated time until a permit, as a percentage of the time left to
+ *  the target without the latency of the service. The rest allows for requests
+ *  of higher priority and for answers that are slower than usual. */
+constexpr int kMaxWaitPercent = 50;
+
+} // namespace
+
+void
+ForwarderImpl::UpdateRequestLimit(TimePoint aNow,
+                                  const BackendGroup& aGroup,
+                                  PooledReplica& aReplica,
+                                  const ReplicaAnswer& aAnswer)
+{
+  const bool invalid = aAnswer.m_invalidRequestLimit;
+  const std::optional<double> before = aReplica.m_requestLimit.PerSecond();
+  const std::optional<double> limit = invalid ? before : aAnswer.m_requestLimit;
+  const bool begins = limit && !before;
+  const bool ends = !limit && before;
+  aReplica.m_requestLimit.Set(aNow, limit, m_random);
+  const Duration since = aNow - aReplica.m_limitReportedAt;
+  const bool due = since >= kLimitReportInterval && (limit || invalid);
+  if (!begins && !ends && !due) {
+    return;
+  }
+  m_sink.LogRequestLimit({ aGroup.m_name,
+                           aReplica.m_record.m_id,
+                           limit,
+                           begins ? 0 : aReplica.m_copiesSinceReport,
+                           begins ? Duration(0) : since,
+                           invalid });
+  aReplica.m_copiesSinceReport = 0;
+  aReplica.m_limitReportedAt = aNow;
+}
+
+std::size_t
+ForwarderImpl::QueuedAhead(const BackendGroup& aGroup,
+                           std::uint32_t aPriority) const
+{
+  return std::count_if(
+    aGroup.m_waiting.begin(),
+    aGroup.m_waiting.end(),
+    [&](const QueuedSubRequest& aEntry) {
+      const auto running = m_running.find(aEntry.m_request);
+      return aEntry.m_priority <= aPriority && running != m_running.end() &&
+             running->second->m_subRequests[aEntry.m_subRequest].m_state ==
+               SubRequest::State::Waiting;
+    });
+}
+
+bool
+ForwarderImpl::IsServedInTime(TimePoint aNow,
+                              const RunningForward& aForward,
+                              const BackendGroup& aGroup) const
+{
+  if (!BackendPool::HasUsableReplica(aNow, aGroup, {})) {
+    return false;
+  }
+  const Route& route = *aForward.m_request.m_route;
+  const auto wait = BackendPool::TimeToPermit(
+    aNow, aGroup, [&] { return QueuedAhead(aGroup, route.m_priority); });
+  if (wait <= Duration(0)) {
+    return true;
+  }
+  const auto& relayed = aForward.m_request.m_relayedShards;
+  const TimePoint target =
+    relayed ? relayed->m_targetAt : aForward.m_startedAt + route.m_target;
+  const Duration latency(static_cast<Duration::rep>(aGroup.m_latency));
+  return wait <= (target - aNow - latency) * kMaxWaitPercent / 100;
+}
+
+} // namespace goldcrestkeel
--- a/packages/forward/tests/RequestLimitTest.cpp
+++ b/packages/forward/tests/RequestLimitTest.cpp
@@ -69,3 +69,76 @@
     }
   }
 }
+
+TEST_CASE("Requests that the limits of all replicas cannot carry in time are "
+          "refused at once",
+          "[request-limit]")
+{
+  ForwardFleetOptions options;
+  options.m_hostsEach = GENERATE(1, 2, 6);
+  options.m_timeout = 4s;
+  options.m_work = 60ms;
+  options.m_slots = 6;
+  options.m_target = 600ms;
+  CAPTURE(options.m_hostsEach);
+  const double limit = 30;
+  ForwardFleet fleet(options);
+  fleet.Run(6s);
+  for (const std::size_t dataCentre : { 0, 1, 2 }) {
+    fleet.NameLimit(0, dataCentre, limit);
+  }
+  fleet.Run(5s);
+  const TimePoint from = fleet.Now();
+  fleet.m_outcomes = {};
+  fleet.Run(20s);
+  const ForwardFleet::Outcomes& outcomes = fleet.m_outcomes;
+  std::size_t sent = 0;
+  for (const std::size_t dataCentre : { 0, 1, 2 }) {
+    REQUIRE(fleet.MostRequests(0, dataCentre, from, 4s) <=
+            AllowedInWindow(limit));
+    sent += fleet.RequestsSince(0, dataCentre, from);
+  }
+
+  SECTION("while the limits are used")
+  {
+    REQUIRE(sent >= 0.75 * 3 * limit * 20);
+  }
+  SECTION("and the others are answered in the target time")
+  {
+    REQUIRE(outcomes.m_inTarget > 0.95 * sent);
+    REQUIRE(outcomes.m_failed == 0);
+  }
+  SECTION("and callers learn of the refusal soon enough to come again")
+  {
+    REQUIRE(outcomes.m_refused > 0);
+    REQUIRE(outcomes.m_refusalTime / outcomes.m_refused < options.m_target / 4);
+  }
+}
+
+TEST_CASE("A shard that cannot be asked in time is left out at once",
+          "[request-limit]")
+{
+  ForwardFleetOptions options;
+  options.m_shards = 10;
+  options.m_minShardRatio = 0.89;
+  const double limit = 30;
+  ForwardFleet fleet(options);
+  fleet.Run(6s);
+  for (const std::size_t dataCentre : { 0, 1, 2 }) {
+    fleet.NameLimit(4, dataCentre, limit);
+  }
+  fleet.Run(5s);
+  const TimePoint from = fleet.Now();
+  fleet.m_outcomes = {};
+  fleet.Run(20s);
+  const ForwardFleet::Outcomes& outcomes = fleet.m_outcomes;
+  std::size_t sent = 0;
+  for (const std::size_t dataCentre : { 0, 1, 2 }) {
+    REQUIRE(fleet.MostRequests(4, dataCentre, from, 4s) <=
+            AllowedInWindow(limit));
+    sent += fleet.RequestsSince(4, dataCentre, from);
+  }
+  REQUIRE(sent >= 0.75 * 3 * limit * 20);
+  REQUIRE(outcomes.m_inTarget > 0.97 * outcomes.m_requests);
+  REQUIRE(outcomes.m_missingShards + sent > 0.97 * outcomes.m_requests);
+}
