--- a/packages/forward/tests/ForwardFleet.cpp
+++ b/packages/forward/tests/ForwardFleet.cpp
@@ -164,6 +164,7 @@
     Outcomes& outcomes = m_fleet.m_outcomes;
     outcomes.m_missingShards += aResult.m_missingShards;
     if (!aResult.m_error) {
+      outcomes.m_answerTime += age;
       ++(age <= m_fleet.m_options.m_target ? outcomes.m_inTarget
                                            : outcomes.m_late);
     } else if (aResult.m_retryAfter) {
--- a/packages/forward/tests/ForwardFleet.h
+++ b/packages/forward/tests/ForwardFleet.h
@@ -44,6 +44,8 @@
     std::uint64_t m_requests = 0;
     std::uint64_t m_inTarget = 0;
     std::uint64_t m_late = 0;
+    /** Sum of the times until the answers, in target or late. */
+    Duration m_answerTime{ 0 };
     /** Refused as not run, and the sum of the time until then. */
     std::uint64_t m_refused = 0;
     Duration m_refusalTime{ 0 };
