--- a/packages/edge/src/RelayFields.cpp
+++ b/packages/edge/src/RelayFields.cpp
@@ -1,6 +1,6 @@
 #include "RelayFields.h"
 
-#include "Numbers.h"
+#include <goldcrestkeel/edge/Numbers.h>
 
 #include <algorithm>
 
--- a/packages/edge/src/ReplicaConnections.cpp
+++ b/packages/edge/src/ReplicaConnections.cpp
@@ -1,8 +1,9 @@
 #include "ReplicaConnections.h"
 
-#include "Numbers.h"
 #include "RelayFields.h"
 
+#include <goldcrestkeel/edge/Numbers.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
--- a/packages/edge/src/SharedFeed.cpp
+++ b/packages/edge/src/SharedFeed.cpp
@@ -1,6 +1,6 @@
 #include "FeedMessages.h"
-#include "Numbers.h"
 
+#include <goldcrestkeel/edge/Numbers.h>
 #include <goldcrestkeel/edge/SharedFeed.h>
 
 #include <utility>
--- a/packages/edge/tests/FeedPollsTest.cpp
+++ b/packages/edge/tests/FeedPollsTest.cpp
@@ -1,8 +1,7 @@
 #include "FeedPolls.h"
 
-#include "Numbers.h"
-
 #include <goldcrestkeel/Net.h>
+#include <goldcrestkeel/edge/Numbers.h>
 
 #include <catch2/catch.hpp>
 #include <fcntl.h>
