Read a restored store anew, by revisions that have an era

Cause: revisions were compared as if they could only grow. The list after the restore had revision 68 where the host knew 74, and was dropped as old, with all changes up to 74. Class: a counter used as a clock after its source has gone back. The same would have hit hosts that follow a reader, and watches from a revision that was given out again, which get no 410. Ruled out by store_restored lines: a host that never asks again (it listed 0.1 s after the return), and an unusable configuration (none was logged).

A revision is now an era, which the store states in each answer, and a number. The first list of an era takes the place of all that is known, and only keys that differ are news; an answer of another era than the one that is read leads to a new list; an answer from before a restore is refused. Hosts tell each other the era; hosts of earlier versions read and write messages without it.

--- a/fuzz/StoreItemsFuzz.cpp
+++ b/fuzz/StoreItemsFuzz.cpp
@@ -46,8 +46,8 @@
 LLVMFuzzerTestOneInput(const std::uint8_t* aData, std::size_t aSize)
 {
   const std::string_view text(reinterpret_cast<const char*>(aData), aSize);
-  TryDecode([&] { return platform::DecodeList(text); });
-  TryDecode([&] { return platform::DecodeEvents(text); });
+  TryDecode([&] { return platform::DecodeList(text, 1); });
+  TryDecode([&] { return platform::DecodeEvents(text, 1); });
   const auto replica =
     TryDecode([&] { return platform::DecodeReplica("i", text); });
   fuzz::Require(!replica || replica->m_slots > 0,
--- a/packages/edge/include/goldcrestkeel/Edge.h
+++ b/packages/edge/include/goldcrestkeel/Edge.h
@@ -10,5 +10,6 @@
 #include <goldcrestkeel/edge/HttpCaller.h>
 #include <goldcrestkeel/edge/HttpMessage.h>
 #include <goldcrestkeel/edge/Loop.h>
+#include <goldcrestkeel/edge/Numbers.h>
 #include <goldcrestkeel/edge/SharedFeed.h>
 #include <goldcrestkeel/edge/TopologySource.h>
--- a/packages/edge/src/EdgeMetrics.cpp
+++ b/packages/edge/src/EdgeMetrics.cpp
@@ -106,7 +106,10 @@
   for (const FeedGauges& feed : aGauges.m_feeds) {
     impl.Set("feed_" + feed.m_name + "_revision",
              "Revision of the store up to which the feed is complete",
-             static_cast<double>(feed.m_revision));
+             static_cast<double>(feed.m_revision.m_number));
+    impl.Set("feed_" + feed.m_name + "_era",
+             "Number of restores of the store that the feed knows of",
+             static_cast<double>(feed.m_revision.m_era));
     impl.Set("feed_" + feed.m_name + "_age_seconds",
              "Time since the feed was proved to be up to date; -1 if never",
              feed.m_ageSeconds);
--- a/packages/edge/src/EdgeMetrics.h
+++ b/packages/edge/src/EdgeMetrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <goldcrestkeel/feed/FeedItem.h>
 #include <goldcrestkeel/forward/Forwarder.h>
 
 #include <cstdint>
@@ -15,7 +16,7 @@
 struct FeedGauges
 {
   std::string m_name;
-  std::uint64_t m_revision = 0;
+  FeedRevision m_revision;
   /** -1 if it is unknown. */
   double m_ageSeconds = -1;
   bool m_fromHost = false;
--- a/packages/edge/src/SharedFeed.cpp
+++ b/packages/edge/src/SharedFeed.cpp
@@ -163,7 +163,8 @@
                 { "source", NameOf(aSource) },
                 { "reader", aReader },
                 { "reason", aReason },
-                { "revision", static_cast<std::int64_t>(Revision()) },
+                { "revision", static_cast<std::int64_t>(Revision().m_number) },
+                { "era", static_cast<std::int64_t>(Revision().m_era) },
                 { "age_ms", aAge ? aAge->count() / 1000.0 : -1.0 } });
 }
 
--- a/packages/edge/tests/FeedPollsTest.cpp
+++ b/packages/edge/tests/FeedPollsTest.cpp
@@ -134,7 +134,7 @@
 
 TEST_CASE("Messages between hosts about changes", "[feed]")
 {
-  const FeedPoll poll{ "replicas", "h 1&x", 12, 800ms };
+  const FeedPoll poll{ "replicas", "h 1&x", { 12, 3 }, 800ms };
   const std::string request = EncodeFeedPoll(poll);
   REQUIRE(DecodeFeedPoll(request) == poll);
   for (std::size_t size = 0; size < request.size(); ++size) {
@@ -143,15 +143,18 @@
   REQUIRE_THROWS(
     DecodeFeedPoll(R"({"feed":"a","reader":"b","after":"x","wait_ms":1})"));
   REQUIRE_THROWS(DecodeFeedPoll(R"({"feed":"a","reader":"b","after":1})"));
+  // Hosts of earlier versions leave the era out.
+  REQUIRE(DecodeFeedPoll(R"({"feed":"a","reader":"b","after":1,"wait_ms":1})")
+            .m_after == FeedRevision(1));
   // A wait is bounded, since the session is held for it.
   REQUIRE(
     DecodeFeedPoll(R"({"feed":"a","reader":"b","after":1,"wait_ms":99999999})")
       .m_wait == 10s);
 
   FeedChanges changes;
-  changes.m_revision = 9;
-  changes.m_items = { { "k\xff", std::string("\0\xfe", 2), 8, false },
-                      { "gone", "", 9, true } };
+  changes.m_revision = { 9, 2 };
+  changes.m_items = { { "k\xff", std::string("\0\xfe", 2), { 8, 1 }, false },
+                      { "gone", "", { 9, 2 }, true } };
   const std::string body = EncodeFeedChanges(changes);
   REQUIRE(DecodeFeedChanges(body) == changes);
   for (std::size_t size = 0; size < body.size(); ++size) {
--- a/packages/feed/include/goldcrestkeel/feed/ChangeLog.h
+++ b/packages/feed/include/goldcrestkeel/feed/ChangeLog.h
@@ -21,7 +21,8 @@
 
   /** Applies changes and returns those that are news, with the deletions that a
    *  complete list implies. Changes that are not newer than what is known of
-   *  their key are dropped. */
+   *  their key are dropped. The first changes of an era must be a complete
+   *  list. */
   FeedChanges Apply(const FeedChanges& aChanges);
 
   /** Returns the changes after aRevision, or every key if not all of these
@@ -34,6 +35,8 @@
 private:
   /** Whether aItem is newer than what is known of its key. */
   bool IsNewer(const FeedItem& aItem) const;
+  /** Whether the key of aItem is known with the same value. */
+  bool HasValueOf(const FeedItem& aItem) const;
   void Record(const FeedItem& aItem);
   /** Deletions of the existing keys that a complete list lacks. */
   std::vector<FeedItem> MissingFrom(const FeedChanges& aList) const;
--- a/packages/feed/include/goldcrestkeel/feed/FeedItem.h
+++ b/packages/feed/include/goldcrestkeel/feed/FeedItem.h
@@ -2,14 +2,32 @@
 
 #include <goldcrestkeel/core/Time.h>
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
 
 namespace goldcrestkeel {
 
-/** Revision of the store, which grows with each change; 0 means none. */
-using FeedRevision = std::uint64_t;
+/** A point in the history of the store. Grows with each change; 0 means none.
+ */
+struct FeedRevision
+{
+  /** Number of times that the store has been restored from a copy. */
+  std::uint64_t m_era = 0;
+  /** Revision of the store within its era. It goes back when the store is
+   *  restored, and numbers are given out again. */
+  std::uint64_t m_number = 0;
+
+  constexpr FeedRevision() = default;
+  constexpr FeedRevision(std::uint64_t aNumber, std::uint64_t aEra = 0)
+    : m_era(aEra)
+    , m_number(aNumber)
+  {
+  }
+
+  auto operator<=>(const FeedRevision&) const = default;
+};
 
 /** A key and its value, or the deletion of a key. */
 struct FeedItem
--- a/packages/feed/src/ChangeLog.cpp
+++ b/packages/feed/src/ChangeLog.cpp
@@ -12,6 +12,14 @@
 {
 }
 
+bool
+ChangeLog::HasValueOf(const FeedItem& aItem) const
+{
+  const auto known = m_items.find(aItem.m_key);
+  return known != m_items.end() && !known->second.m_deleted &&
+         !aItem.m_deleted && known->second.m_value == aItem.m_value;
+}
+
 bool
 ChangeLog::IsNewer(const FeedItem& aItem) const
 {
@@ -68,12 +76,17 @@
     return { {}, m_revision, false };
   }
   const bool first = m_revision == 0;
+  const bool newEra = aChanges.m_revision.m_era > m_revision.m_era;
   FeedChanges applied;
   applied.m_complete = aChanges.m_complete;
   for (const FeedItem& item : aChanges.m_items) {
     if (IsNewer(item)) {
+      // A restored store gives most of its keys other revisions only.
+      const bool sameValue = newEra && HasValueOf(item);
       Record(item);
-      applied.m_items.push_back(item);
+      if (!sameValue) {
+        applied.m_items.push_back(item);
+      }
     }
   }
   if (aChanges.m_complete) {
--- a/packages/feed/tests/ChangeLogTest.cpp
+++ b/packages/feed/tests/ChangeLogTest.cpp
@@ -9,9 +9,10 @@
 FeedItem
 Item(const std::string& aKey, FeedRevision aRevision, bool aDeleted = false)
 {
-  return {
-    aKey, aDeleted ? "" : "v" + std::to_string(aRevision), aRevision, aDeleted
-  };
+  return { aKey,
+           aDeleted ? "" : "v" + std::to_string(aRevision.m_number),
+           aRevision,
+           aDeleted };
 }
 
 } // namespace
@@ -111,3 +112,46 @@
     REQUIRE(later.m_items.size() == 1);
   }
 }
+
+TEST_CASE("A change log goes on after a restore of the store", "[feed]")
+{
+  ChangeLog log(8);
+  log.Apply({ { Item("a", 60), Item("b", 90), Item("c", 70) }, 90, true });
+  const auto item = [](const std::string& aKey,
+                       std::uint64_t aNumber,
+                       const std::string& aValue) {
+    return FeedItem{ aKey, aValue, { aNumber, 1 }, false };
+  };
+  const FeedChanges list{ { item("a", 60, "v60"), item("b", 65, "other") },
+                          { 68, 1 },
+                          true };
+  const FeedChanges news = log.Apply(list);
+
+  SECTION("with the keys that differ")
+  {
+    REQUIRE(news.m_items ==
+            std::vector<FeedItem>{ item("b", 65, "other"),
+                                   { "c", "", { 68, 1 }, true } });
+    REQUIRE(log.Revision() == FeedRevision(68, 1));
+  }
+  SECTION("and tells hosts that do not know of it")
+  {
+    ChangeLog follower(8);
+    follower.Apply(
+      { { Item("a", 60), Item("b", 90), Item("c", 70) }, 90, true });
+    const FeedChanges told = follower.Apply(log.Since(follower.Revision()));
+    REQUIRE(told.m_items.size() == 2);
+    REQUIRE(follower.Revision() == log.Revision());
+  }
+  SECTION("and takes changes with revisions that were given out before")
+  {
+    const FeedChanges change{ { item("b", 80, "new") }, { 80, 1 }, false };
+    REQUIRE(log.Apply(change).m_items.size() == 1);
+  }
+  SECTION("and takes nothing from before it")
+  {
+    const FeedChanges late{ { Item("b", 95) }, 95, false };
+    REQUIRE(log.Apply(late).m_items.empty());
+    REQUIRE(log.Revision() == FeedRevision(68, 1));
+  }
+}
--- a/packages/feed/tests/FeedFleet.cpp
+++ b/packages/feed/tests/FeedFleet.cpp
@@ -301,7 +301,7 @@
 void
 FeedFleet::Change()
 {
-  ++m_storeRevision;
+  ++m_storeRevision.m_number;
 }
 
 std::size_t
