Keep replicas that had left out after a restore of the store

What could happen: the copy from which the store returns may still list a replica as ready that has begun to drain, or has left, since the copy was made. Hosts took the entry as news and used the replica again, at an address that another service may have by then. Class: an old state that looks new because it arrives later.

Entries carry the time of the replica's start and the number of its report. A host compares an entry of a new era with the last one that it knew, also of replicas removed in the last 10 minutes, and logs and ignores an older one until the replica reports anew.

The new test failed before. Two guards were taken out once; the test failed each time.

--- a/packages/feed/include/goldcrestkeel/Feed.h
+++ b/packages/feed/include/goldcrestkeel/Feed.h
@@ -6,4 +6,5 @@
 #include <goldcrestkeel/feed/ChangeLog.h>
 #include <goldcrestkeel/feed/FeedFollower.h>
 #include <goldcrestkeel/feed/FeedItem.h>
+#include <goldcrestkeel/feed/ReplicaHistory.h>
 #include <goldcrestkeel/feed/SourceSelector.h>
--- a/packages/forward/include/goldcrestkeel/forward/ReplicaRecord.h
+++ b/packages/forward/include/goldcrestkeel/forward/ReplicaRecord.h
@@ -24,6 +24,8 @@
   Duration m_warmupLeft{ 0 };
   /** Wall-clock start time; distinguishes instances with the same id. */
   WallTime m_startedAt = 0;
+  /** Number of its report on itself, counted from its start. */
+  std::uint64_t m_sequence = 0;
 
   bool operator==(const ReplicaRecord&) const = default;
 };
