--- a/scripts/lib/replica_standin.py
+++ b/scripts/lib/replica_standin.py
@@ -30,6 +30,7 @@
         self.arrivals = []  # (time, request id, service, replica id, sender's IP)
         self.runs = {}      # (request id, service) -> list of replica ids
         self.stamps = {}    # stamp -> (request id, service, status)
+        self.request_limits = []  # (replica id, requests a second, begin, end)
         self.withdrawn_at = {}  # replica id -> time of draining or removal in the store
         self.stamp_numbers = itertools.count(1)
 
@@ -58,6 +59,7 @@
         self.draining = False
         self.silent = False
         self.slowdown = 1.0
+        self.request_limit = None  # requests a second from all hosts together
         self.faults = {}
         self.sequence = 0
         self.started_at_ms = int(time.time() * 1000)
@@ -144,10 +146,13 @@
         gathered = request.target.startswith("/search")
         body = shard_records(request_id, self.service) if gathered else \
             expected_body(request_id)
-        data = wire.format_response(200, [
+        response_fields = [
             ("X-Goldcrestkeel-Server-Stamp", stamp),
             ("X-Goldcrestkeel-Request-Id", request_id),
-            ("X-Goldcrestkeel-Server-Load", f"{self.running},0,{self.slots}")], body)
+            ("X-Goldcrestkeel-Server-Load", f"{self.running},0,{self.slots}")]
+        if self.request_limit is not None:
+            response_fields.append(("Server-Limit", str(self.request_limit)))
+        data = wire.format_response(200, response_fields, body)
         return await self._send(data, writer)
 
     async def _send(self, data, writer):
--- a/scripts/lib/soak_faults.py
+++ b/scripts/lib/soak_faults.py
@@ -1,6 +1,7 @@
 """Random faults for scripts/soak, injected from outside the processes."""
 
 import asyncio
+import collections
 import signal
 import time
 
@@ -24,7 +25,8 @@
             (1, self.reload_host), (3, self.store_away), (1, self.store_slow),
             (1, self.store_loses_answers), (1, self.store_forgets), (1, self.entries_lapse),
             (2, self.store_link), (2, self.replica_crashes), (2, self.replica_drains),
-            (2, self.replica_link), (3, self.replica_spoils), (1, self.replica_hangs),
+            (2, self.replica_link), (2, self.replica_names_limit),
+            (3, self.replica_spoils), (1, self.replica_hangs),
             (2, self.change_configuration), (1, self.divide_anew)]
 
     async def inject(self, seconds):
@@ -231,6 +233,30 @@
             await asyncio.sleep(self.random.uniform(1, 3))
             replica.faults.clear()
 
+    async def replica_names_limit(self):
+        name = self._pick_replica()
+        if name:
+            await self.name_limits([name], self.random.uniform(8, 14))
+
+    def one_replica_of_each_service(self):
+        """Names of replicas; only from services that have another one."""
+        services = collections.defaultdict(list)
+        for name, (replica, _) in self.run.replicas.items():
+            services[replica.service].append(name)
+        return [names[0] for names in services.values() if len(names) > 1]
+
+    async def name_limits(self, names, seconds):
+        """The replicas name request limits for a time."""
+        replicas = [self.run.replicas[name][0] for name in names]
+        begin = time.monotonic()
+        for replica in replicas:
+            replica.request_limit = round(self.random.uniform(0.5, 4), 1)
+        await asyncio.sleep(seconds)
+        for replica in replicas:
+            self.run.observations.request_limits.append(
+                (replica.name, replica.request_limit, begin, time.monotonic()))
+            replica.request_limit = None
+
     async def replica_hangs(self):
         name = self._pick_replica()
         if name:
