--- /dev/null
+++ b/packages/forward/src/BackendShares.cpp
@@ -0,0 +1,126 @@
+#include "BackendPool.h"
+
+#include <algorithm>
+
+namespace goldcrestkeel {
+
+namespace {
+
+/** Connections per host from which they are divided evenly: under overload,
+ *  replicas of all data centres are needed. */
+constexpr std::uint32_t kEvenSplitThreshold = 2;
+/** Fraction of a replica's connections, and of its request limit, for the hosts
+ *  of its data centre. Others use it for hedges and when replicas in their own
+ *  data centre fail. */
+constexpr double kSameDataCentreShare = 0.6;
+/** Allowance for hosts that joined since the list was read, as a fraction. */
+constexpr double kJoiningHostsRatio = 0.2;
+constexpr double kMicrosecondsPerSecond = 1e6;
+
+} // namespace
+
+void
+BackendPool::SetLiveHosts(std::uint32_t aHosts)
+{
+  m_liveHosts = std::max(1U, aHosts);
+  for (auto& [name, group] : m_groups) {
+    UpdateShares(*group);
+  }
+}
+
+Distance
+BackendPool::DistanceTo(const std::string& aDataCentre) const
+{
+  if (aDataCentre == m_options.m_dataCentre) {
+    return Distance::SameDataCentre;
+  }
+  const auto local = m_options.m_regions.find(m_options.m_dataCentre);
+  const auto remote = m_options.m_regions.find(aDataCentre);
+  const bool same = local != m_options.m_regions.end() &&
+                    remote != m_options.m_regions.end() &&
+                    local->second == remote->second;
+  return same ? Distance::SameRegion : Distance::OtherRegion;
+}
+
+void
+BackendPool::SetHosts(const std::vector<HostRecord>& aHosts)
+{
+  m_hostsPerDataCentre.clear();
+  for (const HostRecord& host : aHosts) {
+    ++m_hostsPerDataCentre[host.m_dataCentre];
+  }
+  for (auto& [name, group] : m_groups) {
+    UpdateShares(*group);
+  }
+}
+
+double
+BackendPool::ShareOf(const PooledReplica& aReplica) const
+{
+  const auto found = m_hostsPerDataCentre.find(aReplica.m_record.m_dataCentre);
+  if (found == m_hostsPerDataCentre.end() || found->second >= m_liveHosts) {
+    return 1.0 / m_liveHosts;
+  }
+  // m_liveHosts also counts hosts that are about to join, some of them possibly
+  // in the replica's data centre.
+  const double joining = 1 + kJoiningHostsRatio;
+  const bool sameDataCentre = aReplica.m_distance == Distance::SameDataCentre;
+  const double hosts =
+    sameDataCentre ? found->second * joining : m_liveHosts - found->second;
+  const double share =
+    sameDataCentre ? kSameDataCentreShare : 1 - kSameDataCentreShare;
+  return share / hosts;
+}
+
+std::uint32_t
+BackendPool::MaxInFlightFor(const PooledReplica& aReplica,
+                            std::uint32_t aConnections) const
+{
+  const std::uint32_t even = std::max(1U, aConnections / m_liveHosts);
+  if (even >= kEvenSplitThreshold) {
+    return even;
+  }
+  return std::max(1U,
+                  static_cast<std::uint32_t>(ShareOf(aReplica) * aConnections));
+}
+
+void
+BackendPool::UpdateShares(BackendGroup& aGroup) const
+{
+  const auto connections = m_connections.find(aGroup.m_name);
+  for (const auto& replica : aGroup.m_replicas) {
+    if (connections != m_connections.end()) {
+      replica->m_maxInFlight = MaxInFlightFor(*replica, connections->second);
+    }
+    replica->m_requestLimit.SetShare(ShareOf(*replica));
+  }
+  aGroup.m_budget.SetSlack(m_options.m_repeatSlack / m_liveHosts);
+}
+
+Duration
+BackendPool::TimeToPermit(TimePoint aNow,
+                          const BackendGroup& aGroup,
+                          const std::function<std::size_t()>& aQueued)
+{
+  double rate = 0;
+  Duration earliest = Duration::max();
+  for (const auto& replica : aGroup.m_replicas) {
+    if (TierOf(aNow, *replica) == ReplicaTier::Unavailable) {
+      continue;
+    }
+    const Duration time = replica->m_requestLimit.TimeToPermit(aNow);
+    if (time <= Duration(0)) {
+      return Duration(0);
+    }
+    rate += replica->m_requestLimit.Rate();
+    earliest = std::min(earliest, time);
+  }
+  if (rate == 0) {
+    return Duration(0);
+  }
+  const double queueTimeUs =
+    static_cast<double>(aQueued()) / rate * kMicrosecondsPerSecond;
+  return earliest + Duration(static_cast<Duration::rep>(queueTimeUs));
+}
+
+} // namespace goldcrestkeel
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -243,9 +243,6 @@
   /** Time after which aCopy counts as late. */
   static Duration LateThreshold(const RunningForward& aForward,
                                 const ForwardCopy& aCopy);
-  /** Sheds load of overloaded shards: skips them in some of the requests whose
-   *  answer may lack them. */
-  void SkipOverloaded(TimePoint aNow, RunningForward& aForward);
   void OnWaitTimer(TimePoint aNow, ForwardId aRequest);
   void OnCopyLate(TimePoint aNow, CopyId aCopy);
   void OnUnresponsiveTimer(TimePoint aNow, CopyId aCopy);
@@ -275,7 +272,11 @@
   /** Closes unsent copies at once and sent ones after aDelay. */
   void AbandonCopies(TimePoint aNow, SubRequest& aSubRequest, Duration aDelay);
 
-  // ForwarderLimits.cpp: request limits of replicas.
+  // ForwarderLimits.cpp: request limits of replicas, and overloaded shards.
+  /** Sheds load of overloaded shards: skips them in some of the requests whose
+   *  answer may lack them, and in all of these if request limits leave no time.
+   */
+  void SkipOverloaded(TimePoint aNow, RunningForward& aForward);
   /** Takes the request limit that an answer of aReplica names, and logs it when
    *  it begins, ends, and at intervals. */
   void UpdateRequestLimit(TimePoint aNow,
--- a/packages/forward/src/ForwarderLimits.cpp
+++ b/packages/forward/src/ForwarderLimits.cpp
@@ -78,4 +78,40 @@
   return wait <= (target - aNow - latency) * kMaxWaitPercent / 100;
 }
 
+void
+ForwarderImpl::SkipOverloaded(TimePoint aNow, RunningForward& aForward)
+{
+  std::vector<std::pair<double, std::uint32_t>> overloaded;
+  std::uint32_t withoutReplica = 0;
+  for (std::uint32_t index = 0; index < aForward.m_subRequests.size();
+       ++index) {
+    const BackendGroup& group = *aForward.m_subRequests[index].m_group;
+    const double probability = BackendPool::SkipProbability(aNow, group);
+    if (aForward.m_subRequests[index].m_state == SubRequest::State::Relayed) {
+      continue;
+    }
+    if (!BackendPool::HasUsableReplica(aNow, group, {})) {
+      ++withoutReplica;
+    } else if (!IsServedInTime(aNow, aForward, group)) {
+      overloaded.emplace_back(1, index);
+    } else if (m_random.Unit() < probability) {
+      overloaded.emplace_back(probability, index);
+    }
+  }
+  std::sort(overloaded.rbegin(), overloaded.rend());
+  const std::uint32_t allowed = MaxMissingShards(aForward);
+  for (const auto& [probability, index] : overloaded) {
+    if (aForward.m_failed + withoutReplica >= allowed) {
+      return;
+    }
+    aForward.m_subRequests[index].m_state = SubRequest::State::Skipped;
+    ++aForward.m_failed;
+    LogDecision("skip_shard",
+                aForward,
+                aForward.m_subRequests[index].m_group->m_name,
+                {},
+                "overloaded");
+  }
+}
+
 } // namespace goldcrestkeel
