--- a/packages/forward/src/BackendPool.h
+++ b/packages/forward/src/BackendPool.h
@@ -9,7 +9,6 @@
 #include <goldcrestkeel/forward/HostRecord.h>
 
 #include <cstdint>
-#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -137,6 +136,15 @@
   }
 };
 
+/** Permits of replicas with request limits. */
+struct NextPermits
+{
+  /** Time until the first one. */
+  Duration m_first{ 0 };
+  /** Permits a second, over all replicas. */
+  double m_rate = 0;
+};
+
 /** Tracks the replicas of each service and selects among them. */
 class BackendPool
 {
@@ -182,12 +190,10 @@
                                const BackendGroup& aGroup,
                                const std::vector<std::string>& aExclude);
 
-  /** Time until a permit for one more sub-request, behind aQueued() others, if
-   *  all usable replicas of aGroup have request limits that are used up; 0
-   *  otherwise. */
-  static Duration TimeToPermit(TimePoint aNow,
-                               const BackendGroup& aGroup,
-                               const std::function<std::size_t()>& aQueued);
+  /** The next permits of the replicas of aGroup, if all that are usable have
+   *  request limits that are used up. */
+  static std::optional<NextPermits> PermitsOf(TimePoint aNow,
+                                              const BackendGroup& aGroup);
 
   /** Whether service discovery lists a non-draining replica of aGroup. */
   static bool HasListedReplica(const BackendGroup& aGroup);
--- a/packages/forward/src/BackendShares.cpp
+++ b/packages/forward/src/BackendShares.cpp
@@ -15,7 +15,6 @@
 constexpr double kSameDataCentreShare = 0.6;
 /** Allowance for hosts that joined since the list was read, as a fraction. */
 constexpr double kJoiningHostsRatio = 0.2;
-constexpr double kMicrosecondsPerSecond = 1e6;
 
 } // namespace
 
@@ -97,30 +96,23 @@
   aGroup.m_budget.SetSlack(m_options.m_repeatSlack / m_liveHosts);
 }
 
-Duration
-BackendPool::TimeToPermit(TimePoint aNow,
-                          const BackendGroup& aGroup,
-                          const std::function<std::size_t()>& aQueued)
+std::optional<NextPermits>
+BackendPool::PermitsOf(TimePoint aNow, const BackendGroup& aGroup)
 {
-  double rate = 0;
-  Duration earliest = Duration::max();
+  std::optional<NextPermits> permits;
   for (const auto& replica : aGroup.m_replicas) {
     if (TierOf(aNow, *replica) == ReplicaTier::Unavailable) {
       continue;
     }
     const Duration time = replica->m_requestLimit.TimeToPermit(aNow);
     if (time <= Duration(0)) {
-      return Duration(0);
+      return std::nullopt;
     }
-    rate += replica->m_requestLimit.Rate();
-    earliest = std::min(earliest, time);
+    permits = permits.value_or(NextPermits{ time, 0 });
+    permits->m_first = std::min(permits->m_first, time);
+    permits->m_rate += replica->m_requestLimit.Rate();
   }
-  if (rate == 0) {
-    return Duration(0);
-  }
-  const double queueTimeUs =
-    static_cast<double>(aQueued()) / rate * kMicrosecondsPerSecond;
-  return earliest + Duration(static_cast<Duration::rep>(queueTimeUs));
+  return permits;
 }
 
 } // namespace goldcrestkeel
--- a/packages/forward/src/ForwarderLimits.cpp
+++ b/packages/forward/src/ForwarderLimits.cpp
@@ -12,6 +12,7 @@
  *  the target without the latency of the service. The rest allows for requests
  *  of higher priority and for answers that are slower than usual. */
 constexpr int kMaxWaitPercent = 50;
+constexpr double kMicrosecondsPerSecond = 1e6;
 
 } // namespace
 
@@ -65,12 +66,16 @@
   if (!BackendPool::HasUsableReplica(aNow, aGroup, {})) {
     return false;
   }
-  const Route& route = *aForward.m_request.m_route;
-  const auto wait = BackendPool::TimeToPermit(
-    aNow, aGroup, [&] { return QueuedAhead(aGroup, route.m_priority); });
-  if (wait <= Duration(0)) {
+  const auto permits = BackendPool::PermitsOf(aNow, aGroup);
+  if (!permits) {
     return true;
   }
+  const Route& route = *aForward.m_request.m_route;
+  const double queueTimeUs =
+    static_cast<double>(QueuedAhead(aGroup, route.m_priority)) /
+    permits->m_rate * kMicrosecondsPerSecond;
+  const Duration wait =
+    permits->m_first + Duration(static_cast<Duration::rep>(queueTimeUs));
   const auto& relayed = aForward.m_request.m_relayedShards;
   const TimePoint target =
     relayed ? relayed->m_targetAt : aForward.m_startedAt + route.m_target;
