Let services that are slower than their target wait for permits

Cause: a request whose service takes longer than the target could never meet it, so that it was refused as soon as no permit was free, although replicas could serve it by the deadline. The new test failed before.

--- a/packages/forward/src/ForwarderLimits.cpp
+++ b/packages/forward/src/ForwarderLimits.cpp
@@ -80,7 +80,10 @@
   const TimePoint target =
     relayed ? relayed->m_targetAt : aForward.m_startedAt + route.m_target;
   const Duration latency(static_cast<Duration::rep>(aGroup.m_latency));
-  return wait <= (target - aNow - latency) * kMaxWaitPercent / 100;
+  // A service that is slower than the target is late without a limit, too.
+  const TimePoint due =
+    aNow + latency < target ? target : aForward.m_request.m_deadline;
+  return wait <= (due - aNow - latency) * kMaxWaitPercent / 100;
 }
 
 void
--- a/packages/forward/tests/RequestLimitTest.cpp
+++ b/packages/forward/tests/RequestLimitTest.cpp
@@ -168,6 +168,23 @@
   }
 }
 
+TEST_CASE("A service that is slower than its target is not refused for a limit",
+          "[request-limit]")
+{
+  ForwarderFixture fixture;
+  Route route = fixture.SingleRoute(true);
+  route.m_timeout = 4s;
+  fixture.ApplyRoute(route, 1);
+  fixture.RunRequests(5, 300ms);
+  fixture.Start(4s);
+  fixture.AnswerWith(fixture.m_sent.back().m_copy, AnswerWithLimit(5));
+  const std::size_t sent = fixture.m_sent.size();
+  const ForwardId request = fixture.Start(4s);
+  REQUIRE_FALSE(fixture.m_results.contains(request));
+  fixture.Advance(1s);
+  REQUIRE(fixture.m_sent.size() == sent + 1);
+}
+
 TEST_CASE("The hosts together keep to the request limit of a replica",
           "[request-limit]")
 {
