Restore the store from a copy in the soak

The store is away, returns with a copy 2 to 9 s old and the next era; leases and revisions go back and are given out again, operators' keys are written again at once, those of replicas up to a second later.

--- a/scripts/lib/soak_faults.py
+++ b/scripts/lib/soak_faults.py
@@ -24,8 +24,8 @@
             (3, self.restart_host), (2, self.kill_host), (2, self.pause_host),
             (1, self.reload_host), (3, self.store_away), (1, self.store_slow),
             (1, self.store_loses_answers), (1, self.store_forgets), (1, self.entries_lapse),
-            (2, self.store_link), (2, self.replica_crashes), (2, self.replica_drains),
-            (2, self.replica_link), (2, self.replica_names_limit),
+            (2, self.store_restored), (2, self.store_link), (2, self.replica_crashes),
+            (2, self.replica_drains), (2, self.replica_link), (2, self.replica_names_limit),
             (3, self.replica_spoils), (1, self.replica_hangs),
             (2, self.change_configuration), (1, self.divide_anew)]
 
@@ -129,6 +129,23 @@
         self.run.store.mark_disturbed(0.5)
         self.run.store.compact()
 
+    async def store_restored(self):
+        """The store is away and returns from a copy; replicas write their entries again
+        up to a second later."""
+        store = self.run.store
+        seconds = self.random.uniform(0.3, 2)
+        rewrite_s = self.random.uniform(0, 1)
+        self.record_disturbance(seconds + rewrite_s)
+        store.mark_disturbed(seconds + rewrite_s)
+        store.mode = self.random.choice(["busy", "reset", "silent"])
+        await asyncio.sleep(seconds)
+        entries = await store.restore(self.random.uniform(2, 9))
+        restored_revision = store.revision
+        store.mode = None
+        await asyncio.sleep(rewrite_s)
+        alive = {k: v for k, v in entries.items() if k.split("/")[1] in self.run.replicas}
+        await store.rewrite_entries(alive, restored_revision)
+
     async def entries_lapse(self):
         """The entries of about 70 % of the replicas expire during a store outage and are
         published again up to 1.5 s after its end."""
--- a/scripts/lib/store_standin.py
+++ b/scripts/lib/store_standin.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import base64
-import itertools
 import json
 import time
 from urllib.parse import parse_qs, urlsplit
@@ -17,6 +16,7 @@
 
 HISTORY_RETENTION_S = 20
 PAGE_SIZE = 50
+COPY_INTERVAL_S = 1
 
 
 class Store:
@@ -28,7 +28,9 @@
         self.history = []  # (time, event)
         self.compacted_revision = 0  # newest revision removed from the history
         self.leases = {}  # id -> [expiry, TTL in ms]
-        self.lease_ids = itertools.count(77000)
+        self.next_lease = 77000
+        self.era = 1
+        self.copies = []  # (time, items, revision, leases, next lease)
         self.changed = asyncio.Condition()
         self.mode = None
         self.rejected_peers = None
@@ -62,6 +64,33 @@
         self.compacted_revision = self.revision
         self.history = []
 
+    async def restore(self, age_s):
+        """Replaces all state with a copy that is about `age_s` old. What the operators
+        wrote since is written again; returns what the replicas had written."""
+        current = {k: v for k, v in self.items.items() if k.startswith(("op/", "servers/"))}
+        limit = time.monotonic() - age_s
+        _, items, self.revision, leases, self.next_lease = next(
+            (c for c in reversed(self.copies) if c[0] <= limit), self.copies[0])
+        self.items, self.leases = dict(items), {k: list(v) for k, v in leases.items()}
+        self.copies = []
+        self.era += 1
+        self.compact()
+        for key, (value, _, lease) in current.items():
+            if key.startswith("op/") and self.items.get(key, (None,))[0] != value:
+                await self.put(key, value, lease)
+        return {k: v[0] for k, v in current.items() if k.startswith("servers/")}
+
+    async def rewrite_entries(self, entries, restored_revision):
+        """The replicas write their entries again, and those of others lapse. What
+        changed since `restored_revision` is left as it is."""
+        for key in [k for k in self.items if k.startswith("servers/") and k not in entries]:
+            if self.items[key][1] <= restored_revision:
+                await self.delete(key)
+        for key, value in entries.items():
+            known_value, revision, _ = self.items.get(key, (None, 0, 0))
+            if known_value != value and revision <= restored_revision:
+                await self.put(key, value)
+
     def _write(self, key, value, lease):
         self.revision += 1
         self.items[key] = (value, self.revision, lease)
@@ -82,6 +111,10 @@
         while True:
             await asyncio.sleep(0.1)
             now = time.monotonic()
+            if not self.copies or now - self.copies[-1][0] > COPY_INTERVAL_S:
+                self.copies = self.copies[-20:] + [(
+                    now, dict(self.items), self.revision,
+                    {k: list(v) for k, v in self.leases.items()}, self.next_lease)]
             expired = [i for i, (expiry, _) in self.leases.items() if expiry < now]
             async with self.changed:
                 for lease in expired:
@@ -112,7 +145,8 @@
                 if request.method == "POST" and self.random.random() < self.lost_response_ratio:
                     await asyncio.sleep(3600)
                 writer.write(wire.format_response(
-                    status, [("Content-Type", "application/json")],
+                    status, [("Content-Type", "application/json"),
+                             ("Store-Era", str(self.era))],
                     json.dumps(body).encode()))
                 await writer.drain()
         except (EOFError, OSError, asyncio.CancelledError):
@@ -131,7 +165,7 @@
         if url.path == "/v1/kv-txn":
             return await self._transaction(body)
         if url.path == "/v1/kv-lease":
-            lease = next(self.lease_ids)
+            lease, self.next_lease = self.next_lease, self.next_lease + 1
             self.leases[lease] = [time.monotonic() + body["ttl_ms"] / 1e3, body["ttl_ms"]]
             return 200, {"lease": lease, "ttl_ms": body["ttl_ms"]}
         if url.path.startswith("/v1/kv-keep/"):
@@ -154,7 +188,7 @@
         deadline = time.monotonic() + int(query["wait_ms"]) / 1e3
         while True:
             self._trim_history()
-            if after < self.compacted_revision:
+            if after < self.compacted_revision or after > self.revision:
                 return 410, {}
             events = [e for _, e in self.history
                       if e["revision"] > after and e["key"].startswith(prefix)]
