--- a/packages/feed/include/goldcrestkeel/feed/FeedItem.h
+++ b/packages/feed/include/goldcrestkeel/feed/FeedItem.h
@@ -9,8 +9,8 @@
 
 namespace goldcrestkeel {
 
-/** A point in the history of the store. Grows with each change; 0 means none.
- */
+/** A point in the history of the store. It grows with each change; 0 means that
+ *  nothing has been read. */
 struct FeedRevision
 {
   /** Number of times that the store has been restored from a copy. */
--- a/packages/feed/include/goldcrestkeel/feed/ReplicaHistory.h
+++ b/packages/feed/include/goldcrestkeel/feed/ReplicaHistory.h
@@ -11,8 +11,8 @@
 namespace goldcrestkeel {
 
 /** What replicas last reported of themselves. After a restore of the store from
- *  a copy, tells the entries of the copy that the host knows better: of
- * replicas that have begun to drain, or have left, since. */
+ *  a copy, it identifies entries that are older than what the host knows: those
+ *  of replicas that have begun to drain, or have left, since the copy. */
 class ReplicaHistory
 {
 public:
--- a/packages/feed/src/ReplicaHistory.cpp
+++ b/packages/feed/src/ReplicaHistory.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/** How long removed replicas are remembered. Copies of the store are some
- * seconds old when it returns from them. */
+/** How long removed replicas are remembered. It is far longer than the age of
+ *  the copies from which the store is restored, some seconds. */
 constexpr Duration kRemovedReplicaMemory{ 600000000 };
 
 } // namespace
