--- a/packages/feed/include/goldcrestkeel/feed/FeedItem.h
+++ b/packages/feed/include/goldcrestkeel/feed/FeedItem.h
@@ -2,9 +2,9 @@
 
 #include <goldcrestkeel/core/Time.h>
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace goldcrestkeel {
@@ -26,7 +26,20 @@
   {
   }
 
-  auto operator<=>(const FeedRevision&) const = default;
+  bool operator==(const FeedRevision&) const = default;
+  bool operator<(const FeedRevision& aOther) const
+  {
+    return std::tie(m_era, m_number) < std::tie(aOther.m_era, aOther.m_number);
+  }
+  bool operator>(const FeedRevision& aOther) const { return aOther < *this; }
+  bool operator<=(const FeedRevision& aOther) const
+  {
+    return !(aOther < *this);
+  }
+  bool operator>=(const FeedRevision& aOther) const
+  {
+    return !(*this < aOther);
+  }
 };
 
 /** A key and its value, or the deletion of a key. */
