--- a/review/1/case.py
+++ b/review/1/case.py
@@ -50,13 +50,13 @@
         self.sequence = 0
 
     async def start(self):
-        await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        await asyncio.start_server(self.serve, standins.IP, self.port)
         await self.beat()
 
     async def beat(self):
         self.sequence += 1
         await self.run.store.put(f"servers/{self.name}", json.dumps({
-            "service": self.service, "address": f"127.0.0.1:{self.port}", "zone": self.zone,
+            "service": self.service, "address": f"{standins.IP}:{self.port}", "zone": self.zone,
             "version": "1", "max_concurrency": SLOTS, "state": "ready",
             "warmup_left_ms": 0, "sequence": self.sequence, "born": self.born}).encode())
 
@@ -80,7 +80,8 @@
                 extra = b""
                 if self.faulty:
                     self.answers += 1
-                    if self.random.random() < EXTRA_RATIO:
+                    if self.random.random() < 1.5 * EXTRA_RATIO and \
+                            self.extras + 1 <= EXTRA_RATIO * self.answers:
                         self.extras += 1
                         extra = answer
                         extra_id = request.fields.get("x-goldcrestkeel-request-id")
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -26,7 +26,7 @@
 # The trouble: platform_lost, x = 0.35, for_s = 4.5.
 LOST_RATIO, TROUBLE_FOR_S = 0.35, 4.5
 # Planned work in this time, which is also done without the trouble.
-CHANGES_AT_S = (3.0, 4.2)
+CHANGES_AT_S = (2.4, 3.3, 4.2)
 TRAFFIC_AFTER_S = 20
 CONTACT_S = standins.BOUNDS["contact_ms"] / 1e3
 APPLY_S = standins.BOUNDS["config_apply_ms"] / 1e3
@@ -51,7 +51,8 @@
                 status, body = await self._call(request)
                 if self.losing:
                     self.answers += 1
-                    if self.random.random() < LOST_RATIO:
+                    if self.random.random() < 1.5 * LOST_RATIO and \
+                            self.lost + 1 <= LOST_RATIO * self.answers:
                         self.lost += 1
                         self.record.write(
                             f"store: answer lost: {request.method} {request.target}")
@@ -77,9 +78,9 @@
         self.running = 0
 
     async def start(self):
-        await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        await asyncio.start_server(self.serve, standins.IP, self.port)
         await self.run.store.put(f"servers/{self.name}", json.dumps({
-            "service": self.service, "address": f"127.0.0.1:{self.port}", "zone": self.zone,
+            "service": self.service, "address": f"{standins.IP}:{self.port}", "zone": self.zone,
             "version": "1", "max_concurrency": 6, "state": "ready", "warmup_left_ms": 0,
             "sequence": 1, "born": self.born}).encode())
 
@@ -142,7 +143,7 @@
 
 
 async def case(record, directory, hosts):
-    store = LosingStore(f"127.0.0.1:{standins.free_ports(1)[0]}",
+    store = LosingStore(f"{standins.IP}:{standins.free_ports(1)[0]}",
                         random.Random(), record)
     await store.start()
     run = Run(record, store)
@@ -161,11 +162,14 @@
     began = time.monotonic()
     store.losing = standins.TROUBLE
     record.write("trouble begins" if store.losing else "no trouble")
-    await asyncio.sleep(began + CHANGES_AT_S[0] - time.monotonic())
-    await standins.write_config(store, 12, routes("ledger", ["idle"]), SERVICES, 100)
-    record.write("version 12 acknowledged: a route is added")
-    await asyncio.sleep(began + CHANGES_AT_S[1] - time.monotonic())
-    await standins.write_config(store, 15, routes("shop-counter", ["idle"]), SERVICES, 100)
+    idle = []
+    for version, at in zip((11, 12), CHANGES_AT_S):
+        await asyncio.sleep(began + at - time.monotonic())
+        idle.append(f"idle{version}")
+        await standins.write_config(store, version, routes("ledger", idle), SERVICES, 100)
+        record.write(f"version {version} acknowledged: a route is added")
+    await asyncio.sleep(began + CHANGES_AT_S[2] - time.monotonic())
+    await standins.write_config(store, 15, routes("shop-counter", idle), SERVICES, 100)
     acknowledged = time.monotonic()
     record.write("version 15 acknowledged: the route invoice moves to shop-counter")
     await asyncio.sleep(began + TROUBLE_FOR_S - time.monotonic())
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -52,9 +52,9 @@
         self.starts += 1
         self.name = f"i-{self.number:04x}{self.starts:04x}"
         self.running = 0
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
+        self.server = await asyncio.start_server(self.serve, standins.IP, self.port)
         await self.run.store.put(f"servers/{self.name}", json.dumps({
-            "service": SERVICE, "address": f"127.0.0.1:{self.port}", "zone": self.zone,
+            "service": SERVICE, "address": f"{standins.IP}:{self.port}", "zone": self.zone,
             "version": "1", "max_concurrency": SLOTS, "state": "ready", "warmup_left_ms": 0,
             "sequence": 1, "born": int(time.time() * 1000)}).encode())
 
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -29,6 +29,8 @@
 BOUNDS = {"contact_ms": 4000, "drain_ms": 3000, "config_apply_ms": 3000, "grace_s": 6,
           "retry_budget_ratio": 0.2, "retry_window_s": 10, "retry_budget_slack": 54}
 HOST = "review.example"
+# A loopback address for this run, whose ports no outgoing connection takes.
+IP = f"127.{random.randint(64, 120)}.{random.randint(1, 250)}.1"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -54,12 +56,12 @@
         self.file.close()
 
 
-def free_ports(count, ip="127.0.0.1"):
+def free_ports(count):
     """Free TCP ports."""
     sockets = []
     for _ in range(count):
         one = socket.socket()
-        one.bind((ip, 0))
+        one.bind((IP, 0))
         sockets.append(one)
     ports = [one.getsockname()[1] for one in sockets]
     for one in sockets:
@@ -99,10 +101,10 @@
         self.caller_port = caller
         self.ready_port = ready
         self.fields = {
-            "node_name": self.name, "zone": self.zone, "ip": "127.0.0.1",
+            "node_name": self.name, "zone": self.zone, "ip": IP,
             "zones": ZONES, "bootstrap": True, "limits": {"cpu_quota": 0.25},
-            "listen_addrs": {"frontend": f"127.0.0.1:{caller}",
-                             "readiness": f"127.0.0.1:{ready}"},
+            "listen_addrs": {"frontend": f"{IP}:{caller}",
+                             "readiness": f"{IP}:{ready}"},
             "port_range": [metrics, relay], "platform": {"address": store_address},
             "bounds": BOUNDS}
         self.process = None
@@ -139,7 +141,7 @@
 
     async def is_ready(self):
         try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", self.ready_port)
+            reader, writer = await asyncio.open_connection(IP, self.ready_port)
             writer.write(wire.format_message("GET /v1/readyz HTTP/1.1", [("Host", "x")]))
             answer = await asyncio.wait_for(wire.read_message(reader, True), 1)
             writer.close()
@@ -182,7 +184,7 @@
     writer = None
     try:
         reader, writer = stream or await asyncio.wait_for(
-            asyncio.open_connection("127.0.0.1", port), 1)
+            asyncio.open_connection(IP, port), 1)
         writer.write(wire.format_message(f"{method} {path} HTTP/1.1", fields, body))
         return await asyncio.wait_for(wire.read_message(reader, True),
                                       deadline_ms / 1e3 + 1)
@@ -224,4 +226,4 @@
 
 
 def make_store(seed):
-    return Store(f"127.0.0.1:{free_ports(1)[0]}", random.Random(seed))
+    return Store(f"{IP}:{free_ports(1)[0]}", random.Random(seed))
