--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -15,7 +15,6 @@
 import sys
 import tempfile
 import time
-import tomllib
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 sys.path.insert(0, f"{ROOT}/scripts/lib")
@@ -110,8 +109,8 @@
         self.process = None
 
     def start(self):
-        with open(f"{ROOT}/deploy/system.toml", "rb") as file:
-            role = tomllib.load(file)["roles"]["entry"]
+        with open(f"{ROOT}/deploy/system.toml", encoding="utf-8") as file:
+            role = dict(re.findall(r'^(run|template) = "(.*)"$', file.read(), re.M))
         with open(f"{ROOT}/{role['template']}", encoding="utf-8") as file:
             settings = render(file.read(), self.fields)
         path = f"{self.directory}/{self.name}.conf"
