Review stand-ins: give out no port twice

Cause: ports are bound only after all have been chosen, so that two could be the same; one run of case 2 with TROUBLE=0 ended with status 2, since a host was not ready. That this was its cause is not proven, as the logs of the host are gone. Change: a port is given out once; the logs are in the message.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -55,16 +55,19 @@
         self.file.close()
 
 
+_taken_ports = set()
+
+
 def free_ports(count):
-    """Free TCP ports."""
-    sockets = []
-    for _ in range(count):
-        one = socket.socket()
-        one.bind((IP, 0))
-        sockets.append(one)
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
+    """Free TCP ports, none of them twice: they are bound only later."""
+    ports = []
+    while len(ports) < count:
+        with socket.socket() as one:
+            one.bind((IP, 0))
+            port = one.getsockname()[1]
+        if port not in _taken_ports:
+            _taken_ports.add(port)
+            ports.append(port)
     return ports
 
 
@@ -153,7 +156,9 @@
     deadline = time.monotonic() + timeout_s
     while not all([await host.is_ready() for host in hosts]):
         if time.monotonic() > deadline:
-            raise CannotRun("an entry host is not ready")
+            logs = [line for host in hosts for line in host.log_lines()
+                    if not line.startswith("{")]
+            raise CannotRun(f"an entry host is not ready {logs}")
         await asyncio.sleep(0.1)
 
 
