Send a request again over a connection that has not answered it

Cause: an answer belongs to a copy if connection and request id match. After a rejection the repeat could go to the same replica over the same connection; a second copy of the rejection, sent late, then counted as the answer to the repeat, so that a copy that ran was taken for one that did not. Change: a connection keeps hashes of the ids of requests of which it has answered a copy until these end, and takes no further copy of them. This holds for copies, parts of gathered answers and relays, which share the pools, and for 503, 429, 421 and 408 alike. The soak's replicas echo ids in rejections and send second copies late (answers_come_again). Test: ReplicaConnectionsTest, "A request is sent again after its replica rejected it", failed before (8 assertions: the repeat used connection 0). "A replica that echoes no ids is understood" sent the same id twice over one connection, which no longer happens; it sends two ids now, with the same assertions.

--- a/packages/edge/src/EdgeRequests.cpp
+++ b/packages/edge/src/EdgeRequests.cpp
@@ -117,6 +117,7 @@
   open.m_requestId = FieldValue(aRequest.m_fields, m_names.m_requestId);
   open.m_request = std::move(aRequest);
   open.m_arrivedAt = now;
+  open.m_deadline = forward.m_deadline;
   open.m_route = route->m_name;
   open.m_version = m_table->m_version;
   m_requestBySession[open.m_session] = forward.m_id;
--- a/packages/edge/src/EdgeServer.cpp
+++ b/packages/edge/src/EdgeServer.cpp
@@ -168,6 +168,7 @@
   OutgoingCopy copy;
   copy.m_copy = aCopy;
   copy.m_requestId = open.m_requestId;
+  copy.m_requestEndsAt = open.m_deadline;
   copy.m_head = open.m_request.m_method == "HEAD";
   copy.m_bytes =
     WriteCopy(open.m_request, m_names, aReplica.m_id, aDeadline - m_loop.Now());
@@ -186,6 +187,7 @@
   OutgoingCopy copy;
   copy.m_copy = aCopy;
   copy.m_requestId = open.m_requestId;
+  copy.m_requestEndsAt = open.m_deadline;
   copy.m_head = open.m_request.m_method == "HEAD";
   copy.m_bytes = WriteRelay(open.m_request,
                             m_names,
--- a/packages/edge/src/EdgeServerImpl.h
+++ b/packages/edge/src/EdgeServerImpl.h
@@ -92,6 +92,7 @@
     RequestMessage m_request;
     std::string m_requestId;
     TimePoint m_arrivedAt;
+    TimePoint m_deadline;
     std::string m_route;
     RoutingVersion m_version = 0;
   };
--- a/packages/edge/src/ReplicaConnections.cpp
+++ b/packages/edge/src/ReplicaConnections.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <functional>
 #include <utility>
 
 namespace goldcrestkeel {
@@ -88,6 +89,7 @@
   {
     m_copy = aCopy.m_copy;
     m_requestId = std::move(aCopy.m_requestId);
+    m_requestEndsAt = aCopy.m_requestEndsAt;
     m_connection.Send(std::move(aCopy.m_bytes), aCopy.m_head);
   }
 
@@ -106,6 +108,19 @@
            (!m_connection.IsConnected() ||
             (m_connection.IsReusable() && aNow < m_idleDeadline));
   }
+  /** A copy of the request has been answered on this connection. A second copy
+   *  of that answer may still come, and only the id would tell it from the
+   *  answer to another copy. */
+  bool HasAnswered(std::string_view aRequestId, TimePoint aNow) const
+  {
+    const std::size_t hash = std::hash<std::string_view>()(aRequestId);
+    return std::any_of(m_answered.begin(),
+                       m_answered.end(),
+                       [&](const AnsweredRequest& aAnswered) {
+                         return aAnswered.m_hash == hash &&
+                                aAnswered.m_endsAt > aNow;
+                       });
+  }
   bool IsExpired(TimePoint aNow) const
   {
     return m_connection.IsConnected() ? m_copy == 0 && aNow >= m_idleDeadline
@@ -142,6 +157,7 @@
     const CopyId copy = std::exchange(m_copy, 0);
     m_owner.m_connectionByCopy.erase(copy);
     CountHeldBytes();
+    RememberAnswered();
     m_idleDeadline = m_owner.m_loop.Now() + IdleTimeoutOf(aAnswer);
     ReplicaAnswer answer = m_owner.ToAnswer(std::move(aAnswer));
     ReplicaConnections& owner = m_owner;
@@ -189,6 +205,27 @@
   bool WasSent() const { return m_connection.WasSent(); }
 
 private:
+  /** A request of which a copy has been answered. Hashes suffice: if two ids
+   *  share one, a copy goes over another connection without need. */
+  struct AnsweredRequest
+  {
+    std::size_t m_hash = 0;
+    TimePoint m_endsAt;
+  };
+
+  /** Remembers the current request until it ends. */
+  void RememberAnswered()
+  {
+    const TimePoint now = m_owner.m_loop.Now();
+    std::erase_if(m_answered, [&](const AnsweredRequest& aAnswered) {
+      return aAnswered.m_endsAt <= now;
+    });
+    if (!m_requestId.empty() && m_requestEndsAt > now) {
+      m_answered.push_back(
+        { std::hash<std::string_view>()(m_requestId), m_requestEndsAt });
+    }
+  }
+
   void SetCountedBytes(std::size_t aBytes)
   {
     m_owner.m_heldBytes += aBytes;
@@ -201,6 +238,8 @@
   std::string m_endpoint;
   CopyId m_copy = 0;
   std::string m_requestId;
+  TimePoint m_requestEndsAt;
+  std::vector<AnsweredRequest> m_answered;
   ConnectionState m_state = ConnectionState::New;
   /** An answer on this connection carried a request id. */
   bool m_echoesIds = false;
@@ -239,6 +278,7 @@
        connection != endpoint.m_connections.rend();
        ++connection) {
     if ((*connection)->IsFree(now) &&
+        !(*connection)->HasAnswered(aCopy.m_requestId, now) &&
         (!chosen || (*connection)->Reliability() > chosen->Reliability())) {
       chosen = connection->get();
       if (chosen->IsProven()) {
--- a/packages/edge/src/ReplicaConnections.h
+++ b/packages/edge/src/ReplicaConnections.h
@@ -40,6 +40,8 @@
   std::string m_requestId;
   /** The request is a HEAD request. */
   bool m_head = false;
+  /** No copy of the request is sent after this time. */
+  TimePoint m_requestEndsAt = TimePoint::max();
 };
 
 /** Connection pools to all replicas and to other entry hosts. */
--- a/packages/edge/tests/ReplicaConnectionsTest.cpp
+++ b/packages/edge/tests/ReplicaConnectionsTest.cpp
@@ -10,6 +10,7 @@
 
 #include <fstream>
 #include <map>
+#include <thread>
 
 using namespace goldcrestkeel;
 using namespace goldcrestkeel::testing;
@@ -154,11 +155,73 @@
   }
 }
 
+// Guards against a second copy of a rejection that is taken for the answer to
+// the repeat of the request, which carries the same id: the repeat runs, is
+// counted as not run, and is sent a third time.
+TEST_CASE("A request is sent again after its replica rejected it", "[replicas]")
+{
+  const std::string rejection =
+    GENERATE(as<std::string>(), "503", "429", "421", "408");
+  const std::string bytes = "HTTP/1.1 " + rejection +
+                            " Any\r\nId: one\r\nNot-Run: 1\r\n"
+                            "Content-Length: 0\r\n\r\n";
+  CAPTURE(rejection);
+  Fixture fixture;
+  fixture.Send(1, "one");
+  fixture.m_server.Send(0, bytes);
+  fixture.Turn();
+  REQUIRE(fixture.m_answers.at(1).m_notRun);
+
+  SECTION("over another connection, so that the second copy belongs to nothing")
+  {
+    fixture.Send(2, "one");
+    REQUIRE(fixture.m_server.Accept() == 2);
+    fixture.m_server.Send(0, bytes);
+    fixture.Turn();
+    REQUIRE_FALSE(fixture.m_answers.contains(2));
+    REQUIRE_FALSE(fixture.m_failures.contains(2));
+    fixture.m_server.Send(1, Answer("one", "done"));
+    fixture.Turn();
+    REQUIRE(fixture.m_answers.at(2).m_body == "done");
+  }
+
+  SECTION("also if the connection has carried another request since")
+  {
+    fixture.Send(2, "two");
+    REQUIRE(fixture.m_server.Accept() == 1);
+    fixture.m_server.Send(0, Answer("two", "other"));
+    fixture.Turn();
+    fixture.Send(3, "one");
+    REQUIRE(fixture.m_server.Accept() == 2);
+
+    SECTION("which is then free for the next one")
+    {
+      fixture.Send(4, "four");
+      REQUIRE(fixture.m_server.Accept() == 2);
+    }
+  }
+
+  SECTION("and over the same one once the request has ended")
+  {
+    Fixture ended;
+    ended.m_connections.Send(
+      ended.Record(),
+      { 1, "GET / HTTP/1.1\r\n\r\n", "one", false, ended.m_clock.Now() + 5ms });
+    ended.Turn();
+    ended.m_server.Send(0, bytes);
+    ended.Turn();
+    std::this_thread::sleep_for(10ms);
+    ended.Turn();
+    ended.Send(2, "one");
+    REQUIRE(ended.m_server.Accept() == 1);
+  }
+}
+
 TEST_CASE("A replica that echoes no ids is understood", "[replicas]")
 {
   Fixture fixture;
   for (CopyId copy = 1; copy <= 2; ++copy) {
-    fixture.Send(copy, "one");
+    fixture.Send(copy, std::to_string(copy));
     fixture.m_server.Send(0, Answer("", "body"));
     fixture.Turn();
     REQUIRE(fixture.m_answers.at(copy).m_body == "body");
--- a/scripts/lib/replica_standin.py
+++ b/scripts/lib/replica_standin.py
@@ -44,7 +44,8 @@
 
 class Replica:
     """One process run of a replica. `faults` maps a kind of fault to its probability:
-    an answer is lost, reset, cut in half, malformed ("spoilt") or sent twice."""
+    an answer is lost, reset, cut in half, malformed ("spoilt"), sent twice, or sent again
+    where the next answer on its connection is expected ("late")."""
 
     def __init__(self, observations, store, random, service, name, address, zone, mean_work_s):
         self.observations = observations
@@ -60,6 +61,7 @@
         self.draining = False
         self.leaving = False  # it says so in its answers
         self.turned_away = 0.0  # probability; the host is asked for rest
+        self.rejecting = 0.0  # probability; as if the replica were full
         self.silent = False
         self.slowdown = 1.0
         self.request_limit = None  # requests a second from all hosts together
@@ -103,12 +105,14 @@
     async def _serve(self, reader, writer):
         self.connections.add(writer)
         peer = writer.get_extra_info("peername")[0]
+        answers = _AnswerWriter(self, writer)
         try:
             while True:
                 request = await wire.read_message(reader)
                 if request is None:
                     break
-                if not await self._answer(request, writer, peer):
+                answers.send_late_copy()
+                if not await self._answer(request, answers, peer):
                     break
         except (EOFError, OSError, asyncio.CancelledError):
             pass
@@ -116,25 +120,26 @@
             self.connections.discard(writer)
             writer.close()
 
-    async def _answer(self, request, writer, peer):
+    async def _answer(self, request, answers, peer):
         """Handles one request; returns false if the connection must be closed."""
         fields = request.fields
         request_id = fields.get("x-goldcrestkeel-request-id", "")
         target_instance = fields.get("x-goldcrestkeel-target-instance", self.name)
+        echo = [("X-Goldcrestkeel-Request-Id", request_id)] if request_id else []
+        not_run = echo + [("X-Goldcrestkeel-Not-Executed", "1")]
         if target_instance != self.name:
-            writer.write(wire.format_response(421))
+            answers.write(wire.format_response(421, echo))
             return True
         self.observations.arrivals.append(
             (time.monotonic(), request_id, self.service, self.name, peer))
-        if self.running >= 6 * self.slots:
-            writer.write(wire.format_response(503, [("X-Goldcrestkeel-Not-Executed", "1")]))
+        if self.running >= 6 * self.slots or self.random.random() < self.rejecting:
+            answers.write(wire.format_response(503, not_run))
             return True
         if self.random.random() < self.turned_away:
             rest_s = 2
             self.observations.notices.append(
                 (time.monotonic(), request_id, self.name, rest_s))
-            writer.write(wire.format_response(503, [
-                ("X-Goldcrestkeel-Not-Executed", "1"), ("Retry-After", str(rest_s))]))
+            answers.write(wire.format_response(503, not_run + [("Retry-After", str(rest_s))]))
             return True
         self.running += 1
         stamp = self.observations.record_run(request_id, self.service, self.name, 200)
@@ -151,7 +156,8 @@
             return False
         if duration_s > remaining_s:
             self.observations.stamps[stamp] = (request_id, self.service, 504)
-            writer.write(wire.format_response(504, [("X-Goldcrestkeel-Server-Stamp", stamp)]))
+            answers.write(wire.format_response(
+                504, echo + [("X-Goldcrestkeel-Server-Stamp", stamp)]))
             return True
         gathered = request.target.startswith("/search")
         body = shard_records(request_id, self.service) if gathered else \
@@ -167,9 +173,10 @@
             self.observations.notices.append(
                 (time.monotonic(), request_id, self.name, "leaving"))
         data = wire.format_response(200, response_fields, body)
-        return await self._send(data, writer)
+        return await self._send(data, answers)
 
-    async def _send(self, data, writer):
+    async def _send(self, data, answers):
+        writer = answers.writer
         draw = self.random.random()
         if draw < self.faults.get("reset", 0):
             wire.reset(writer)
@@ -181,9 +188,28 @@
         if draw < self.faults.get("spoilt", 0):
             writer.write(b"\x00\xffno answer at all\r\n\r\n")
             return False
-        writer.write(data)
+        answers.write(data)
         if draw < self.faults.get("twice", 0):
             await asyncio.sleep(self.random.uniform(0, 0.02))
             writer.write(data)
         await writer.drain()
         return True
+
+
+class _AnswerWriter:
+    """Writes the answers on one connection of a replica."""
+
+    def __init__(self, replica, writer):
+        self.replica = replica
+        self.writer = writer
+        self.late_copy = b""
+
+    def write(self, data):
+        self.writer.write(data)
+        if self.replica.random.random() < self.replica.faults.get("late", 0):
+            self.late_copy = data
+
+    def send_late_copy(self):
+        """Sends the last answer a second time, if it is to come late."""
+        self.writer.write(self.late_copy)
+        self.late_copy = b""
--- a/scripts/lib/soak_faults.py
+++ b/scripts/lib/soak_faults.py
@@ -29,7 +29,7 @@
             (2, self.replica_drains), (2, self.replica_link), (2, self.replica_names_limit),
             (2, self.replica_says_leaving), (2, self.replica_turns_away),
             (2, self.hosts_cut_off),
-            (3, self.replica_spoils), (1, self.replica_hangs),
+            (3, self.replica_spoils), (1, self.replica_hangs), (2, self.answers_come_again),
             (2, self.change_configuration), (1, self.divide_anew)]
 
     async def inject(self, seconds):
@@ -257,6 +257,21 @@
             await asyncio.sleep(self.random.uniform(1, 3))
             replica.faults.clear()
 
+    async def answers_come_again(self):
+        """All replicas of a service reject requests, so that some are sent again to the
+        same one, and send second copies of answers late."""
+        service = self.random.choice(["single", "other"])
+        replicas = [r for r, _ in self.run.replicas.values() if r.service == service]
+        rejecting = self.random.uniform(0.2, 0.8)
+        late = self.random.uniform(0.2, 1)
+        for replica in replicas:
+            replica.rejecting = rejecting
+            replica.faults["late"] = late
+        await asyncio.sleep(self.random.uniform(1, 4))
+        for replica in replicas:
+            replica.rejecting = 0.0
+            replica.faults.pop("late", None)
+
     async def replica_says_leaving(self):
         """A replica says in its answers that it leaves, long before its entry does."""
         name = self._pick_replica()
