Skip a second copy of the answer to a health check

Cause: the connection of a health check is kept for requests. The check has no request id and neither has its answer; on a connection that had brought no other answer, one without an id counted as that of the open request. The second copy of the check's answer, late, then answered a request. The test below shows the same with one connection. Change: after a health check, one answer without an id is skipped. Test: ReplicaConnectionsTest, "A health check goes over a new connection", "but a second copy, late, is not the answer to the next request", failed before.

--- a/packages/edge/src/ReplicaConnections.cpp
+++ b/packages/edge/src/ReplicaConnections.cpp
@@ -143,6 +143,12 @@
     const std::string_view id =
       FieldValue(aAnswer.m_fields, m_owner.m_names.m_requestId);
     if (id.empty()) {
+      if (m_requestId.empty()) {
+        return AnswerMatch::Belongs;
+      }
+      if (std::exchange(m_checkMayRepeat, false)) {
+        return AnswerMatch::Other;
+      }
       // It may be a second copy of an earlier answer.
       return m_echoesIds ? AnswerMatch::Unknown : AnswerMatch::Belongs;
     }
@@ -158,6 +164,7 @@
     m_owner.m_connectionByCopy.erase(copy);
     CountHeldBytes();
     RememberAnswered();
+    m_checkMayRepeat = m_checkMayRepeat || m_requestId.empty();
     m_idleDeadline = m_owner.m_loop.Now() + IdleTimeoutOf(aAnswer);
     ReplicaAnswer answer = m_owner.ToAnswer(std::move(aAnswer));
     ReplicaConnections& owner = m_owner;
@@ -243,6 +250,9 @@
   ConnectionState m_state = ConnectionState::New;
   /** An answer on this connection carried a request id. */
   bool m_echoesIds = false;
+  /** A health check, which has no request id, was answered, and no second copy
+   *  of that answer has come. */
+  bool m_checkMayRepeat = false;
   /** Bytes that m_heldBytes of the owner includes. */
   std::size_t m_countedBytes = 0;
   TimePoint m_connectDeadline;
--- a/packages/edge/tests/ReplicaConnectionsTest.cpp
+++ b/packages/edge/tests/ReplicaConnectionsTest.cpp
@@ -426,6 +426,27 @@
     fixture.Send(3, "three");
     REQUIRE(fixture.m_sentOn.back() == ConnectionState::Proven);
 
+    // Guards against a caller that gets the answer to a health check, or an
+    // error while its own answer is ready.
+    SECTION("but a second copy, late, is not the answer to the next request")
+    {
+      fixture.m_server.Send(1, Answer("", "fine"));
+      fixture.Turn();
+      REQUIRE_FALSE(fixture.m_answers.contains(3));
+      REQUIRE_FALSE(fixture.m_failures.contains(3));
+      fixture.m_server.Send(1, Answer("three", "third"));
+      fixture.Turn();
+      REQUIRE(fixture.m_answers.at(3).m_body == "third");
+
+      SECTION("and any later one without an id ends the connection")
+      {
+        fixture.Send(4, "four");
+        fixture.m_server.Send(1, Answer("", "fine"));
+        fixture.Turn();
+        REQUIRE(fixture.m_failures.at(4) == CopyFailure::Malformed);
+      }
+    }
+
     SECTION("so that its end is reported")
     {
       fixture.m_server.EndStream(1);
