--- a/scripts/lib/soak_faults.py
+++ b/scripts/lib/soak_faults.py
@@ -24,7 +24,7 @@
         self.events = [
             (3, self.restart_host), (2, self.kill_host), (2, self.pause_host),
             (1, self.reload_host), (3, self.store_away), (1, self.store_slow),
-            (1, self.store_loses_answers), (1, self.store_forgets), (1, self.entries_lapse),
+            (2, self.store_loses_answers), (1, self.store_forgets), (1, self.entries_lapse),
             (2, self.store_restored), (2, self.store_link), (2, self.replica_crashes),
             (2, self.replica_drains), (2, self.replica_link), (2, self.replica_names_limit),
             (2, self.replica_says_leaving), (2, self.replica_turns_away),
@@ -120,11 +120,16 @@
         self.run.store.delay_s = 0
 
     async def store_loses_answers(self):
+        """Answers to watches are lost too, also the one that reports a change."""
         seconds = self.random.uniform(1, 4)
         self.record_disturbance(seconds)
         self.run.store.mark_disturbed(seconds)
-        self.run.store.lost_response_ratio = 0.5
-        await asyncio.sleep(seconds)
+        self.run.store.lost_response_ratio = self.random.uniform(0.2, 0.6)
+        change_s = seconds * self.random.uniform(0.5, 0.9)
+        await asyncio.sleep(change_s)
+        self.run.moved_service = self.random.choice(["single", "other"])
+        await self.run.configure()
+        await asyncio.sleep(seconds - change_s)
         self.run.store.lost_response_ratio = 0
 
     async def store_forgets(self):
--- a/scripts/lib/store_standin.py
+++ b/scripts/lib/store_standin.py
@@ -2,8 +2,8 @@
 
 Faults: `mode` is None, "busy" (503), "reset" or "silent" (no response) and applies
 to the client IPs in `rejected_peers`, or to all clients if that is None;
-`lost_response_ratio` is the fraction of POST requests that are applied but get no
-response; `delay_s` delays each response. All requests run on one event loop.
+`lost_response_ratio` is the fraction of requests that are executed but get no
+response, nor does any later one on their connections; `delay_s` delays each response. All requests run on one event loop.
 """
 
 import asyncio
@@ -142,7 +142,7 @@
                 status, body = await self._call(request)
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s)
-                if request.method == "POST" and self.random.random() < self.lost_response_ratio:
+                if self.random.random() < self.lost_response_ratio:
                     await asyncio.sleep(3600)
                 writer.write(wire.format_response(
                     status, [("Content-Type", "application/json"),
