Guard the forwarding path against requests that crash replicas

Cause: the crash guard of the query engine had no counterpart on the forwarding path. A broken connection led to a retry and left no trace. Evidence: the request came to three hosts in turn and each time reached two replicas, also at a host that had lost two to it before, which rules out that hosts learn but do not tell each other, or forget. Change: CrashGuard of packages/core serves both paths. It takes the number of crashes and the time within which several count as one; its header is public. A crash is attributed to a request if connections broke, no replica has answered the request, a health check finds the replica down, and another replica answers afterwards. Such requests are not repeated. Three hosts, chosen by the fingerprint, count the crashes; the third puts the request in quarantine on all hosts and, for ten minutes, in the store for hosts that start later. It is refused at once (request_quarantined, 503). Gathered requests, relays and requests that wait are covered.

--- a/packages/core/include/goldcrestkeel/Core.h
+++ b/packages/core/include/goldcrestkeel/Core.h
@@ -2,6 +2,7 @@
  *  without input or output. Include this header, not the individual headers. */
 #pragma once
 
+#include <goldcrestkeel/core/CrashGuard.h>
 #include <goldcrestkeel/core/Errors.h>
 #include <goldcrestkeel/core/Invariant.h>
 #include <goldcrestkeel/core/QueryEngine.h>
--- a/packages/core/src/CrashGuard.h
+++ b/packages/core/include/goldcrestkeel/core/CrashGuard.h
@@ -1,8 +1,6 @@
 #pragma once
 
-#include "ReplicaTable.h"
-
-#include <goldcrestkeel/core/QueryEngine.h>
+#include <goldcrestkeel/core/Time.h>
 
 #include <cstdint>
 #include <string>
@@ -27,12 +25,41 @@
   Quarantined,
 };
 
+/** A suspected or quarantined statement, as entry hosts exchange it. */
+struct SuspectReport
+{
+  std::uint64_t m_fingerprint = 0;
+  /** Number of runs of the statement during which replicas crashed. */
+  std::uint32_t m_crashes = 0;
+  bool m_quarantined = false;
+  /** Incremented by each change of this entry; the larger version replaces the
+   *  smaller. */
+  std::uint64_t m_version = 0;
+  bool m_lifted = false;
+  std::string m_statement;
+};
+
+struct CrashGuardOptions
+{
+  /** Crashes after which a statement is quarantined. */
+  std::uint32_t m_crashesBeforeQuarantine = 2;
+  /** Crashes within this time of the one before count as one: one cause outside
+   *  the statement may end several replicas. */
+  Duration m_sameCrashTime{ 0 };
+};
+
 /** Records the statements that were running on replicas when these crashed. A
- *  suspected statement is quarantined when another replica crashes while it
- *  runs. */
+ *  suspected statement is quarantined when further replicas crash while it
+ *  runs. A statement is whatever the fingerprint stands for: that of a query,
+ * or a request that is forwarded. */
 class CrashGuard
 {
 public:
+  explicit CrashGuard(const CrashGuardOptions& aOptions = {})
+    : m_options(aOptions)
+  {
+  }
+
   StatementStatus StatusOf(std::uint64_t aFingerprint) const;
 
   /** Records that a replica of aShard crashed while aStatement ran on it. It
@@ -46,7 +73,7 @@
                    std::uint64_t aFingerprint,
                    const std::string& aStatement,
                    const std::string& aShard,
-                   ReplicaIndex aReplica,
+                   std::uint64_t aReplica,
                    std::uint64_t aIncarnation);
 
   /** Records the end of a run that searched aFraction of the documents, all
@@ -61,9 +88,14 @@
   /** Merges the reports of other hosts; the larger version of an entry replaces
    *  the smaller. */
   void Merge(TimePoint aNow, const std::vector<SuspectReport>& aReports);
+  /** Forgets the statements whose last crash was before aTime. */
+  void ForgetBefore(TimePoint aTime);
+  bool IsEmpty() const { return m_entries.empty(); }
   /** Returns false if the statement is not quarantined. */
   bool LiftQuarantine(std::uint64_t aFingerprint);
 
+  /** The entry of a statement; only its fingerprint is set if there is none. */
+  SuspectReport ReportOf(std::uint64_t aFingerprint) const;
   /** All entries, by fingerprint. */
   std::vector<SuspectReport> Reports() const;
   /** Number of quarantines since the start; lifting one does not reduce it. */
@@ -79,7 +111,7 @@
     std::vector<std::string> m_shards;
     TimePoint m_lastCrash = TimePoint::min();
     /** Replicas that crashed, with their incarnations. */
-    std::vector<std::pair<ReplicaIndex, std::uint64_t>> m_replicas;
+    std::vector<std::pair<std::uint64_t, std::uint64_t>> m_replicas;
 
     /** Clears the recorded shards and replicas. */
     void ClearCrashes();
@@ -88,6 +120,7 @@
   /** Makes room for one more entry if the table is full. */
   void EvictEntries();
 
+  CrashGuardOptions m_options;
   std::unordered_map<std::uint64_t, Entry> m_entries;
   std::uint64_t m_quarantined = 0;
   std::uint64_t m_version = 0;
--- a/packages/core/include/goldcrestkeel/core/Errors.h
+++ b/packages/core/include/goldcrestkeel/core/Errors.h
@@ -28,6 +28,7 @@
   Overloaded,
   DeadlineTooShort,
   Quarantined,
+  RequestQuarantined,
   NoReplica,
   SnapshotUnavailable,
   CoverageNotReached,
--- a/packages/core/include/goldcrestkeel/core/QueryEngine.h
+++ b/packages/core/include/goldcrestkeel/core/QueryEngine.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <goldcrestkeel/core/CrashGuard.h>
 #include <goldcrestkeel/core/Errors.h>
 #include <goldcrestkeel/core/Random.h>
 #include <goldcrestkeel/core/Time.h>
@@ -180,20 +181,6 @@
   std::uint64_t m_quarantined = 0;
 };
 
-/** A suspected or quarantined statement, as entry hosts exchange it. */
-struct SuspectReport
-{
-  std::uint64_t m_fingerprint = 0;
-  /** Number of runs of the statement during which replicas crashed. */
-  std::uint32_t m_crashes = 0;
-  bool m_quarantined = false;
-  /** Incremented by each change of this entry; the larger version replaces the
-   *  smaller. */
-  std::uint64_t m_version = 0;
-  bool m_lifted = false;
-  std::string m_statement;
-};
-
 /** Maximum time for which the member lists of two entry hosts can differ. A
  *  host increases its share of connections and slots only after this time. */
 inline constexpr Duration kShareGrowDelay{ 10000000 };
--- a/packages/core/src/CrashGuard.cpp
+++ b/packages/core/src/CrashGuard.cpp
@@ -1,5 +1,4 @@
-#include "CrashGuard.h"
-
+#include <goldcrestkeel/core/CrashGuard.h>
 #include <goldcrestkeel/core/StableHash.h>
 
 #include <algorithm>
@@ -8,8 +7,6 @@
 
 namespace {
 
-/** Crashes after which a statement is quarantined. */
-constexpr std::uint32_t kCrashesBeforeQuarantine = 2;
 /** Coverage of a run without a reset that clears a suspect. It is below 1 so
  *  that a lost shard does not keep statements suspected. */
 constexpr double kMinClearingCoverage = 0.5;
@@ -75,7 +72,7 @@
                         std::uint64_t aFingerprint,
                         const std::string& aStatement,
                         const std::string& aShard,
-                        ReplicaIndex aReplica,
+                        std::uint64_t aReplica,
                         std::uint64_t aIncarnation)
 {
   EvictEntries();
@@ -91,7 +88,8 @@
   if (!alreadyCounted) {
     entry.m_replicas.push_back(replica);
   }
-  const bool sameCrash = aStartedAt <= entry.m_lastCrash;
+  const bool sameCrash = aStartedAt <= entry.m_lastCrash ||
+                         aNow < entry.m_lastCrash + m_options.m_sameCrashTime;
   entry.m_lastCrash = aNow;
   if (sameCrash || alreadyCounted) {
     return;
@@ -103,7 +101,8 @@
   ++report.m_crashes;
   ++report.m_version;
   ++m_version;
-  if (report.m_crashes >= kCrashesBeforeQuarantine && !report.m_quarantined) {
+  if (report.m_crashes >= m_options.m_crashesBeforeQuarantine &&
+      !report.m_quarantined) {
     report.m_quarantined = true;
     ++m_quarantined;
   }
@@ -169,6 +168,18 @@
   }
 }
 
+void
+CrashGuard::ForgetBefore(TimePoint aTime)
+{
+  const std::size_t forgotten =
+    std::erase_if(m_entries, [&](const auto& aEntry) {
+      return aEntry.second.m_lastCrash < aTime;
+    });
+  if (forgotten > 0) {
+    ++m_version;
+  }
+}
+
 bool
 CrashGuard::LiftQuarantine(std::uint64_t aFingerprint)
 {
@@ -186,6 +197,18 @@
   return true;
 }
 
+SuspectReport
+CrashGuard::ReportOf(std::uint64_t aFingerprint) const
+{
+  const auto found = m_entries.find(aFingerprint);
+  SuspectReport report;
+  if (found != m_entries.end()) {
+    report = found->second.m_report;
+  }
+  report.m_fingerprint = aFingerprint;
+  return report;
+}
+
 std::vector<SuspectReport>
 CrashGuard::Reports() const
 {
--- a/packages/core/src/Engine.h
+++ b/packages/core/src/Engine.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "AttemptTable.h"
-#include "CrashGuard.h"
 #include "Query.h"
 #include "ReplicaHealth.h"
 #include "ReplicaTable.h"
--- a/packages/core/tests/CrashGuardTest.cpp
+++ b/packages/core/tests/CrashGuardTest.cpp
@@ -1,5 +1,3 @@
-#include "CrashGuard.h"
-
 #include "EngineFixture.h"
 
 #include <catch2/catch.hpp>
@@ -13,6 +11,43 @@
   REQUIRE(Fingerprint("oak rail") != Fingerprint("oakrail"));
 }
 
+TEST_CASE("A guard may need more crashes", "[crash]")
+{
+  using namespace std::chrono_literals;
+  CrashGuard guard({ 3, 1s });
+  TimePoint now(1000s);
+  const auto crash = [&](std::uint64_t aReplica) {
+    guard.RecordCrash(now, now, 7, "GET /a", "s", aReplica, 0);
+    return guard.StatusOf(7);
+  };
+  REQUIRE(crash(1) == StatementStatus::Suspect);
+
+  SECTION("and those within its time count as one")
+  {
+    now += 500ms;
+    crash(2);
+    now += 500ms;
+    crash(3);
+    REQUIRE(guard.ReportOf(7).m_crashes == 1);
+  }
+
+  SECTION("and quarantines at the last")
+  {
+    now += 2s;
+    REQUIRE(crash(2) == StatementStatus::Suspect);
+    now += 2s;
+    REQUIRE(crash(3) == StatementStatus::Quarantined);
+
+    SECTION("until it is forgotten")
+    {
+      guard.ForgetBefore(now);
+      REQUIRE(guard.StatusOf(7) == StatementStatus::Quarantined);
+      guard.ForgetBefore(now + 1us);
+      REQUIRE(guard.StatusOf(7) == StatementStatus::Allowed);
+    }
+  }
+}
+
 // Guards against a statement that crashes all replicas of a shard through
 // retries and hedges, and against the quarantine of a harmless statement.
 TEST_CASE("Several connections of one fan-out are reset", "[crash]")
--- a/packages/edge/include/goldcrestkeel/Edge.h
+++ b/packages/edge/include/goldcrestkeel/Edge.h
@@ -11,5 +11,6 @@
 #include <goldcrestkeel/edge/HttpMessage.h>
 #include <goldcrestkeel/edge/Loop.h>
 #include <goldcrestkeel/edge/Numbers.h>
+#include <goldcrestkeel/edge/QuarantineRecord.h>
 #include <goldcrestkeel/edge/SharedFeed.h>
 #include <goldcrestkeel/edge/TopologySource.h>
--- a/packages/edge/include/goldcrestkeel/edge/TopologySource.h
+++ b/packages/edge/include/goldcrestkeel/edge/TopologySource.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <goldcrestkeel/core/CrashGuard.h>
 #include <goldcrestkeel/edge/SharedFeed.h>
 #include <goldcrestkeel/forward/HostRecord.h>
 #include <goldcrestkeel/forward/ReplicaRecord.h>
@@ -32,6 +33,8 @@
   virtual void OnReplicaListComplete() = 0;
   /** The live entry hosts, including this one once it is listed. */
   virtual void OnHosts(const std::vector<HostRecord>& aHosts) = 0;
+  /** Requests that are in quarantine, as KeepQuarantine() has kept them. */
+  virtual void OnQuarantines(const std::vector<SuspectReport>& aReports) = 0;
 };
 
 /** Longest delay until a change is seen: the store reports nothing to watches
@@ -66,6 +69,8 @@
    *  interval: a request needs a service that has no listed replica. May be
    *  called for each request. */
   virtual void RefreshReplicas() = 0;
+  /** Keeps a request in quarantine where hosts that start later find it. */
+  virtual void KeepQuarantine(const SuspectReport& aReport) = 0;
   /** Feeds that other hosts may ask for; they live as long as the source. */
   virtual std::vector<SharedFeed*> Feeds() = 0;
 };
--- a/packages/edge/src/EdgeMetrics.cpp
+++ b/packages/edge/src/EdgeMetrics.cpp
@@ -91,6 +91,12 @@
            aCounters.m_contactLosses);
   impl.Set(
     "refused", "Requests refused without having run", aCounters.m_refused);
+  impl.Set("crashes_attributed",
+           "Crashes of replicas that were attributed to requests",
+           aCounters.m_crashes);
+  impl.Set("quarantined",
+           "Requests refused because they are in quarantine",
+           aCounters.m_quarantined);
   impl.Set("table_version", "Routing table in force", aGauges.m_tableVersion);
   impl.Set(
     "live_hosts", "Entry hosts counted in the store", aGauges.m_liveHosts);
--- a/packages/edge/src/EdgeRequests.cpp
+++ b/packages/edge/src/EdgeRequests.cpp
@@ -44,14 +44,30 @@
 
 } // namespace
 
+bool
+EdgeServer::Impl::HandleHostRequest(CallerSession& aSession,
+                                    const RequestMessage& aRequest)
+{
+  // Requests that are relayed carry fields that these do not.
+  if (aSession.Peer() != SessionPeer::Host ||
+      !FieldValue(aRequest.m_fields, kTableVersionField).empty()) {
+    return false;
+  }
+  if (aRequest.m_target == kFeedPollTarget) {
+    m_feedPolls.OnPoll(aSession.Id(), aRequest.m_body);
+    return true;
+  }
+  if (aRequest.m_target == kCrashMessageTarget) {
+    OnCrashMessage(aSession, aRequest.m_body);
+    return true;
+  }
+  return false;
+}
+
 void
 EdgeServer::Impl::OnRequest(CallerSession& aSession, RequestMessage&& aRequest)
 {
-  // Requests that are relayed carry fields that polls do not.
-  if (aSession.Peer() == SessionPeer::Host &&
-      aRequest.m_target == kFeedPollTarget &&
-      FieldValue(aRequest.m_fields, kTableVersionField).empty()) {
-    m_feedPolls.OnPoll(aSession.Id(), aRequest.m_body);
+  if (HandleHostRequest(aSession, aRequest)) {
     return;
   }
   const std::string_view host = FieldValue(aRequest.m_fields, "host");
@@ -102,6 +118,7 @@
                                 now + parameters->m_timeToTarget,
                                 parameters->m_attemptsLeft };
   }
+  forward.m_fingerprint = FingerprintOf(aRequest);
   forward.m_id = m_nextRequest++;
   forward.m_table = m_table;
   forward.m_route = route;
@@ -142,8 +159,8 @@
               { { "request", std::string_view(open.m_requestId) },
                 { "route", std::string_view(open.m_route) },
                 { "age_ms", (now - open.m_arrivedAt).count() / 1000.0 } });
-  m_openRequests.erase(request);
   m_forwarder->Cancel(now, request);
+  m_openRequests.erase(request);
   ArmForwardTimer();
 }
 
@@ -171,10 +188,14 @@
   if (CallerSession* session = FindSession(open.m_session)) {
     const std::string copies = std::to_string(aResult.m_copies);
     const std::string shards = FormatNumbers(aResult.m_shards);
+    const bool quarantined = aResult.m_error == ErrorKind::RequestQuarantined;
     CallerReply reply = ToReply(std::move(aResult), m_names);
     if (session->Peer() == SessionPeer::Host) {
       reply.m_fields.emplace_back(shards.empty() ? kCopiesField : kShardsField,
                                   shards.empty() ? copies : shards);
+      if (quarantined) {
+        reply.m_fields.emplace_back(kQuarantinedField, "1");
+      }
       EchoRequestId(reply, open.m_requestId);
       // It tells when this host is to stop using the replica, not the other
       // one.
--- a/packages/edge/src/EdgeServerImpl.h
+++ b/packages/edge/src/EdgeServerImpl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CrashReporter.h"
 #include "EdgeMetrics.h"
 #include "FeedPolls.h"
 #include "RelayFields.h"
@@ -57,6 +58,10 @@
   void LogRequestLimit(const RequestLimitReport& aReport) override;
   void LogContact(const ContactReport& aReport) override;
   void LogReplicaNotice(const ReplicaNoticeReport& aReport) override;
+  void LogCrash(const CrashDecision& aDecision) override;
+  std::string SummaryOf(ForwardId aRequest) const override;
+  void ReportCrash(const CrashReport& aReport) override;
+  void AnnounceQuarantine(const SuspectReport& aReport) override;
   void NoReplicaListed() override { m_source.RefreshReplicas(); }
 
   // CopyListener
@@ -84,6 +89,7 @@
                         std::optional<TimePoint> aChangedAfter) override;
   void OnReplicaListComplete() override;
   void OnHosts(const std::vector<HostRecord>& aHosts) override;
+  void OnQuarantines(const std::vector<SuspectReport>& aReports) override;
 
 private:
   struct OpenRequest
@@ -97,6 +103,11 @@
     RoutingVersion m_version = 0;
   };
 
+  /** A request of another entry host that is not relayed: a poll, or a message
+   *  about crashes. Returns false if aRequest is none. */
+  bool HandleHostRequest(CallerSession& aSession,
+                         const RequestMessage& aRequest);
+  void OnCrashMessage(CallerSession& aSession, std::string_view aBody);
   void CheckSessions();
   void ArmForwardTimer();
   void CheckShutdown();
@@ -148,6 +159,7 @@
   ShutdownSchedule m_shutdown;
   std::function<void()> m_onStopped;
   FeedPolls m_feedPolls;
+  CrashReporter m_crashReporter;
   EdgeMetrics m_metrics;
   StatusServer m_readiness;
   std::optional<StatusServer> m_metricsServer;
--- a/packages/edge/src/EdgeTopology.cpp
+++ b/packages/edge/src/EdgeTopology.cpp
@@ -81,6 +81,7 @@
   m_hostsCounted = true;
   m_forwarder->SetLiveHosts(estimate + estimate / kCountedHostsPerJoining);
   m_forwarder->SetHosts(m_loop.Now(), aHosts);
+  m_crashReporter.SetHosts(aHosts);
 }
 
 } // namespace goldcrestkeel
--- /dev/null
+++ b/packages/edge/src/QuarantineRecord.cpp
@@ -0,0 +1,65 @@
+#include <goldcrestkeel/edge/QuarantineRecord.h>
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <stdexcept>
+
+namespace goldcrestkeel {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int kHexadecimal = 16;
+
+} // namespace
+
+std::string
+FormatFingerprint(std::uint64_t aFingerprint)
+{
+  std::string text(kHexadecimal, '0');
+  const auto end = std::to_chars(
+    text.data(), text.data() + text.size(), aFingerprint, kHexadecimal);
+  text.resize(static_cast<std::size_t>(end.ptr - text.data()));
+  return text;
+}
+
+std::uint64_t
+ParseFingerprint(std::string_view aText)
+{
+  std::uint64_t value = 0;
+  const char* const end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data(), end, value, kHexadecimal);
+  if (parsed.ec != std::errc() || parsed.ptr != end || value == 0) {
+    throw std::runtime_error("not a fingerprint");
+  }
+  return value;
+}
+
+std::string
+EncodeQuarantine(const SuspectReport& aReport)
+{
+  return json{
+    { "fingerprint", FormatFingerprint(aReport.m_fingerprint) },
+    { "request", aReport.m_statement },
+    { "crashes", aReport.m_crashes },
+    { "version", aReport.m_version }
+  }.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+SuspectReport
+DecodeQuarantine(std::string_view aText)
+{
+  const json entry = json::parse(aText);
+  SuspectReport report;
+  report.m_fingerprint =
+    ParseFingerprint(entry.at("fingerprint").get<std::string>());
+  report.m_statement = entry.at("request").get<std::string>();
+  report.m_crashes = entry.at("crashes").get<std::uint32_t>();
+  report.m_version = entry.at("version").get<std::uint64_t>();
+  report.m_quarantined = true;
+  return report;
+}
+
+} // namespace goldcrestkeel
--- a/packages/edge/src/RelayFields.h
+++ b/packages/edge/src/RelayFields.h
@@ -36,6 +36,10 @@
 inline constexpr std::string_view kUnavailableField =
   "Goldcrestkeel-Unavailable";
 
+/** Present in a refusal if the request is in quarantine. */
+inline constexpr std::string_view kQuarantinedField =
+  "Goldcrestkeel-Quarantined";
+
 /** Whether aName is one of the fields above, or of that kind. */
 bool
 IsHostField(std::string_view aName);
--- a/packages/edge/src/ReplicaAnswers.cpp
+++ b/packages/edge/src/ReplicaAnswers.cpp
@@ -99,6 +99,8 @@
     answer.m_notRun || FieldValue(aAnswer.m_fields, kCopiesField) == "0";
   answer.m_hostUnavailable =
     !FieldValue(aAnswer.m_fields, kUnavailableField).empty();
+  answer.m_quarantined =
+    !FieldValue(aAnswer.m_fields, kQuarantinedField).empty();
   answer.m_load = ParseLoad(FieldValue(aAnswer.m_fields, m_names.m_load));
   answer.m_leaving = FieldValue(aAnswer.m_fields, m_names.m_leaving) == "1";
   if (aAnswer.m_status == kServiceUnavailable) {
--- a/packages/edge/tests/EdgeServerTest.cpp
+++ b/packages/edge/tests/EdgeServerTest.cpp
@@ -60,6 +60,7 @@
     aListener.OnReplicaListComplete();
   }
   void RefreshReplicas() override {}
+  void KeepQuarantine(const SuspectReport&) override {}
   std::vector<SharedFeed*> Feeds() override { return {}; }
 
 private:
--- a/packages/forward/include/goldcrestkeel/forward/Forwarder.h
+++ b/packages/forward/include/goldcrestkeel/forward/Forwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <goldcrestkeel/core/CrashGuard.h>
 #include <goldcrestkeel/core/Errors.h>
 #include <goldcrestkeel/core/Random.h>
 #include <goldcrestkeel/core/Time.h>
@@ -53,6 +54,25 @@
   /** Set if another entry host accepted the request from the caller and relayed
    *  these shards. */
   std::optional<RelayedShards> m_relayedShards;
+  /** Equal for requests that ask replicas for the same; 0 to exempt the request
+   *  from the crash guard. */
+  std::uint64_t m_fingerprint = 0;
+};
+
+/** A replica crashed while a request ran on it, and no replica has answered the
+ *  request. */
+struct CrashReport
+{
+  /** Of the request. */
+  std::uint64_t m_fingerprint = 0;
+  /** Method and target of the request, for logs. */
+  std::string m_summary;
+  std::string m_service;
+  /** Id of the replica, and the time of its start in milliseconds. */
+  std::string m_replica;
+  WallTime m_startedAt = 0;
+
+  bool operator==(const CrashReport&) const = default;
 };
 
 /** A complete answer of a replica, or of an entry host to a relayed request. */
@@ -85,6 +105,8 @@
   /** For a refusal of another entry host: it takes no such requests at the
    *  moment, whatever their service. */
   bool m_hostUnavailable = false;
+  /** For a refusal of another entry host: the request is in quarantine. */
+  bool m_quarantined = false;
 };
 
 /** Why a copy ended without an answer. */
@@ -221,6 +243,21 @@
   std::uint32_t m_inFlight = 0;
 };
 
+/** A crash was attributed to a request, for the log. The views are valid only
+ *  during LogCrash(). */
+struct CrashDecision
+{
+  std::string_view m_summary;
+  std::uint64_t m_fingerprint = 0;
+  std::string_view m_service;
+  std::string_view m_replica;
+  /** Crashes attributed to such requests so far. */
+  std::uint32_t m_crashes = 0;
+  bool m_quarantined = false;
+  /** Another host has observed it. */
+  bool m_reported = false;
+};
+
 /** Performs the I/O for a forwarder. From within these methods only
  *  Forwarder::CopySent() and ProvenConnectionEnded() may be called back. */
 class ForwardSink
@@ -253,6 +290,14 @@
   virtual void LogRequestLimit(const RequestLimitReport& aReport) = 0;
   virtual void LogContact(const ContactReport& aReport) = 0;
   virtual void LogReplicaNotice(const ReplicaNoticeReport& aReport) = 0;
+  virtual void LogCrash(const CrashDecision& aDecision) = 0;
+  /** Method and target of a request in progress. */
+  virtual std::string SummaryOf(ForwardId aRequest) const = 0;
+  /** Tells the hosts that count the crashes of this fingerprint. */
+  virtual void ReportCrash(const CrashReport& aReport) = 0;
+  /** Tells all hosts that requests are in quarantine, also those that start
+   *  later. */
+  virtual void AnnounceQuarantine(const SuspectReport& aReport) = 0;
   /** Called if service discovery lists no replica, except draining ones, of a
    *  service that a request needs. */
   virtual void NoReplicaListed() = 0;
@@ -294,6 +339,11 @@
   std::uint64_t m_fallbackRelays = 0;
   /** Number of times that contact with all replicas was lost. */
   std::uint64_t m_contactLosses = 0;
+  /** Crashes of replicas that were attributed to requests, also those that
+   *  other hosts reported. */
+  std::uint64_t m_crashes = 0;
+  /** Requests that were refused because they are in quarantine. */
+  std::uint64_t m_quarantined = 0;
 };
 
 /** Forwards requests to replicas: selects replicas, hedges and retries, gathers
@@ -340,6 +390,12 @@
    *  started only then. */
   virtual ContactState Contact() const = 0;
 
+  /** Another host has observed a crash. */
+  virtual void CrashReported(TimePoint aNow, const CrashReport& aReport) = 0;
+  /** Other hosts have put requests in quarantine. */
+  virtual void MergeQuarantines(TimePoint aNow,
+                                const std::vector<SuspectReport>& aReports) = 0;
+
   /** The first byte of the copy has been written to a connection. */
   virtual void CopySent(TimePoint aNow,
                         CopyId aCopy,
--- a/packages/forward/src/ContactMonitor.h
+++ b/packages/forward/src/ContactMonitor.h
@@ -48,6 +48,8 @@
    *  since. */
   std::size_t UnconnectableReplicas() const { return m_unconnectable.size(); }
   /** When the state was entered. */
+  /** When a replica last answered a copy or a probe. */
+  TimePoint LastAnswerAt() const { return m_lastAnswerAt; }
   TimePoint StateSince() const { return m_since; }
 
 private:
--- a/packages/forward/src/ForwardState.h
+++ b/packages/forward/src/ForwardState.h
@@ -18,6 +18,10 @@
 /** First backoff after a replica could not be reached. */
 inline constexpr Duration kUnreachableBackoff{ 150000 };
 
+/** How long a crash is attributed to the requests that ran, and how long these
+ *  stay in quarantine. */
+inline constexpr Duration kCrashMemory{ 600000000 };
+
 /** Why a copy of a sub-request is sent. */
 enum class CopyReason
 {
@@ -149,6 +153,10 @@
   std::uint32_t m_relaysSent = 0;
   /** Ids of the hosts that were asked while contact was lost. */
   std::vector<std::string> m_fallbackHosts;
+  /** Replicas whose connections broke while they had a copy. */
+  std::vector<std::shared_ptr<PooledReplica>> m_brokenReplicas;
+  /** A replica has run a copy and answered. */
+  bool m_replicaAnswered = false;
   /** No host is left to be asked. */
   bool m_fallbackFailed = false;
 };
--- a/packages/forward/src/Forwarder.cpp
+++ b/packages/forward/src/Forwarder.cpp
@@ -25,6 +25,11 @@
  *  and some processing. */
 constexpr Duration kTargetMargin{ 16000 };
 
+/** Crashes that are attributed to requests with one fingerprint before they are
+ *  quarantined, and the time within which several count as one: an outage ends
+ *  many replicas at nearly the same moment. */
+constexpr CrashGuardOptions kCrashGuardOptions{ 3, Duration(1000000) };
+
 } // namespace
 
 std::string_view
@@ -55,6 +60,7 @@
   , m_sink(aSink)
   , m_pool(aOptions, aRandom)
   , m_relayPool(aOptions)
+  , m_crashGuard(kCrashGuardOptions)
 {
 }
 
@@ -100,6 +106,11 @@
 ForwarderImpl::Start(TimePoint aNow, const ForwardRequest& aRequest)
 {
   ++m_counters.m_requests;
+  if (m_crashGuard.StatusOf(aRequest.m_fingerprint) ==
+      StatementStatus::Quarantined) {
+    m_sink.Finish(aRequest.m_id, QuarantineResult());
+    return;
+  }
   auto owned = std::make_unique<RunningForward>();
   RunningForward& forward = *owned;
   forward.m_request = aRequest;
@@ -190,6 +201,7 @@
   for (SubRequest& subRequest : found->second->m_subRequests) {
     AbandonCopies(aNow, subRequest, kCancelledCopyGrace);
   }
+  StartCrashCheck(aNow, *found->second);
   AbandonRelays(*found->second);
   m_running.erase(found);
 }
@@ -231,6 +243,12 @@
         continue;
       case ForwardTimer::Contact:
         continue;
+      case ForwardTimer::CrashCheck:
+        OnCrashCheck(aNow, timer.m_id);
+        continue;
+      case ForwardTimer::ForgetCrashes:
+        m_crashGuard.ForgetBefore(aNow - kCrashMemory);
+        continue;
       case ForwardTimer::Target:
       case ForwardTimer::Deadline:
         break;
--- a/packages/forward/src/ForwarderCopies.cpp
+++ b/packages/forward/src/ForwarderCopies.cpp
@@ -40,7 +40,7 @@
                             CopyId aCopy,
                             ReplicaAnswer&& aAnswer)
 {
-  if (EndProbe(aNow, aCopy, true)) {
+  if (EndProbe(aNow, aCopy, true) || EndCrashProbe(aCopy, false)) {
     return;
   }
   const auto found = m_copies.find(aCopy);
@@ -73,6 +73,11 @@
   if (running != m_running.end() && !copy.m_abandoned) {
     RunningForward& forward = *running->second;
     SubRequest& subRequest = forward.m_subRequests[copy.m_subRequest];
+    if (!aAnswer.m_stamp.empty()) {
+      forward.m_replicaAnswered = true;
+      m_crashGuard.RecordCompletion(
+        forward.m_request.m_fingerprint, {}, 1, false);
+    }
     if (success) {
       OnSubRequestAnswered(
         aNow, forward, copy.m_subRequest, std::move(aAnswer));
@@ -94,7 +99,8 @@
 void
 ForwarderImpl::CopyFailed(TimePoint aNow, CopyId aCopy, CopyFailure aFailure)
 {
-  if (EndProbe(aNow, aCopy, false)) {
+  if (EndProbe(aNow, aCopy, false) ||
+      EndCrashProbe(aCopy, aFailure == CopyFailure::Refused)) {
     return;
   }
   const auto found = m_copies.find(aCopy);
@@ -115,6 +121,9 @@
   }
   ReportUnanswered(aNow, copy);
   const auto running = m_running.find(copy.m_request);
+  if (running != m_running.end() && copy.m_sentAt) {
+    running->second->m_brokenReplicas.push_back(copy.m_replica);
+  }
   if (running != m_running.end() && !copy.m_abandoned) {
     LogDecision("copy_failed",
                 *running->second,
--- a/packages/forward/src/ForwarderDispatch.cpp
+++ b/packages/forward/src/ForwarderDispatch.cpp
@@ -260,7 +260,7 @@
   if (aSubRequest.m_sent == 0) {
     return true;
   }
-  if (mayHaveRun > 0 && !route.m_idempotent) {
+  if (mayHaveRun > 0 && (!route.m_idempotent || MayCrashReplicas(aForward))) {
     return false;
   }
   const std::uint32_t attempts = AttemptsOf(aForward);
--- a/packages/forward/src/ForwarderFinish.cpp
+++ b/packages/forward/src/ForwarderFinish.cpp
@@ -155,6 +155,17 @@
   FinishWith(aNow, aForward, std::move(result));
 }
 
+bool
+ForwarderImpl::MayHaveRun(const RunningForward& aForward)
+{
+  return aForward.m_relaysSent > 0 ||
+         std::any_of(aForward.m_subRequests.begin(),
+                     aForward.m_subRequests.end(),
+                     [](const SubRequest& aSubRequest) {
+                       return aSubRequest.m_sent > aSubRequest.m_notRun;
+                     });
+}
+
 void
 ForwarderImpl::FinishFailed(TimePoint aNow,
                             RunningForward& aForward,
@@ -166,17 +177,10 @@
     return;
   }
   ForwardResult result;
-  const bool mayHaveRun =
-    aForward.m_relaysSent > 0 ||
-    std::any_of(aForward.m_subRequests.begin(),
-                aForward.m_subRequests.end(),
-                [](const SubRequest& aSubRequest) {
-                  return aSubRequest.m_sent > aSubRequest.m_notRun;
-                });
   SubRequest& first = aForward.m_subRequests.front();
   if (!gather && first.m_hasFailureAnswer && first.m_copies.empty()) {
     result.m_answer = std::move(first.m_answer);
-  } else if (!mayHaveRun) {
+  } else if (!MayHaveRun(aForward)) {
     ++m_counters.m_refused;
     result.m_error = ErrorKind::NoReplica;
     result.m_detail = "no replica of the service can take the request";
@@ -242,6 +246,7 @@
   if (aForward.m_pastTarget || aResult.m_gathered) {
     RecordMissedShards(aNow, aForward);
   }
+  StartCrashCheck(aNow, aForward);
   aResult.m_copies = aForward.m_copies;
   if (aResult.m_missingShards > 0 || aResult.m_error) {
     aResult.m_missingServices = UnansweredServices(aForward);
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -34,6 +34,10 @@
   Deadline,
   /** ContactMonitor::NextUpdate(). */
   Contact,
+  /** A crash is attributed to the request that was running, or not. */
+  CrashCheck,
+  /** Crashes of long ago are forgotten. */
+  ForgetCrashes,
 };
 
 class ForwarderImpl : public Forwarder
@@ -62,6 +66,9 @@
     m_pool.CountConnection(aId, false);
   }
   ContactState Contact() const override { return m_contact.State(); }
+  void CrashReported(TimePoint aNow, const CrashReport& aReport) override;
+  void MergeQuarantines(TimePoint aNow,
+                        const std::vector<SuspectReport>& aReports) override;
   void CopySent(TimePoint aNow,
                 CopyId aCopy,
                 ConnectionState aConnection) override;
@@ -178,6 +185,36 @@
                      const ForwardCopy& aCopy,
                      std::string_view aReason);
 
+  // ForwarderCrashes.cpp: requests that crash replicas.
+  /** A replica that broke off, and whether it has turned out to be down. */
+  struct CrashCheck
+  {
+    CrashReport m_report;
+    TimePoint m_startedAt;
+    bool m_down = false;
+  };
+
+  StatementStatus StatusOf(const RunningForward& aForward) const;
+  /** Whether the request may be what ends its replicas, so that no further
+   *  replica is to run it. */
+  bool MayCrashReplicas(const RunningForward& aForward) const;
+  /** If replicas broke off and none has answered, checks whether one of them is
+   *  down. */
+  void StartCrashCheck(TimePoint aNow, RunningForward& aForward);
+  /** Takes the result of a health check; returns false if aProbe is none. */
+  bool EndCrashProbe(CopyId aProbe, bool aRefused);
+  void OnCrashCheck(TimePoint aNow, CopyId aProbe);
+  void RecordCrash(TimePoint aNow, const CrashReport& aReport, bool aReported);
+  /** Refuses requests that are in quarantine and that no replica has. */
+  void RefuseQuarantined(TimePoint aNow);
+  void FinishQuarantined(TimePoint aNow, RunningForward& aForward);
+  /** The result of a request that is in quarantine. */
+  ForwardResult QuarantineResult();
+  /** A host that a request was relayed to has refused it as quarantined. */
+  void OnRelayQuarantined(TimePoint aNow,
+                          RunningForward& aForward,
+                          const ForwardCopy& aCopy);
+
   // ForwarderDispatch.cpp: selection of replicas, hedging and retries.
   /** Sends a copy to the best replica, waits for one with capacity, or fails
    *  the sub-request. */
@@ -225,6 +262,8 @@
    *  target, or no longer possible. */
   void FinishIfGathered(TimePoint aNow, RunningForward& aForward);
   void FinishGathered(TimePoint aNow, RunningForward& aForward);
+  /** Whether a replica may have run the request. */
+  static bool MayHaveRun(const RunningForward& aForward);
   /** Finishes with an error, or with the shards gathered if they suffice. */
   void FinishFailed(TimePoint aNow, RunningForward& aForward, bool aTimedOut);
   void FinishWith(TimePoint aNow,
@@ -296,6 +335,9 @@
   std::optional<TimePoint> m_contactTimerAt;
   /** When each probe that has not ended was sent, in this order. */
   std::map<CopyId, TimePoint> m_probes;
+  CrashGuard m_crashGuard;
+  /** By the id of the health check. */
+  std::map<CopyId, CrashCheck> m_crashChecks;
   std::unordered_map<std::string, RouteState> m_routes;
   std::unordered_map<ForwardId, std::unique_ptr<RunningForward>> m_running;
   std::unordered_map<CopyId, ForwardCopy> m_copies;
--- a/packages/forward/src/ForwarderRelay.cpp
+++ b/packages/forward/src/ForwarderRelay.cpp
@@ -120,6 +120,11 @@
                                const ForwardCopy& aCopy,
                                ReplicaAnswer&& aAnswer)
 {
+  const auto asking = m_running.find(aCopy.m_request);
+  if (aAnswer.m_quarantined && asking != m_running.end()) {
+    OnRelayQuarantined(aNow, *asking->second, aCopy);
+    return;
+  }
   if (aCopy.m_relayReason == RelayReason::Fallback) {
     OnFallbackAnswered(aNow, aCopy, std::move(aAnswer));
     return;
--- /dev/null
+++ b/packages/forward/tests/CrashingRequestTest.cpp
@@ -0,0 +1,300 @@
+#include "ForwarderFixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace goldcrestkeel;
+using namespace goldcrestkeel::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint64_t kFingerprint = 77;
+
+class Fixture : public ForwarderFixture
+{
+public:
+  explicit Fixture(bool aIdempotent = true)
+  {
+    m_fingerprint = kFingerprint;
+    ApplyRoute(SingleRoute(aIdempotent), 10);
+  }
+
+  /** Sends the request, which crashes each replica that begins to run it;
+   *  returns on how many. */
+  std::size_t Crash()
+  {
+    const std::size_t before = m_sent.size();
+    std::size_t crashed = 0;
+    Start();
+    while (m_sent.size() > before + crashed) {
+      Fail(m_sent.at(before + crashed).m_copy, CopyFailure::Broken);
+      ++crashed;
+    }
+    return crashed;
+  }
+  /** The replicas that are probed are down. */
+  void RefuseProbes()
+  {
+    for (const CopyId probe : std::exchange(m_probes, {})) {
+      Fail(probe, CopyFailure::Refused);
+    }
+  }
+  /** The request comes, and the crash is known. */
+  std::size_t CrashAndLearn()
+  {
+    const std::size_t crashed = Crash();
+    RefuseProbes();
+    // Another request is served meanwhile.
+    m_fingerprint = kFingerprint + 100;
+    Advance(100ms);
+    Start();
+    Answer(m_sent.back().m_copy);
+    m_fingerprint = kFingerprint;
+    Advance(2s);
+    return crashed;
+  }
+  const ForwardResult& Result(ForwardId aRequest) const
+  {
+    return m_results.at(aRequest);
+  }
+};
+
+SuspectReport
+Quarantine()
+{
+  SuspectReport report;
+  report.m_fingerprint = kFingerprint;
+  report.m_crashes = 3;
+  report.m_version = 3;
+  report.m_quarantined = true;
+  return report;
+}
+
+} // namespace
+
+// Guards against a request that crashes replicas each time that it comes, and
+// with them the sound requests that run there.
+TEST_CASE("A request crashes each replica that runs it", "[forward]")
+{
+  Fixture fixture;
+  REQUIRE(fixture.CrashAndLearn() == 2);
+  REQUIRE(fixture.m_crashReports.size() == 1);
+  REQUIRE(fixture.m_crashReports[0].m_fingerprint == kFingerprint);
+
+  SECTION("so it is not sent to a second one when it comes again")
+  {
+    REQUIRE(fixture.CrashAndLearn() == 1);
+
+    SECTION("and to none after the third crash")
+    {
+      REQUIRE(fixture.CrashAndLearn() == 1);
+      REQUIRE(fixture.m_announced.size() == 1);
+      const ForwardId refused = fixture.Start();
+      REQUIRE(fixture.Result(refused).m_error == ErrorKind::RequestQuarantined);
+      REQUIRE(fixture.Result(refused).m_retryAfter);
+      REQUIRE(fixture.Crash() == 0);
+
+      SECTION("for ten minutes")
+      {
+        fixture.Advance(590s);
+        REQUIRE(fixture.Crash() == 0);
+        fixture.Advance(20s);
+        REQUIRE(fixture.Crash() > 0);
+      }
+
+      SECTION("while others are served")
+      {
+        fixture.m_fingerprint = kFingerprint + 1;
+        fixture.Start();
+        fixture.Answer(fixture.m_sent.back().m_copy);
+        REQUIRE(fixture.m_results.rbegin()->second.m_answer.m_status == 200);
+      }
+    }
+  }
+
+  SECTION("unless it completes")
+  {
+    fixture.Start();
+    fixture.Answer(fixture.m_sent.back().m_copy);
+    REQUIRE(fixture.CrashAndLearn() == 2);
+    REQUIRE(fixture.CrashAndLearn() == 1);
+    REQUIRE(fixture.m_announced.empty());
+  }
+}
+
+TEST_CASE("A request that is not idempotent crashes replicas", "[forward]")
+{
+  Fixture fixture(false);
+  for (int crash = 1; crash <= 3; ++crash) {
+    REQUIRE(fixture.CrashAndLearn() == 1);
+  }
+  REQUIRE(fixture.Crash() == 0);
+}
+
+// Guards against sound requests in quarantine, as they run on replicas that
+// crash for other reasons.
+TEST_CASE("A replica breaks off while a request runs", "[forward]")
+{
+  Fixture fixture;
+
+  SECTION("and another one answers: the request is sound")
+  {
+    fixture.Start();
+    fixture.Fail(fixture.m_sent.back().m_copy, CopyFailure::Broken);
+    fixture.Answer(fixture.m_sent.back().m_copy);
+    REQUIRE(fixture.m_probes.empty());
+  }
+
+  SECTION("but is not down: its answer was lost")
+  {
+    fixture.Crash();
+    REQUIRE(fixture.m_probes.size() == 1);
+    fixture.Answer(fixture.m_probes.back());
+    fixture.Advance(2s);
+    REQUIRE(fixture.m_crashReports.empty());
+  }
+
+  SECTION("and the health check gets no answer: the network may be at fault")
+  {
+    fixture.m_answerProbes = false;
+    fixture.Crash();
+    const CopyId probe = fixture.m_probes.back();
+    fixture.Advance(2s);
+    REQUIRE(fixture.m_crashReports.empty());
+    REQUIRE(fixture.m_aborted.back() == probe);
+  }
+
+  SECTION("and so do those of many requests at once: that is one crash")
+  {
+    for (int request = 0; request < 5; ++request) {
+      fixture.Crash();
+    }
+    REQUIRE(fixture.CrashAndLearn() > 0);
+    REQUIRE(fixture.m_announced.empty());
+    REQUIRE(fixture.CrashAndLearn() == 1);
+    REQUIRE(fixture.m_announced.empty());
+  }
+
+  SECTION("and so do all replicas: this host is cut off")
+  {
+    fixture.m_answerProbes = false;
+    for (std::uint64_t request = 0; request < 8; ++request) {
+      fixture.m_fingerprint = kFingerprint + request;
+      fixture.Crash();
+    }
+    fixture.RefuseProbes();
+    fixture.Advance(9s);
+    REQUIRE(fixture.m_forwarder->Contact() != ContactState::Reached);
+    REQUIRE(fixture.m_crashReports.empty());
+  }
+}
+
+TEST_CASE("A gathered request crashes the replicas of all shards", "[forward]")
+{
+  Fixture fixture;
+  fixture.ApplyRoute(fixture.GatherRoute(6, 0.5), 3);
+  const auto failFirst = [&](std::size_t aCopies) {
+    for (std::size_t i = 0; i < aCopies; ++i) {
+      fixture.Fail(fixture.m_sent.at(i).m_copy, CopyFailure::Broken);
+    }
+  };
+  fixture.Start();
+  REQUIRE(fixture.m_sent.size() == 6);
+
+  SECTION("and is not sent to a second one of most")
+  {
+    failFirst(6);
+    // Up to half of the shards, before the pattern shows.
+    REQUIRE(fixture.m_sent.size() <= 9);
+  }
+
+  SECTION("but an outage of some replicas is retried")
+  {
+    fixture.Answer(fixture.m_sent.at(5).m_copy);
+    failFirst(3);
+    REQUIRE(fixture.m_sent.size() == 9);
+  }
+}
+
+TEST_CASE("Other hosts tell of crashes", "[forward]")
+{
+  Fixture fixture;
+  CrashReport report;
+  report.m_fingerprint = kFingerprint;
+  report.m_service = "single";
+
+  SECTION("which are counted here")
+  {
+    for (const char* replica : { "a", "b", "c" }) {
+      REQUIRE(fixture.m_announced.empty());
+      report.m_replica = replica;
+      fixture.m_forwarder->CrashReported(fixture.m_now, report);
+      fixture.Advance(2s);
+    }
+    REQUIRE(fixture.m_announced.size() == 1);
+    // They are not passed on.
+    REQUIRE(fixture.m_crashReports.empty());
+  }
+
+  SECTION("and the same crash counts once")
+  {
+    report.m_replica = "a";
+    for (int i = 0; i < 5; ++i) {
+      fixture.m_forwarder->CrashReported(fixture.m_now, report);
+      fixture.Advance(2s);
+    }
+    REQUIRE(fixture.m_announced.empty());
+  }
+
+  SECTION("and of requests in quarantine, which are refused")
+  {
+    fixture.m_sendAtOnce = false;
+    const ForwardId waiting = fixture.Start();
+    REQUIRE(fixture.m_sent.size() == 1);
+    fixture.m_forwarder->MergeQuarantines(fixture.m_now, { Quarantine() });
+    REQUIRE(fixture.Result(waiting).m_error == ErrorKind::RequestQuarantined);
+    REQUIRE(fixture.m_aborted.size() == 1);
+    REQUIRE(fixture.Crash() == 0);
+    // The host that found it tells all others.
+    REQUIRE(fixture.m_announced.empty());
+  }
+
+  SECTION("and one that was sent already ends without a promise")
+  {
+    const ForwardId running = fixture.Start();
+    fixture.m_forwarder->MergeQuarantines(fixture.m_now, { Quarantine() });
+    REQUIRE_FALSE(fixture.m_results.contains(running));
+    fixture.Fail(fixture.m_sent.back().m_copy, CopyFailure::Broken);
+    REQUIRE(fixture.m_sent.size() == 1);
+    REQUIRE(fixture.Result(running).m_error == ErrorKind::BackendFailed);
+  }
+}
+
+// Guards against a host that asks the shards itself when another one has
+// refused to.
+TEST_CASE("A host refuses a relayed request that is in quarantine", "[forward]")
+{
+  Fixture fixture;
+  fixture.ApplyRoute(fixture.GatherRoute(8, 0.5), 2);
+  fixture.m_forwarder->SetHosts(fixture.m_now,
+                                { { "other", "b", "10.0.0.9:1", 1 } });
+  for (std::uint32_t shard = 0; shard < 8; ++shard) {
+    for (std::uint32_t number = 0; number < 2; ++number) {
+      ReplicaRecord replica =
+        fixture.Replica("shard" + std::to_string(shard), number);
+      replica.m_dataCentre = "b";
+      fixture.m_forwarder->UpdateReplica(fixture.m_now, replica, fixture.m_now);
+    }
+  }
+  const ForwardId request = fixture.Start();
+  REQUIRE(fixture.m_relays.size() == 1);
+  REQUIRE(fixture.m_sent.empty());
+  ReplicaAnswer refusal;
+  refusal.m_status = 503;
+  refusal.m_notRun = true;
+  refusal.m_quarantined = true;
+  fixture.AnswerWith(fixture.m_relays.back().m_copy, refusal);
+  REQUIRE(fixture.m_sent.empty());
+  REQUIRE(fixture.Result(request).m_error == ErrorKind::RequestQuarantined);
+  REQUIRE(fixture.Crash() == 0);
+}
--- a/packages/forward/tests/ForwardFleet.cpp
+++ b/packages/forward/tests/ForwardFleet.cpp
@@ -262,6 +262,10 @@
   void LogRequestLimit(const RequestLimitReport&) override {}
   void LogContact(const ContactReport&) override {}
   void LogReplicaNotice(const ReplicaNoticeReport&) override {}
+  void LogCrash(const CrashDecision&) override {}
+  std::string SummaryOf(ForwardId) const override { return {}; }
+  void ReportCrash(const CrashReport&) override {}
+  void AnnounceQuarantine(const SuspectReport&) override {}
   void NoReplicaListed() override {}
 
   void Finish(ForwardId aRequest, ForwardResult&& aResult) override
--- a/packages/forward/tests/ForwarderFixture.h
+++ b/packages/forward/tests/ForwarderFixture.h
@@ -81,6 +81,16 @@
   {
     m_notices.push_back(aReport.m_notice);
   }
+  void LogCrash(const CrashDecision&) override {}
+  std::string SummaryOf(ForwardId) const override { return "GET /"; }
+  void ReportCrash(const CrashReport& aReport) override
+  {
+    m_crashReports.push_back(aReport);
+  }
+  void AnnounceQuarantine(const SuspectReport& aReport) override
+  {
+    m_announced.push_back(aReport);
+  }
   void NoReplicaListed() override { ++m_noReplicaReports; }
 
   TimePoint m_now{ std::chrono::seconds(1000) };
@@ -103,6 +113,10 @@
   std::vector<ContactState> m_contactStates;
   std::vector<ReplicaNotice> m_notices;
   std::vector<CopyId> m_aborted;
+  std::vector<CrashReport> m_crashReports;
+  std::vector<SuspectReport> m_announced;
+  /** Of the requests that are started. */
+  std::uint64_t m_fingerprint = 0;
   std::map<ForwardId, ForwardResult> m_results;
   ForwardId m_next = 1;
 };
--- a/scripts/lib/replica_standin.py
+++ b/scripts/lib/replica_standin.py
@@ -32,6 +32,8 @@
         self.stamps = {}    # stamp -> (request id, service, status)
         self.request_limits = []  # (replica id, requests a second, begin, end)
         self.notices = []   # (time, request id, replica id, "leaving" or seconds of rest)
+        self.crashing = set()  # targets of requests that crash the replicas that run them
+        self.crashes = []   # (time, request id, target) of these
         self.withdrawn_at = {}  # replica id -> time of draining or removal in the store
         self.stamp_numbers = itertools.count(1)
 
@@ -68,6 +70,7 @@
         self.faults = {}
         self.sequence = 0
         self.started_at_ms = int(time.time() * 1000)
+        self.on_crash = lambda replica: replica.stop()
         self.server = None
         self.connections = set()
 
@@ -143,6 +146,10 @@
             return True
         self.running += 1
         stamp = self.observations.record_run(request_id, self.service, self.name, 200)
+        if request.target in self.observations.crashing:
+            self.observations.crashes.append((time.monotonic(), request_id, request.target))
+            self.on_crash(self)
+            return False
         remaining_s = int(fields.get("x-goldcrestkeel-deadline-ms", "1000")) / 1e3
         duration_s = self.mean_work_s * self.slowdown * self.random.lognormvariate(0, 0.3)
         if self.random.random() < 0.04:
--- a/scripts/lib/soak_callers.py
+++ b/scripts/lib/soak_callers.py
@@ -77,15 +77,23 @@
         except (OSError, asyncio.TimeoutError):
             return None
 
-    async def _send_request(self, stream, host):
+    async def send_once(self, host, kind, body):
+        """Sends one request over a new connection."""
+        stream = await self._connect(host)
+        if stream:
+            await self._send_request(stream, host, kind, body)
+            wire.reset(stream[1])
+
+    async def _send_request(self, stream, host, kind=None, body=None):
         """Sends one request; returns true if the connection can be reused."""
         reader, writer = stream
-        kind = self.random.choices(KINDS, (6, 2, 1, 2))[0]
+        kind = kind or self.random.choices(KINDS, (6, 2, 1, 2))[0]
         request = SentRequest(kind, f"{self.run.seed:x}-{next(self.request_numbers):08x}",
                               host, time.monotonic())
         fields = [("Host", "soak.example"), ("X-Goldcrestkeel-Request-Id", request.id),
                   ("X-Goldcrestkeel-Deadline-Ms", str(kind.deadline_ms))]
-        body = b"hold " + request.id.encode() if kind.method == "POST" else b""
+        if body is None:
+            body = b"hold " + request.id.encode() if kind.method == "POST" else b""
         self.sent.append(request)
         try:
             writer.write(wire.format_message(
--- a/scripts/lib/soak_faults.py
+++ b/scripts/lib/soak_faults.py
@@ -5,6 +5,8 @@
 import signal
 import time
 
+import soak_callers
+
 
 class Faults:
     """Starts overlapping faults and reverts each after a random time. `disturbances`
@@ -19,6 +21,7 @@
         self.shard_generation = 1
         self.busy_hosts = set()
         self.resharding = False
+        self.crashing = False
         self.restoring = False
         # The method names appear in events.log.
         self.events = [
@@ -30,7 +33,8 @@
             (2, self.replica_says_leaving), (2, self.replica_turns_away),
             (2, self.hosts_cut_off),
             (3, self.replica_spoils), (1, self.replica_hangs), (2, self.answers_come_again),
-            (2, self.change_configuration), (1, self.divide_anew)]
+            (2, self.change_configuration), (1, self.divide_anew),
+            (2, self.request_crashes_replicas)]
 
     async def inject(self, seconds):
         end = time.monotonic() + seconds
@@ -211,6 +215,37 @@
                 await asyncio.sleep(self.random.uniform(0, 2))
                 await self.run.add_replica(replica.service, replica.zone)
 
+    async def request_crashes_replicas(self):
+        """A request crashes each replica that begins to run it, and comes again, at any
+        host. Replicas are back after some seconds."""
+        if self.crashing:
+            return
+        self.crashing = True
+        kind = self.random.choice([k for k in soak_callers.KINDS if k.name != "moved"])
+        target = f"{kind.path}/{self.random.randrange(1 << 32):08x}"
+        kind = soak_callers.RequestKind(
+            kind.name, kind.method, target, kind.deadline_ms, kind.idempotent)
+        self.run.observations.crashing.add(target)
+        for replica, _ in self.run.replicas.values():
+            replica.on_crash = self._crash
+        for _ in range(9):
+            await self.run.callers.send_once(
+                self.random.choice(self.run.hosts), kind, b"crash")
+            await asyncio.sleep(1.5)
+        self.crashing = False
+
+    def _crash(self, replica):
+        self.run.mark_disturbed(0.5)
+        if replica.name in self.run.replicas:
+            self.run.remove_replica(replica.name)
+            self.tasks.append(asyncio.create_task(self._come_back(replica)))
+
+    async def _come_back(self, old):
+        await asyncio.sleep(self.random.uniform(1, 3))
+        replica = await self.run.add_replica(old.service, old.zone)
+        replica.on_crash = self._crash
+        await old.leave()
+
     async def replica_drains(self):
         """Planned replacement: a new replica starts, the old one drains or is removed
         from the store and stops 3.5 to 6 s later. Its address may be reused by
