--- a/packages/edge/include/goldcrestkeel/Edge.h
+++ b/packages/edge/include/goldcrestkeel/Edge.h
@@ -9,6 +9,7 @@
 #include <goldcrestkeel/edge/FieldNames.h>
 #include <goldcrestkeel/edge/HttpCaller.h>
 #include <goldcrestkeel/edge/HttpMessage.h>
+#include <goldcrestkeel/edge/JsonNumbers.h>
 #include <goldcrestkeel/edge/Loop.h>
 #include <goldcrestkeel/edge/Numbers.h>
 #include <goldcrestkeel/edge/QuarantineRecord.h>
--- a/packages/edge/src/CrashMessages.cpp
+++ b/packages/edge/src/CrashMessages.cpp
@@ -1,12 +1,12 @@
 #include "CrashMessages.h"
 
+#include "QuarantineJson.h"
+
 #include <goldcrestkeel/core/StableHash.h>
+#include <goldcrestkeel/edge/JsonNumbers.h>
 #include <goldcrestkeel/edge/QuarantineRecord.h>
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
-#include <stdexcept>
 
 namespace goldcrestkeel {
 
@@ -50,7 +50,7 @@
   }
   json quarantined = json::array();
   for (const SuspectReport& suspect : aMessage.m_quarantined) {
-    quarantined.push_back(json::parse(EncodeQuarantine(suspect)));
+    quarantined.push_back(ToJson(suspect));
   }
   return json{ { "crashes", crashes }, { "quarantined", quarantined } }.dump(
     -1, ' ', false, json::error_handler_t::replace);
@@ -68,11 +68,12 @@
     crash.m_summary = entry.at("request").get<std::string>();
     crash.m_service = entry.at("service").get<std::string>();
     crash.m_replica = entry.at("replica").get<std::string>();
-    crash.m_startedAt = entry.at("started_at_ms").get<WallTime>();
+    crash.m_startedAt =
+      static_cast<WallTime>(UnsignedOf(entry.at("started_at_ms")));
     message.m_crashes.push_back(std::move(crash));
   }
   for (const json& entry : document.at("quarantined")) {
-    message.m_quarantined.push_back(DecodeQuarantine(entry.dump()));
+    message.m_quarantined.push_back(QuarantineFromJson(entry));
   }
   return message;
 }
--- a/packages/edge/src/QuarantineRecord.cpp
+++ b/packages/edge/src/QuarantineRecord.cpp
@@ -1,6 +1,7 @@
-#include <goldcrestkeel/edge/QuarantineRecord.h>
+#include "QuarantineJson.h"
 
-#include <nlohmann/json.hpp>
+#include <goldcrestkeel/edge/JsonNumbers.h>
+#include <goldcrestkeel/edge/QuarantineRecord.h>
 
 #include <charconv>
 #include <stdexcept>
@@ -37,29 +38,38 @@
   return value;
 }
 
-std::string
-EncodeQuarantine(const SuspectReport& aReport)
+json
+ToJson(const SuspectReport& aReport)
 {
-  return json{
-    { "fingerprint", FormatFingerprint(aReport.m_fingerprint) },
-    { "request", aReport.m_statement },
-    { "crashes", aReport.m_crashes },
-    { "version", aReport.m_version }
-  }.dump(-1, ' ', false, json::error_handler_t::replace);
+  return { { "fingerprint", FormatFingerprint(aReport.m_fingerprint) },
+           { "request", aReport.m_statement },
+           { "crashes", aReport.m_crashes },
+           { "version", aReport.m_version } };
 }
 
 SuspectReport
-DecodeQuarantine(std::string_view aText)
+QuarantineFromJson(const json& aEntry)
 {
-  const json entry = json::parse(aText);
   SuspectReport report;
   report.m_fingerprint =
-    ParseFingerprint(entry.at("fingerprint").get<std::string>());
-  report.m_statement = entry.at("request").get<std::string>();
-  report.m_crashes = entry.at("crashes").get<std::uint32_t>();
-  report.m_version = entry.at("version").get<std::uint64_t>();
+    ParseFingerprint(aEntry.at("fingerprint").get<std::string>());
+  report.m_statement = aEntry.at("request").get<std::string>();
+  report.m_crashes = Unsigned32Of(aEntry.at("crashes"));
+  report.m_version = UnsignedOf(aEntry.at("version"));
   report.m_quarantined = true;
   return report;
 }
 
+std::string
+EncodeQuarantine(const SuspectReport& aReport)
+{
+  return ToJson(aReport).dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+SuspectReport
+DecodeQuarantine(std::string_view aText)
+{
+  return QuarantineFromJson(json::parse(aText));
+}
+
 } // namespace goldcrestkeel
