--- a/scripts/lib/soak_faults.py
+++ b/scripts/lib/soak_faults.py
@@ -34,7 +34,7 @@
             (2, self.hosts_cut_off),
             (3, self.replica_spoils), (1, self.replica_hangs), (2, self.answers_come_again),
             (2, self.change_configuration), (1, self.divide_anew),
-            (2, self.request_crashes_replicas)]
+            (2, self.request_crashes_replicas), (1, self.odd_entry)]
 
     async def inject(self, seconds):
         end = time.monotonic() + seconds
@@ -312,6 +312,22 @@
             replica.rejecting = 0.0
             replica.faults.pop("late", None)
 
+    async def odd_entry(self):
+        """Another writer leaves an entry among those of the replicas, or in the place of
+        one, that cannot be used."""
+        odd = self.random.choice([
+            b"[" * 300000 + b"]" * 300000, b'{"":' * 150000, b"\xff\xfe", b"", b"1e999",
+            b'{"service":"single","address":"127.0.0.1:70000"}',
+            b'{"service":"single","address":"127.0.0.1:0","zone":"a1","max_concurrency":1e400}'])
+        name = self._pick_replica()
+        key = f"servers/odd-{self.random.randrange(1000)}"
+        if name and self.random.random() < 0.5:
+            key = f"servers/{name}"
+        await self.run.store.put(key, odd)
+        await asyncio.sleep(self.random.uniform(1, 5))
+        if key == f"servers/{name}" and name in self.run.replicas:
+            await self.run.replicas[name][0].publish()
+
     async def replica_says_leaving(self):
         """A replica says in its answers that it leaves, long before its entry does."""
         name = self._pick_replica()
