Shorten time limits of callers that overflow

Seen by review: a time limit of 2^63 - 1 ms overflows. A caller that would wait for ever was answered at once that its time had passed. Cause: milliseconds were converted to microseconds without a limit.

--- a/packages/edge/src/EdgeRequests.cpp
+++ b/packages/edge/src/EdgeRequests.cpp
@@ -12,6 +12,8 @@
 /** Part of the caller's deadline that is spent outside this host: a network
  *  delay of 3 ms each way and some processing. */
 constexpr Duration kCallerTransitTime{ 12000 };
+/** Longer time limits of callers are shortened to this one, in milliseconds. */
+constexpr std::int64_t kMaxTimeLimitMs = 86400000;
 /** Retry-After while the host has no routing table. Outages of the store, which
  *  holds the table, last for seconds. */
 constexpr Duration kNotReadyRetryAfter{ 2000000 };
@@ -39,7 +41,7 @@
   if (aText.empty() || parsed.ec != std::errc() || value < 0) {
     return std::nullopt;
   }
-  return std::chrono::milliseconds(value);
+  return std::chrono::milliseconds(std::min(value, kMaxTimeLimitMs));
 }
 
 } // namespace
--- a/packages/edge/tests/EdgeServerTest.cpp
+++ b/packages/edge/tests/EdgeServerTest.cpp
@@ -1,3 +1,4 @@
+#include "CrashMessages.h"
 #include "LoopbackServer.h"
 
 #include <goldcrestkeel/Edge.h>
@@ -255,3 +256,78 @@
             std::string::npos);
   }
 }
+
+// Guards against a time limit that overflows and is taken for one that has
+// passed.
+TEST_CASE("A caller waits for very long", "[request]")
+{
+  ServerFixture fixture(true);
+  Caller caller(fixture.m_settings.m_callerAddress);
+  caller.Send(kHead + "Deadline: 9223372036854775807\r\n\r\n");
+  fixture.RunFor(20ms);
+  REQUIRE(fixture.m_replica.Accept() == 1);
+  fixture.m_replica.Send(
+    0, "HTTP/1.1 200 OK\r\nStamp: s\r\nContent-Length: 4\r\n\r\nbody");
+  fixture.RunFor(20ms);
+  REQUIRE(caller.Received().starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE("Another host tells of a request in quarantine", "[crash]")
+{
+  ServerFixture fixture(true);
+  RequestMessage request;
+  request.m_method = "GET";
+  request.m_target = "/lookup/1";
+  request.m_fields = { { "Host", "shop.example" } };
+  SuspectReport suspect;
+  suspect.m_fingerprint = FingerprintOf(request);
+  suspect.m_crashes = 3;
+  suspect.m_version = 3;
+  const std::string body = EncodeCrashMessage({ {}, { suspect } });
+  const auto message = [](const std::string& aBody) {
+    return "POST /goldcrestkeel/crashes HTTP/1.1\r\nHost: h\r\n"
+           "Content-Length: " +
+           std::to_string(aBody.size()) + "\r\n\r\n" + aBody;
+  };
+  Caller host(fixture.m_settings.m_relayAddress);
+  Caller caller(fixture.m_settings.m_callerAddress);
+
+  SECTION("which is refused, as not run")
+  {
+    host.Send(message(body));
+    fixture.RunFor(20ms);
+    REQUIRE(host.Received().starts_with("HTTP/1.1 200"));
+    caller.Send(kHead + "\r\n");
+    fixture.RunFor(20ms);
+    REQUIRE(fixture.m_replica.Accept() == 0);
+    REQUIRE(caller.Received().starts_with("HTTP/1.1 503"));
+    REQUIRE(caller.Received().find("Retry-After: 600") != std::string::npos);
+
+    SECTION("also if another host relays it, which is told why")
+    {
+      host.Send(kHead + "Goldcrestkeel-Table-Version: 1\r\n"
+                        "Goldcrestkeel-Shards: 0\r\n"
+                        "Goldcrestkeel-May-Miss: 0\r\n"
+                        "Goldcrestkeel-Target-Ms: 900\r\n\r\n");
+      fixture.RunFor(20ms);
+      REQUIRE(host.Received().find("Goldcrestkeel-Quarantined: 1\r\n") !=
+              std::string::npos);
+      REQUIRE(host.Received().find("Goldcrestkeel-Copies: 0\r\n") !=
+              std::string::npos);
+    }
+  }
+
+  SECTION("in bytes that are none, which are refused")
+  {
+    host.Send(message("{}"));
+    fixture.RunFor(20ms);
+    REQUIRE(host.Received().starts_with("HTTP/1.1 400"));
+  }
+
+  SECTION("at an address where only hosts may")
+  {
+    caller.Send(message(body));
+    fixture.RunFor(20ms);
+    REQUIRE(caller.Received().starts_with("HTTP/1.1 404"));
+  }
+}
