Move answered requests and crash reports to headers of their own

Change: AnsweredRequests and CrashReport.h; no change of behaviour. Result: all tests of forward and edge pass.

--- a/packages/edge/src/ReplicaConnections.cpp
+++ b/packages/edge/src/ReplicaConnections.cpp
@@ -1,5 +1,6 @@
 #include "ReplicaConnections.h"
 
+#include "AnsweredRequests.h"
 #include "RelayFields.h"
 
 #include <goldcrestkeel/edge/Numbers.h>
@@ -7,7 +8,6 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
-#include <functional>
 #include <utility>
 
 namespace goldcrestkeel {
@@ -108,18 +108,9 @@
            (!m_connection.IsConnected() ||
             (m_connection.IsReusable() && aNow < m_idleDeadline));
   }
-  /** A copy of the request has been answered on this connection. A second copy
-   *  of that answer may still come, and only the id would tell it from the
-   *  answer to another copy. */
   bool HasAnswered(std::string_view aRequestId, TimePoint aNow) const
   {
-    const std::size_t hash = std::hash<std::string_view>()(aRequestId);
-    return std::any_of(m_answered.begin(),
-                       m_answered.end(),
-                       [&](const AnsweredRequest& aAnswered) {
-                         return aAnswered.m_hash == hash &&
-                                aAnswered.m_endsAt > aNow;
-                       });
+    return m_answered.Contains(aNow, aRequestId);
   }
   bool IsExpired(TimePoint aNow) const
   {
@@ -163,7 +154,7 @@
     const CopyId copy = std::exchange(m_copy, 0);
     m_owner.m_connectionByCopy.erase(copy);
     CountHeldBytes();
-    RememberAnswered();
+    m_answered.Add(m_owner.m_loop.Now(), m_requestId, m_requestEndsAt);
     m_checkMayRepeat = m_checkMayRepeat || m_requestId.empty();
     m_idleDeadline = m_owner.m_loop.Now() + IdleTimeoutOf(aAnswer);
     ReplicaAnswer answer = m_owner.ToAnswer(std::move(aAnswer));
@@ -212,27 +203,6 @@
   bool WasSent() const { return m_connection.WasSent(); }
 
 private:
-  /** A request of which a copy has been answered. Hashes suffice: if two ids
-   *  share one, a copy goes over another connection without need. */
-  struct AnsweredRequest
-  {
-    std::size_t m_hash = 0;
-    TimePoint m_endsAt;
-  };
-
-  /** Remembers the current request until it ends. */
-  void RememberAnswered()
-  {
-    const TimePoint now = m_owner.m_loop.Now();
-    std::erase_if(m_answered, [&](const AnsweredRequest& aAnswered) {
-      return aAnswered.m_endsAt <= now;
-    });
-    if (!m_requestId.empty() && m_requestEndsAt > now) {
-      m_answered.push_back(
-        { std::hash<std::string_view>()(m_requestId), m_requestEndsAt });
-    }
-  }
-
   void SetCountedBytes(std::size_t aBytes)
   {
     m_owner.m_heldBytes += aBytes;
@@ -246,7 +216,7 @@
   CopyId m_copy = 0;
   std::string m_requestId;
   TimePoint m_requestEndsAt;
-  std::vector<AnsweredRequest> m_answered;
+  AnsweredRequests m_answered;
   ConnectionState m_state = ConnectionState::New;
   /** An answer on this connection carried a request id. */
   bool m_echoesIds = false;
--- a/packages/forward/include/goldcrestkeel/Forward.h
+++ b/packages/forward/include/goldcrestkeel/Forward.h
@@ -3,6 +3,7 @@
 /** Forwarding of opaque requests: routing, replica selection, hedging, retries
  *  and scatter-gather over shards. Performs no I/O. */
 
+#include <goldcrestkeel/forward/CrashReport.h>
 #include <goldcrestkeel/forward/Forwarder.h>
 #include <goldcrestkeel/forward/HostRecord.h>
 #include <goldcrestkeel/forward/ReplicaRecord.h>
--- /dev/null
+++ b/packages/forward/include/goldcrestkeel/forward/CrashReport.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <goldcrestkeel/core/Time.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace goldcrestkeel {
+
+/** A replica crashed while a request ran on it, and no replica has answered the
+ *  request. */
+struct CrashReport
+{
+  /** Of the request. */
+  std::uint64_t m_fingerprint = 0;
+  /** Method and target of the request, for logs. */
+  std::string m_summary;
+  std::string m_service;
+  /** Id of the replica, and the time of its start in milliseconds. */
+  std::string m_replica;
+  WallTime m_startedAt = 0;
+
+  bool operator==(const CrashReport&) const = default;
+};
+
+/** A crash was attributed to a request, for the log. The views are valid only
+ *  during LogCrash(). */
+struct CrashDecision
+{
+  std::string_view m_summary;
+  std::uint64_t m_fingerprint = 0;
+  std::string_view m_service;
+  std::string_view m_replica;
+  /** Crashes attributed to such requests so far. */
+  std::uint32_t m_crashes = 0;
+  bool m_quarantined = false;
+  /** Another host has observed it. */
+  bool m_reported = false;
+};
+
+} // namespace goldcrestkeel
--- a/packages/forward/include/goldcrestkeel/forward/Forwarder.h
+++ b/packages/forward/include/goldcrestkeel/forward/Forwarder.h
@@ -4,6 +4,7 @@
 #include <goldcrestkeel/core/Errors.h>
 #include <goldcrestkeel/core/Random.h>
 #include <goldcrestkeel/core/Time.h>
+#include <goldcrestkeel/forward/CrashReport.h>
 #include <goldcrestkeel/forward/HostRecord.h>
 #include <goldcrestkeel/forward/ReplicaRecord.h>
 #include <goldcrestkeel/forward/RoutingTable.h>
@@ -59,22 +60,6 @@
   std::uint64_t m_fingerprint = 0;
 };
 
-/** A replica crashed while a request ran on it, and no replica has answered the
- *  request. */
-struct CrashReport
-{
-  /** Of the request. */
-  std::uint64_t m_fingerprint = 0;
-  /** Method and target of the request, for logs. */
-  std::string m_summary;
-  std::string m_service;
-  /** Id of the replica, and the time of its start in milliseconds. */
-  std::string m_replica;
-  WallTime m_startedAt = 0;
-
-  bool operator==(const CrashReport&) const = default;
-};
-
 /** A complete answer of a replica, or of an entry host to a relayed request. */
 struct ReplicaAnswer
 {
@@ -243,21 +228,6 @@
   std::uint32_t m_inFlight = 0;
 };
 
-/** A crash was attributed to a request, for the log. The views are valid only
- *  during LogCrash(). */
-struct CrashDecision
-{
-  std::string_view m_summary;
-  std::uint64_t m_fingerprint = 0;
-  std::string_view m_service;
-  std::string_view m_replica;
-  /** Crashes attributed to such requests so far. */
-  std::uint32_t m_crashes = 0;
-  bool m_quarantined = false;
-  /** Another host has observed it. */
-  bool m_reported = false;
-};
-
 /** Performs the I/O for a forwarder. From within these methods only
  *  Forwarder::CopySent() and ProvenConnectionEnded() may be called back. */
 class ForwardSink
