Test what the crash guard leaves alone

Cause: with four conditions of the guard taken out one at a time, no test failed: an answer of another shard, most of the shards, an answer after the crash, and contact with the replicas. Change: a case for each in CrashingRequestTest.

--- a/packages/forward/tests/CrashingRequestTest.cpp
+++ b/packages/forward/tests/CrashingRequestTest.cpp
@@ -175,14 +175,31 @@
     REQUIRE(fixture.m_announced.empty());
   }
 
+  SECTION("and no other one answers: this host may be cut off")
+  {
+    fixture.m_answerProbes = false;
+    fixture.ApplyRoute(fixture.SingleRoute(false), 10);
+    REQUIRE(fixture.Crash() == 1);
+    fixture.RefuseProbes();
+    fixture.Advance(9s);
+    REQUIRE(fixture.m_forwarder->Contact() == ContactState::Reached);
+    REQUIRE(fixture.m_crashReports.empty());
+  }
+
   SECTION("and so do all replicas: this host is cut off")
   {
     fixture.m_answerProbes = false;
+    // One connection lives on for a while.
+    fixture.m_fingerprint = kFingerprint + 100;
+    fixture.Start();
+    const CopyId open = fixture.m_sent.back().m_copy;
     for (std::uint64_t request = 0; request < 8; ++request) {
       fixture.m_fingerprint = kFingerprint + request;
       fixture.Crash();
     }
     fixture.RefuseProbes();
+    fixture.Advance(700ms);
+    fixture.Answer(open);
     fixture.Advance(9s);
     REQUIRE(fixture.m_forwarder->Contact() != ContactState::Reached);
     REQUIRE(fixture.m_crashReports.empty());
@@ -210,10 +227,16 @@
 
   SECTION("but an outage of some replicas is retried")
   {
-    fixture.Answer(fixture.m_sent.at(5).m_copy);
     failFirst(3);
     REQUIRE(fixture.m_sent.size() == 9);
   }
+
+  SECTION("and so is one of most, once a replica has answered")
+  {
+    fixture.Answer(fixture.m_sent.at(5).m_copy);
+    failFirst(5);
+    REQUIRE(fixture.m_sent.size() == 11);
+  }
 }
 
 TEST_CASE("Other hosts tell of crashes", "[forward]")
