Test the depth of messages and how long request ids are remembered

Cause: with the limit of depth, or the end of a remembered request, taken out, no test failed: the nested messages were incomplete, and the server passed no end in any test. Change: complete nested messages in OddMessagesTest; EdgeServerTest, "A request id comes again after its deadline".

--- a/packages/edge/tests/EdgeServerTest.cpp
+++ b/packages/edge/tests/EdgeServerTest.cpp
@@ -272,6 +272,27 @@
   REQUIRE(caller.Received().starts_with("HTTP/1.1 200"));
 }
 
+// Guards against connections that remember requests for as long as they live.
+TEST_CASE("A request id comes again after its deadline", "[request]")
+{
+  ServerFixture fixture(true);
+  Caller caller(fixture.m_settings.m_callerAddress);
+  const std::string answer =
+    "HTTP/1.1 200 OK\r\nId: one\r\nStamp: s\r\nContent-Length: 4\r\n\r\nbody";
+  const auto send = [&] {
+    caller.Send(kHead + "Id: one\r\nDeadline: 60\r\n\r\n");
+    fixture.RunFor(20ms);
+  };
+  send();
+  REQUIRE(fixture.m_replica.Accept() == 1);
+  fixture.m_replica.Send(0, answer);
+  fixture.RunFor(20ms);
+  REQUIRE(caller.Received().starts_with("HTTP/1.1 200"));
+  fixture.RunFor(100ms);
+  send();
+  REQUIRE(fixture.m_replica.Accept() == 1);
+}
+
 TEST_CASE("Another host tells of a request in quarantine", "[crash]")
 {
   ServerFixture fixture(true);
--- a/packages/edge/tests/OddMessagesTest.cpp
+++ b/packages/edge/tests/OddMessagesTest.cpp
@@ -33,6 +33,7 @@
   SECTION("in its changes")
   {
     const std::string start = "\xa1\x65items";
+    const std::string end = "\x01";
     const std::string body = GENERATE_REF(Times("\x81"),
                                           Times("\x9f"),
                                           Times("\xa1\x61"
@@ -42,7 +43,11 @@
                                           Times("\x7f"),
                                           Times("\x5f"),
                                           Times("\xc0"),
-                                          start + Times("\x81") + "\x00");
+                                          Times("\x81") + end,
+                                          Times("\xa1\x61"
+                                                "a") +
+                                            end,
+                                          start + Times("\x81") + end);
     REQUIRE_THROWS(DecodeFeedChanges(body));
   }
 
