Log what became of each suspected crash of a replica

Change: crash_checked, with outcome and age, for each replica that broke off while a request ran, in place of crash_attributed.

--- a/packages/edge/src/EdgeCrashes.cpp
+++ b/packages/edge/src/EdgeCrashes.cpp
@@ -19,8 +19,10 @@
 {
   const std::string fingerprint = FormatFingerprint(aDecision.m_fingerprint);
   m_log.Write(LogPriority::Process,
-              "crash_attributed",
-              { { "target", aDecision.m_summary },
+              "crash_checked",
+              { { "outcome", NameOf(aDecision.m_outcome) },
+                { "age_ms", aDecision.m_age.count() / 1000.0 },
+                { "target", aDecision.m_summary },
                 { "fingerprint", std::string_view(fingerprint) },
                 { "service", aDecision.m_service },
                 { "replica", aDecision.m_replica },
--- a/packages/forward/include/goldcrestkeel/forward/CrashReport.h
+++ b/packages/forward/include/goldcrestkeel/forward/CrashReport.h
@@ -24,10 +24,33 @@
   bool operator==(const CrashReport&) const = default;
 };
 
-/** A crash was attributed to a request, for the log. The views are valid only
- *  during LogCrash(). */
+/** What became of the suspicion that a request has crashed a replica. */
+enum class CrashOutcome
+{
+  /** It is one more crash of such requests. */
+  Counted,
+  /** It belongs to a crash that was counted before. */
+  CountedBefore,
+  /** The replica has answered its health check. */
+  ReplicaAlive,
+  /** The health check got no answer. */
+  NoAnswer,
+  /** No other replica has answered either. */
+  NoContact,
+  /** Too many health checks were under way. */
+  NotChecked,
+};
+
+std::string_view
+NameOf(CrashOutcome aOutcome);
+
+/** A crash was attributed to a request or not, for the log. The views are valid
+ *  only during LogCrash(). */
 struct CrashDecision
 {
+  CrashOutcome m_outcome = CrashOutcome::Counted;
+  /** Time since the replica broke off; 0 if another host has observed it. */
+  Duration m_age{ 0 };
   std::string_view m_summary;
   std::uint64_t m_fingerprint = 0;
   std::string_view m_service;
--- a/packages/forward/src/ForwarderCopies.cpp
+++ b/packages/forward/src/ForwarderCopies.cpp
@@ -40,7 +40,8 @@
                             CopyId aCopy,
                             ReplicaAnswer&& aAnswer)
 {
-  if (EndProbe(aNow, aCopy, true) || EndCrashProbe(aCopy, false)) {
+  if (EndProbe(aNow, aCopy, true) ||
+      EndCrashProbe(aNow, aCopy, CrashOutcome::ReplicaAlive)) {
     return;
   }
   const auto found = m_copies.find(aCopy);
@@ -100,7 +101,11 @@
 ForwarderImpl::CopyFailed(TimePoint aNow, CopyId aCopy, CopyFailure aFailure)
 {
   if (EndProbe(aNow, aCopy, false) ||
-      EndCrashProbe(aCopy, aFailure == CopyFailure::Refused)) {
+      EndCrashProbe(aNow,
+                    aCopy,
+                    aFailure == CopyFailure::Refused
+                      ? CrashOutcome::Counted
+                      : CrashOutcome::NoAnswer)) {
     return;
   }
   const auto found = m_copies.find(aCopy);
--- a/packages/forward/src/ForwarderCrashes.cpp
+++ b/packages/forward/src/ForwarderCrashes.cpp
@@ -2,6 +2,7 @@
 
 #include <goldcrestkeel/core/StableHash.h>
 
+#include <array>
 #include <utility>
 
 namespace goldcrestkeel {
@@ -19,8 +20,19 @@
 /** Broken copies of a request from which no further replica runs it. */
 constexpr std::size_t kMaxBrokenCopies = 2;
 
+constexpr std::array<std::string_view, 6> kCrashOutcomes{
+  "counted",   "counted_before", "replica_alive",
+  "no_answer", "no_contact",     "not_checked"
+};
+
 } // namespace
 
+std::string_view
+NameOf(CrashOutcome aOutcome)
+{
+  return kCrashOutcomes.at(static_cast<std::size_t>(aOutcome));
+}
+
 StatementStatus
 ForwarderImpl::StatusOf(const RunningForward& aForward) const
 {
@@ -45,7 +57,7 @@
 {
   const std::uint64_t fingerprint = aForward.m_request.m_fingerprint;
   if (fingerprint == 0 || aForward.m_brokenReplicas.empty() ||
-      aForward.m_replicaAnswered || m_crashChecks.size() >= kMaxCrashChecks) {
+      aForward.m_replicaAnswered) {
     return;
   }
   const ReplicaRecord& replica = aForward.m_brokenReplicas.back()->m_record;
@@ -55,6 +67,10 @@
   report.m_service = replica.m_service;
   report.m_replica = replica.m_id;
   report.m_startedAt = replica.m_startedAt;
+  if (m_crashChecks.size() >= kMaxCrashChecks) {
+    LogCrash(report, CrashOutcome::NotChecked, Duration(0), false);
+    return;
+  }
   const CopyId probe = m_nextCopy++;
   m_crashChecks.emplace(probe, CrashCheck{ std::move(report), aNow });
   AddTimer(aNow + kCrashCheckTime, ForwardTimer::CrashCheck, probe);
@@ -62,15 +78,21 @@
 }
 
 bool
-ForwarderImpl::EndCrashProbe(CopyId aProbe, bool aRefused)
+ForwarderImpl::EndCrashProbe(TimePoint aNow,
+                             CopyId aProbe,
+                             CrashOutcome aOutcome)
 {
   const auto found = m_crashChecks.find(aProbe);
   if (found == m_crashChecks.end()) {
     return false;
   }
-  if (aRefused) {
+  if (aOutcome == CrashOutcome::Counted) {
     found->second.m_down = true;
   } else {
+    LogCrash(found->second.m_report,
+             aOutcome,
+             aNow - found->second.m_startedAt,
+             false);
     m_crashChecks.erase(found);
   }
   return true;
@@ -92,20 +114,45 @@
     return;
   }
   m_crashChecks.erase(found);
+  const Duration age = aNow - check.m_startedAt;
   if (!check.m_down) {
     // Without an answer, the network is as likely to be at fault.
     m_sink.AbortCopy(aProbe);
+    LogCrash(check.m_report, CrashOutcome::NoAnswer, age, false);
   } else if (reached) {
-    RecordCrash(aNow, check.m_report, false);
+    RecordCrash(aNow, check.m_report, age, false);
+  } else {
+    LogCrash(check.m_report, CrashOutcome::NoContact, age, false);
   }
 }
 
+void
+ForwarderImpl::LogCrash(const CrashReport& aReport,
+                        CrashOutcome aOutcome,
+                        Duration aAge,
+                        bool aReported)
+{
+  const SuspectReport suspect = m_crashGuard.ReportOf(aReport.m_fingerprint);
+  m_sink.LogCrash({ aOutcome,
+                    aAge,
+                    aReport.m_summary,
+                    aReport.m_fingerprint,
+                    aReport.m_service,
+                    aReport.m_replica,
+                    suspect.m_crashes,
+                    suspect.m_quarantined,
+                    aReported });
+}
+
 void
 ForwarderImpl::RecordCrash(TimePoint aNow,
                            const CrashReport& aReport,
+                           Duration aAge,
                            bool aReported)
 {
   ++m_counters.m_crashes;
+  const std::uint32_t crashesBefore =
+    m_crashGuard.ReportOf(aReport.m_fingerprint).m_crashes;
   const std::uint64_t before = m_crashGuard.QuarantinedCount();
   m_crashGuard.RecordCrash(aNow,
                            aNow,
@@ -116,13 +163,11 @@
                            static_cast<std::uint64_t>(aReport.m_startedAt));
   AddTimer(aNow + kCrashMemory + Duration(1), ForwardTimer::ForgetCrashes, 0);
   const SuspectReport suspect = m_crashGuard.ReportOf(aReport.m_fingerprint);
-  m_sink.LogCrash({ aReport.m_summary,
-                    aReport.m_fingerprint,
-                    aReport.m_service,
-                    aReport.m_replica,
-                    suspect.m_crashes,
-                    suspect.m_quarantined,
-                    aReported });
+  LogCrash(aReport,
+           suspect.m_crashes > crashesBefore ? CrashOutcome::Counted
+                                             : CrashOutcome::CountedBefore,
+           aAge,
+           aReported);
   if (m_crashGuard.QuarantinedCount() > before) {
     RefuseQuarantined(aNow);
     m_sink.AnnounceQuarantine(suspect);
@@ -134,7 +179,7 @@
 void
 ForwarderImpl::CrashReported(TimePoint aNow, const CrashReport& aReport)
 {
-  RecordCrash(aNow, aReport, true);
+  RecordCrash(aNow, aReport, Duration(0), true);
 }
 
 void
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -201,10 +201,18 @@
   /** If replicas broke off and none has answered, checks whether one of them is
    *  down. */
   void StartCrashCheck(TimePoint aNow, RunningForward& aForward);
-  /** Takes the result of a health check; returns false if aProbe is none. */
-  bool EndCrashProbe(CopyId aProbe, bool aRefused);
+  /** Takes the result of a health check: Counted if the replica is down.
+   *  Returns false if aProbe is none. */
+  bool EndCrashProbe(TimePoint aNow, CopyId aProbe, CrashOutcome aOutcome);
   void OnCrashCheck(TimePoint aNow, CopyId aProbe);
-  void RecordCrash(TimePoint aNow, const CrashReport& aReport, bool aReported);
+  void RecordCrash(TimePoint aNow,
+                   const CrashReport& aReport,
+                   Duration aAge,
+                   bool aReported);
+  void LogCrash(const CrashReport& aReport,
+                CrashOutcome aOutcome,
+                Duration aAge,
+                bool aReported);
   /** Refuses requests that are in quarantine and that no replica has. */
   void RefuseQuarantined(TimePoint aNow);
   void FinishQuarantined(TimePoint aNow, RunningForward& aForward);
