Let crashes not extend the time within which they count as one

Cause: a crash within a second of the one before counted with it, also if that one had not been counted itself, so that crashes less than a second apart extended one another without end, and the request was in quarantine late or never. Change: the time runs from the last crash that was counted. A crash within it counts anew if the attempt was sent after that crash and the service has answered other requests in between: an outage does not spare these. Ruled out: a shorter time, which would count an outage that takes some hundred milliseconds as several crashes.

--- a/packages/core/include/goldcrestkeel/core/CrashGuard.h
+++ b/packages/core/include/goldcrestkeel/core/CrashGuard.h
@@ -3,6 +3,7 @@
 #include <goldcrestkeel/core/Time.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -43,8 +44,9 @@
 {
   /** Crashes after which a statement is quarantined. */
   std::uint32_t m_crashesBeforeQuarantine = 2;
-  /** Crashes within this time of the one before count as one: one cause outside
-   *  the statement may end several replicas. */
+  /** Crashes up to this time after one that was counted count with it, unless
+   *  other statements were answered in between: one cause outside the statement
+   *  may end several replicas. */
   Duration m_sameCrashTime{ 0 };
 };
 
@@ -64,17 +66,20 @@
 
   /** Records that a replica of aShard crashed while aStatement ran on it. It
    *  counts as a new crash only if aStartedAt, the time at which the attempt
-   *  was sent, is after the previous crash: several replicas that crash
-   *  together are one piece of evidence about a statement that ran on all of
-   *  them. Another reset by the same incarnation of a replica is not counted
-   *  either. */
+   *  was sent, is after the last crash that was counted: several replicas that
+   *  crash together are one piece of evidence about a statement that ran on all
+   *  of them. Another reset by the same incarnation of a replica is not counted
+   *  either. aOthersServedAt is when the service last answered another
+   *  statement before the crash; aCrashes is how many crashes it counts as. */
   void RecordCrash(TimePoint aNow,
                    TimePoint aStartedAt,
                    std::uint64_t aFingerprint,
                    const std::string& aStatement,
                    const std::string& aShard,
                    std::uint64_t aReplica,
-                   std::uint64_t aIncarnation);
+                   std::uint64_t aIncarnation,
+                   TimePoint aOthersServedAt = TimePoint::min(),
+                   std::uint32_t aCrashes = 1);
 
   /** Records the end of a run that searched aFraction of the documents, all
    *  shards except aMissing; aReset tells whether a connection was reset. A
@@ -85,6 +90,11 @@
                         double aFraction,
                         bool aReset);
 
+  /** Another host has counted crashes of a statement: it becomes suspect here,
+   *  unless it is already. */
+  void AddSuspect(TimePoint aNow,
+                  std::uint64_t aFingerprint,
+                  const std::string& aStatement);
   /** Merges the reports of other hosts; the larger version of an entry replaces
    *  the smaller. */
   void Merge(TimePoint aNow, const std::vector<SuspectReport>& aReports);
@@ -110,6 +120,8 @@
     /** Shards of which replicas crashed while this host ran the statement. */
     std::vector<std::string> m_shards;
     TimePoint m_lastCrash = TimePoint::min();
+    /** When the last crash that was counted happened. */
+    std::optional<TimePoint> m_countedAt;
     /** Replicas that crashed, with their incarnations. */
     std::vector<std::pair<std::uint64_t, std::uint64_t>> m_replicas;
 
--- a/packages/core/src/CrashGuard.cpp
+++ b/packages/core/src/CrashGuard.cpp
@@ -73,7 +73,9 @@
                         const std::string& aStatement,
                         const std::string& aShard,
                         std::uint64_t aReplica,
-                        std::uint64_t aIncarnation)
+                        std::uint64_t aIncarnation,
+                        TimePoint aOthersServedAt,
+                        std::uint32_t aCrashes)
 {
   EvictEntries();
   Entry& entry = m_entries[aFingerprint];
@@ -88,17 +90,23 @@
   if (!alreadyCounted) {
     entry.m_replicas.push_back(replica);
   }
-  const bool sameCrash = aStartedAt <= entry.m_lastCrash ||
-                         aNow < entry.m_lastCrash + m_options.m_sameCrashTime;
-  entry.m_lastCrash = aNow;
+  entry.m_lastCrash = std::max(entry.m_lastCrash, aNow);
+  // Crashes that are not counted must not extend the time of those that are:
+  // the replicas of a request that comes often crash one shortly after another.
+  const bool sameCrash =
+    entry.m_countedAt &&
+    (aStartedAt <= *entry.m_countedAt ||
+     (aOthersServedAt <= *entry.m_countedAt &&
+      aNow <= *entry.m_countedAt + m_options.m_sameCrashTime));
   if (sameCrash || alreadyCounted) {
     return;
   }
+  entry.m_countedAt = aNow;
   SuspectReport& report = entry.m_report;
   report.m_fingerprint = aFingerprint;
   report.m_statement = aStatement;
   report.m_lifted = false;
-  ++report.m_crashes;
+  report.m_crashes += aCrashes;
   ++report.m_version;
   ++m_version;
   if (report.m_crashes >= m_options.m_crashesBeforeQuarantine &&
@@ -138,6 +146,25 @@
   }
 }
 
+void
+CrashGuard::AddSuspect(TimePoint aNow,
+                       std::uint64_t aFingerprint,
+                       const std::string& aStatement)
+{
+  if (StatusOf(aFingerprint) != StatementStatus::Allowed) {
+    return;
+  }
+  EvictEntries();
+  Entry& entry = m_entries[aFingerprint];
+  entry.m_lastCrash = aNow;
+  SuspectReport& report = entry.m_report;
+  report.m_fingerprint = aFingerprint;
+  report.m_statement = aStatement;
+  report.m_crashes = 1;
+  ++report.m_version;
+  ++m_version;
+}
+
 void
 CrashGuard::Merge(TimePoint aNow, const std::vector<SuspectReport>& aReports)
 {
@@ -159,6 +186,7 @@
     }
     if (report.m_crashes > current.m_crashes) {
       entry.m_lastCrash = aNow;
+      entry.m_countedAt = aNow;
     }
     current = report;
     if (report.m_crashes == 0) {
--- a/packages/core/tests/CrashGuardTest.cpp
+++ b/packages/core/tests/CrashGuardTest.cpp
@@ -31,6 +31,38 @@
     REQUIRE(guard.ReportOf(7).m_crashes == 1);
   }
 
+  // Guards against crashes that prolong the time within which they are one.
+  SECTION("however often others happen in between")
+  {
+    for (std::uint64_t replica = 2; replica <= 4; ++replica) {
+      now += 700ms;
+      crash(replica);
+    }
+    REQUIRE(guard.ReportOf(7).m_crashes == 2);
+    now += 700ms;
+    REQUIRE(crash(5) == StatementStatus::Quarantined);
+  }
+
+  SECTION("unless other statements were answered in between")
+  {
+    const auto crashAmongOthers = [&](std::uint64_t aReplica) {
+      now += 100ms;
+      guard.RecordCrash(now, now, 7, "GET /a", "s", aReplica, 0, now - 1ms);
+      return guard.StatusOf(7);
+    };
+    REQUIRE(crashAmongOthers(2) == StatementStatus::Suspect);
+    REQUIRE(crashAmongOthers(3) == StatementStatus::Quarantined);
+  }
+
+  SECTION("and those of attempts that were under way count as one")
+  {
+    for (std::uint64_t replica = 2; replica <= 5; ++replica) {
+      guard.RecordCrash(
+        now + replica * 2s, now - 1ms, 7, "GET /a", "s", replica, 0, now + 1ms);
+    }
+    REQUIRE(guard.ReportOf(7).m_crashes == 1);
+  }
+
   SECTION("and quarantines at the last")
   {
     now += 2s;
