Attribute crashes by evidence that does not need a refused connection

Cause: a crash was attributed only if the health check right after it was refused. A dead replica whose connections hang, are accepted and reset, or never break, and one that was back as another instance, left no trace; nor did crashes beyond 32 checks at a time, with one check for each request that the replica had. Each took a second at least. Change: CrashChecks, a unit without I/O, checks a replica once for all requests that it had. Down (refused, another instance answers or is listed): after 0.3 s. Without an answer, or silent without a broken connection: after 1 or 1.5 s, if another replica in its data centre has answered. Any answer of the replica, or to such a request, ends the suspicion. Reports to the counting hosts carry ages. A gathered request that broke the replicas of three services without any answer counts as two crashes. One crash before the quarantine, all hosts are asked whether replicas answer such requests, and a host that reports a request that is in quarantine learns so from the reply, also while the store is away. Hosts of an earlier version ignore the new fields of the messages, and theirs default. Tests: "A request that crashes replicas comes at short gaps" fails before.

--- a/packages/edge/src/CrashMessages.cpp
+++ b/packages/edge/src/CrashMessages.cpp
@@ -16,6 +16,28 @@
 
 /** Longer summaries are cut, in bytes. */
 constexpr std::size_t kMaxSummaryBytes = 200;
+/** Larger ages are clamped; no host remembers crashes for longer. */
+constexpr std::uint64_t kMaxAgeUs = 600000000;
+
+json
+ToJson(const std::vector<SuspectReport>& aReports)
+{
+  json entries = json::array();
+  for (const SuspectReport& report : aReports) {
+    entries.push_back(goldcrestkeel::ToJson(report));
+  }
+  return entries;
+}
+
+std::optional<Duration>
+AgeOf(const json& aEntry, const char* aName)
+{
+  const auto found = aEntry.find(aName);
+  if (found == aEntry.end()) {
+    return std::nullopt;
+  }
+  return Duration(std::min(UnsignedOf(*found), kMaxAgeUs));
+}
 
 } // namespace
 
@@ -46,14 +68,24 @@
         { "request", crash.m_summary },
         { "service", crash.m_service },
         { "replica", crash.m_replica },
-        { "started_at_ms", crash.m_startedAt } });
+        { "started_at_ms", crash.m_startedAt },
+        { "crashed_us_ago", crash.m_sinceCrash.count() },
+        { "sent_us_ago", crash.m_sinceSent.count() },
+        { "services", crash.m_services } });
+    if (crash.m_sinceServed) {
+      crashes.back()["served_us_ago"] = crash.m_sinceServed->count();
+    }
   }
-  json quarantined = json::array();
-  for (const SuspectReport& suspect : aMessage.m_quarantined) {
-    quarantined.push_back(ToJson(suspect));
+  json answered = json::array();
+  for (const std::uint64_t fingerprint : aMessage.m_answered) {
+    answered.push_back(FormatFingerprint(fingerprint));
   }
-  return json{ { "crashes", crashes }, { "quarantined", quarantined } }.dump(
-    -1, ' ', false, json::error_handler_t::replace);
+  return json{
+    { "crashes", crashes },
+    { "quarantined", ToJson(aMessage.m_quarantined) },
+    { "suspects", ToJson(aMessage.m_suspects) },
+    { "answered", answered }
+  }.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 CrashMessage
@@ -70,11 +102,24 @@
     crash.m_replica = entry.at("replica").get<std::string>();
     crash.m_startedAt =
       static_cast<WallTime>(UnsignedOf(entry.at("started_at_ms")));
+    // Hosts of an earlier version do not name these.
+    crash.m_sinceCrash = AgeOf(entry, "crashed_us_ago").value_or(Duration(0));
+    crash.m_sinceSent = AgeOf(entry, "sent_us_ago").value_or(Duration(0));
+    crash.m_sinceServed = AgeOf(entry, "served_us_ago");
+    crash.m_services = Unsigned32Of(entry.value("services", json(1U)));
     message.m_crashes.push_back(std::move(crash));
   }
   for (const json& entry : document.at("quarantined")) {
     message.m_quarantined.push_back(QuarantineFromJson(entry));
   }
+  // Hosts of an earlier version do not name these.
+  for (const json& entry : document.value("suspects", json::array())) {
+    message.m_suspects.push_back(QuarantineFromJson(entry));
+    message.m_suspects.back().m_quarantined = false;
+  }
+  for (const json& entry : document.value("answered", json::array())) {
+    message.m_answered.push_back(ParseFingerprint(entry.get<std::string>()));
+  }
   return message;
 }
 
--- a/packages/edge/src/CrashMessages.h
+++ b/packages/edge/src/CrashMessages.h
@@ -15,6 +15,16 @@
 {
   std::vector<CrashReport> m_crashes;
   std::vector<SuspectReport> m_quarantined;
+  /** Requests that are about to be put in quarantine. */
+  std::vector<SuspectReport> m_suspects{};
+  /** Fingerprints of requests that replicas have answered. */
+  std::vector<std::uint64_t> m_answered{};
+
+  bool IsEmpty() const
+  {
+    return m_crashes.empty() && m_quarantined.empty() && m_suspects.empty() &&
+           m_answered.empty();
+  }
 };
 
 /** Method and target of the request that carries a message. */
--- a/packages/edge/src/CrashReporter.cpp
+++ b/packages/edge/src/CrashReporter.cpp
@@ -21,10 +21,12 @@
 
 CrashReporter::CrashReporter(Loop& aLoop,
                              DecisionLog& aLog,
-                             std::string aHostId)
+                             std::string aHostId,
+                             OnReply aOnReply)
   : m_loop(aLoop)
   , m_log(aLog)
   , m_hostId(std::move(aHostId))
+  , m_onReply(std::move(aOnReply))
   , m_releaseTimer(aLoop, [this] { m_callers.clear(); })
 {
 }
@@ -67,22 +69,21 @@
 }
 
 void
-CrashReporter::Report(const CrashReport& aReport)
+CrashReporter::Report(std::uint64_t aFingerprint, const CrashMessage& aMessage)
 {
-  const std::vector<std::string> ids =
-    CountingHosts(m_hosts, aReport.m_fingerprint);
+  const std::vector<std::string> ids = CountingHosts(m_hosts, aFingerprint);
   for (const HostRecord& host : m_hosts) {
     if (std::find(ids.begin(), ids.end(), host.m_id) != ids.end()) {
-      Send(host, { { aReport }, {} });
+      Send(host, aMessage);
     }
   }
 }
 
 void
-CrashReporter::Announce(const SuspectReport& aReport)
+CrashReporter::Announce(const CrashMessage& aMessage)
 {
   for (const HostRecord& host : m_hosts) {
-    Send(host, { {}, { aReport } });
+    Send(host, aMessage);
   }
 }
 
@@ -102,16 +103,32 @@
   call.m_timeout = kMessageTimeout;
   m_callers.back()->Call(
     call, [this, host = aHost.m_id](const HttpCallResult& aResult) {
-      if (aResult.m_outcome != CallOutcome::Answered ||
-          aResult.m_status != 200) {
-        m_log.Write(
-          LogPriority::Process,
-          "crash_message_failed",
-          { { "to", std::string_view(host) },
-            { "outcome", NameOf(aResult.m_outcome) },
-            { "status", static_cast<std::int64_t>(aResult.m_status) } });
-      }
+      OnAnswer(host, aResult);
     });
 }
 
+void
+CrashReporter::OnAnswer(const std::string& aHost, const HttpCallResult& aResult)
+{
+  if (aResult.m_outcome != CallOutcome::Answered || aResult.m_status != 200) {
+    m_log.Write(LogPriority::Process,
+                "crash_message_failed",
+                { { "to", std::string_view(aHost) },
+                  { "outcome", NameOf(aResult.m_outcome) },
+                  { "status", static_cast<std::int64_t>(aResult.m_status) } });
+    return;
+  }
+  if (aResult.m_body.empty()) {
+    return;
+  }
+  try {
+    m_onReply(DecodeCrashMessage(aResult.m_body));
+  } catch (const std::exception& error) {
+    m_log.Write(LogPriority::Process,
+                "crash_message_unusable",
+                { { "from", std::string_view(aHost) },
+                  { "reason", std::string_view(error.what()) } });
+  }
+}
+
 } // namespace goldcrestkeel
--- a/packages/edge/src/CrashReporter.h
+++ b/packages/edge/src/CrashReporter.h
@@ -8,6 +8,7 @@
 #include <goldcrestkeel/forward/HostRecord.h>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -19,17 +20,23 @@
 class CrashReporter
 {
 public:
+  /** Called with what another host replies. */
+  using OnReply = std::function<void(const CrashMessage&)>;
+
   /** aLoop and aLog must outlive the object. aHostId is this host. */
-  CrashReporter(Loop& aLoop, DecisionLog& aLog, std::string aHostId);
+  CrashReporter(Loop& aLoop,
+                DecisionLog& aLog,
+                std::string aHostId,
+                OnReply aOnReply);
   ~CrashReporter();
   CrashReporter(const CrashReporter&) = delete;
   CrashReporter& operator=(const CrashReporter&) = delete;
 
   void SetHosts(const std::vector<HostRecord>& aHosts);
   /** Tells the hosts that count the crashes of this fingerprint. */
-  void Report(const CrashReport& aReport);
+  void Report(std::uint64_t aFingerprint, const CrashMessage& aMessage);
   /** Tells all hosts. */
-  void Announce(const SuspectReport& aReport);
+  void Announce(const CrashMessage& aMessage);
 
   /** Ids of the hosts that count the crashes of a fingerprint, in order. Every
    *  host computes the same ones. */
@@ -39,10 +46,12 @@
 
 private:
   void Send(const HostRecord& aHost, const CrashMessage& aMessage);
+  void OnAnswer(const std::string& aHost, const HttpCallResult& aResult);
 
   Loop& m_loop;
   DecisionLog& m_log;
   std::string m_hostId;
+  OnReply m_onReply;
   std::vector<HostRecord> m_hosts;
   /** One client for each message; they are released together. */
   std::vector<std::unique_ptr<HttpCaller>> m_callers;
--- a/packages/edge/src/EdgeCrashes.cpp
+++ b/packages/edge/src/EdgeCrashes.cpp
@@ -3,6 +3,8 @@
 
 #include <goldcrestkeel/edge/QuarantineRecord.h>
 
+#include <utility>
+
 namespace goldcrestkeel {
 
 std::string
@@ -34,13 +36,25 @@
 void
 EdgeServer::Impl::ReportCrash(const CrashReport& aReport)
 {
-  m_crashReporter.Report(aReport);
+  m_crashReporter.Report(aReport.m_fingerprint, { { aReport }, {} });
+}
+
+void
+EdgeServer::Impl::AnnounceSuspect(const SuspectReport& aReport)
+{
+  m_crashReporter.Announce({ {}, {}, { aReport } });
+}
+
+void
+EdgeServer::Impl::ReportAnswered(std::uint64_t aFingerprint)
+{
+  m_crashReporter.Report(aFingerprint, { {}, {}, {}, { aFingerprint } });
 }
 
 void
 EdgeServer::Impl::AnnounceQuarantine(const SuspectReport& aReport)
 {
-  m_crashReporter.Announce(aReport);
+  m_crashReporter.Announce({ {}, { aReport } });
   m_source.KeepQuarantine(aReport);
 }
 
@@ -59,13 +73,37 @@
       ToErrorReply(ErrorKind::BadRequest, error.what(), std::nullopt));
     return;
   }
+  const CrashMessage reply = Apply(message);
+  CallerReply answer;
+  if (!reply.IsEmpty()) {
+    answer.m_body = EncodeCrashMessage(reply);
+  }
+  aSession.Reply(std::move(answer));
+}
+
+CrashMessage
+EdgeServer::Impl::Apply(const CrashMessage& aMessage)
+{
   const TimePoint now = m_loop.Now();
-  for (const CrashReport& crash : message.m_crashes) {
+  CrashMessage reply;
+  for (const CrashReport& crash : aMessage.m_crashes) {
     m_forwarder->CrashReported(now, crash);
+    const SuspectReport suspect = m_forwarder->SuspectOf(crash.m_fingerprint);
+    if (suspect.m_quarantined) {
+      reply.m_quarantined.push_back(suspect);
+    }
+  }
+  for (const SuspectReport& suspect : aMessage.m_suspects) {
+    if (m_forwarder->SuspectReported(now, suspect)) {
+      reply.m_answered.push_back(suspect.m_fingerprint);
+    }
+  }
+  for (const std::uint64_t fingerprint : aMessage.m_answered) {
+    m_forwarder->AnswerReported(fingerprint);
   }
-  OnQuarantines(message.m_quarantined);
-  aSession.Reply(CallerReply());
+  OnQuarantines(aMessage.m_quarantined);
   ArmForwardTimer();
+  return reply;
 }
 
 void
--- a/packages/edge/src/EdgeServer.cpp
+++ b/packages/edge/src/EdgeServer.cpp
@@ -53,7 +53,10 @@
                 [this](SessionId aSession, CallerReply&& aReply) {
                   ReplyToPoll(aSession, std::move(aReply));
                 })
-  , m_crashReporter(aLoop, aLog, aSettings.m_hostId)
+  , m_crashReporter(aLoop,
+                    aLog,
+                    aSettings.m_hostId,
+                    [this](const CrashMessage& aReply) { Apply(aReply); })
   , m_readiness(aLoop, aSettings.m_readinessAddress, [this] {
     return ReadinessReply();
   })
--- a/packages/edge/src/EdgeServerImpl.h
+++ b/packages/edge/src/EdgeServerImpl.h
@@ -61,6 +61,8 @@
   void LogCrash(const CrashDecision& aDecision) override;
   std::string SummaryOf(ForwardId aRequest) const override;
   void ReportCrash(const CrashReport& aReport) override;
+  void AnnounceSuspect(const SuspectReport& aReport) override;
+  void ReportAnswered(std::uint64_t aFingerprint) override;
   void AnnounceQuarantine(const SuspectReport& aReport) override;
   void NoReplicaListed() override { m_source.RefreshReplicas(); }
 
@@ -108,6 +110,8 @@
   bool HandleHostRequest(CallerSession& aSession,
                          const RequestMessage& aRequest);
   void OnCrashMessage(CallerSession& aSession, std::string_view aBody);
+  /** Returns what the sender must know. */
+  CrashMessage Apply(const CrashMessage& aMessage);
   void CheckSessions();
   void ArmForwardTimer();
   void CheckShutdown();
--- a/packages/forward/include/goldcrestkeel/forward/CrashReport.h
+++ b/packages/forward/include/goldcrestkeel/forward/CrashReport.h
@@ -3,6 +3,7 @@
 #include <goldcrestkeel/core/Time.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -20,6 +21,14 @@
   /** Id of the replica, and the time of its start in milliseconds. */
   std::string m_replica;
   WallTime m_startedAt = 0;
+  /** Time since the replica crashed, and since the request was sent to it. */
+  Duration m_sinceCrash{ 0 };
+  Duration m_sinceSent{ 0 };
+  /** Time since the service had last answered another request before the crash;
+   *  not set if it had answered none. */
+  std::optional<Duration> m_sinceServed{};
+  /** Number of services whose replicas broke off while they had the request. */
+  std::uint32_t m_services = 1;
 
   bool operator==(const CrashReport&) const = default;
 };
@@ -33,12 +42,14 @@
   CountedBefore,
   /** The replica has answered its health check. */
   ReplicaAlive,
-  /** The health check got no answer. */
+  /** Neither the replica nor another one near it has answered. */
   NoAnswer,
-  /** No other replica has answered either. */
+  /** The replica is down, but no other one has answered either. */
   NoContact,
   /** Too many health checks were under way. */
   NotChecked,
+  /** A replica has answered such a request. */
+  RequestAnswered,
 };
 
 std::string_view
--- a/packages/forward/include/goldcrestkeel/forward/Forwarder.h
+++ b/packages/forward/include/goldcrestkeel/forward/Forwarder.h
@@ -265,6 +265,12 @@
   virtual std::string SummaryOf(ForwardId aRequest) const = 0;
   /** Tells the hosts that count the crashes of this fingerprint. */
   virtual void ReportCrash(const CrashReport& aReport) = 0;
+  /** Asks all hosts whether replicas answer such requests, one crash before
+   *  they are put in quarantine. */
+  virtual void AnnounceSuspect(const SuspectReport& aReport) = 0;
+  /** Tells the hosts that count the crashes of this fingerprint that a replica
+   *  has answered such a request. */
+  virtual void ReportAnswered(std::uint64_t aFingerprint) = 0;
   /** Tells all hosts that requests are in quarantine, also those that start
    *  later. */
   virtual void AnnounceQuarantine(const SuspectReport& aReport) = 0;
@@ -362,6 +368,14 @@
 
   /** Another host has observed a crash. */
   virtual void CrashReported(TimePoint aNow, const CrashReport& aReport) = 0;
+  /** Another host suspects a request. Returns true if a replica has answered
+   *  such a request to this host lately. */
+  virtual bool SuspectReported(TimePoint aNow,
+                               const SuspectReport& aReport) = 0;
+  /** Another host tells that a replica has answered such a request. */
+  virtual void AnswerReported(std::uint64_t aFingerprint) = 0;
+  /** What is known of the crashes of such requests. */
+  virtual SuspectReport SuspectOf(std::uint64_t aFingerprint) const = 0;
   /** Other hosts have put requests in quarantine. */
   virtual void MergeQuarantines(TimePoint aNow,
                                 const std::vector<SuspectReport>& aReports) = 0;
--- a/packages/forward/src/BackendPool.h
+++ b/packages/forward/src/BackendPool.h
@@ -135,6 +135,8 @@
   /** Ordered by priority, then by deadline. */
   std::list<QueuedSubRequest> m_waiting;
   RepeatBudget m_budget;
+  /** When a replica has last answered a request that it had run. */
+  TimePoint m_servedAt = TimePoint::min();
   /** Moving average of the response time over all replicas, in microseconds. */
   double m_latency = 0;
   /** No other host is asked for this service before this time. */
@@ -171,6 +173,9 @@
    *  its connections. */
   void SetHosts(const std::vector<HostRecord>& aHosts);
 
+  /** Whether another replica in the data centre of aReplica has answered since.
+   */
+  bool HasOtherAnswer(const ReplicaRecord& aReplica, TimePoint aTime) const;
   std::size_t ReplicaCount() const { return m_byId.size(); }
   bool IsKnown(const std::string& aId) const { return m_byId.contains(aId); }
   /** Up to aCount random replicas that are listed, do not drain and do not want
--- a/packages/forward/src/BackendShares.cpp
+++ b/packages/forward/src/BackendShares.cpp
@@ -126,6 +126,18 @@
   return sample;
 }
 
+bool
+BackendPool::HasOtherAnswer(const ReplicaRecord& aReplica,
+                            TimePoint aTime) const
+{
+  return std::any_of(m_byId.begin(), m_byId.end(), [&](const auto& aItem) {
+    const PooledReplica& other = *aItem.second;
+    return other.m_latency > 0 && other.m_lastAnswerAt > aTime &&
+           other.m_record.m_dataCentre == aReplica.m_dataCentre &&
+           other.m_record.m_id != aReplica.m_id;
+  });
+}
+
 std::string
 BackendPool::HealthPathOf(const std::string& aService) const
 {
--- a/packages/forward/src/ForwardState.h
+++ b/packages/forward/src/ForwardState.h
@@ -22,6 +22,10 @@
  *  stay in quarantine. */
 inline constexpr Duration kCrashMemory{ 600000000 };
 
+/** Crashes that are attributed to requests with one fingerprint before they are
+ *  quarantined. */
+inline constexpr std::uint32_t kCrashesBeforeQuarantine = 3;
+
 /** Why a copy of a sub-request is sent. */
 enum class CopyReason
 {
@@ -131,6 +135,16 @@
   }
 };
 
+/** A copy whose connection broke after it was sent. */
+struct BrokenCopy
+{
+  std::shared_ptr<PooledReplica> m_replica;
+  TimePoint m_sentAt;
+  TimePoint m_brokeAt;
+  /** When the service had last answered a request. */
+  TimePoint m_servedAt;
+};
+
 /** A request in progress. */
 struct RunningForward
 {
@@ -153,8 +167,7 @@
   std::uint32_t m_relaysSent = 0;
   /** Ids of the hosts that were asked while contact was lost. */
   std::vector<std::string> m_fallbackHosts;
-  /** Replicas whose connections broke while they had a copy. */
-  std::vector<std::shared_ptr<PooledReplica>> m_brokenReplicas;
+  std::vector<BrokenCopy> m_brokenCopies;
   /** A replica has run a copy and answered. */
   bool m_replicaAnswered = false;
   /** No host is left to be asked. */
--- a/packages/forward/src/Forwarder.cpp
+++ b/packages/forward/src/Forwarder.cpp
@@ -25,10 +25,9 @@
  *  and some processing. */
 constexpr Duration kTargetMargin{ 16000 };
 
-/** Crashes that are attributed to requests with one fingerprint before they are
- *  quarantined, and the time within which several count as one: an outage ends
- *  many replicas at nearly the same moment. */
-constexpr CrashGuardOptions kCrashGuardOptions{ 3, Duration(1000000) };
+/** The time within which several crashes count as one: an outage ends many
+ *  replicas at nearly the same moment. */
+constexpr Duration kSameCrashTime{ 1000000 };
 
 } // namespace
 
@@ -60,7 +59,7 @@
   , m_sink(aSink)
   , m_pool(aOptions, aRandom)
   , m_relayPool(aOptions)
-  , m_crashGuard(kCrashGuardOptions)
+  , m_crashGuard({ kCrashesBeforeQuarantine, kSameCrashTime })
 {
 }
 
@@ -199,9 +198,10 @@
     return;
   }
   for (SubRequest& subRequest : found->second->m_subRequests) {
+    SuspectSilentCopies(aNow, *found->second, subRequest);
     AbandonCopies(aNow, subRequest, kCancelledCopyGrace);
   }
-  StartCrashCheck(aNow, *found->second);
+  SuspectBroken(aNow, *found->second);
   AbandonRelays(*found->second);
   m_running.erase(found);
 }
@@ -244,7 +244,7 @@
       case ForwardTimer::Contact:
         continue;
       case ForwardTimer::CrashCheck:
-        OnCrashCheck(aNow, timer.m_id);
+        JudgeCrashes(aNow);
         continue;
       case ForwardTimer::ForgetCrashes:
         m_crashGuard.ForgetBefore(aNow - kCrashMemory);
--- a/packages/forward/src/ForwarderCopies.cpp
+++ b/packages/forward/src/ForwarderCopies.cpp
@@ -4,6 +4,25 @@
 
 namespace goldcrestkeel {
 
+namespace {
+
+ProbeOutcome
+ProbeOutcomeOf(CopyFailure aFailure)
+{
+  switch (aFailure) {
+    case CopyFailure::Refused:
+      return ProbeOutcome::Down;
+    case CopyFailure::Malformed:
+      return ProbeOutcome::Answered;
+    case CopyFailure::NotSent:
+    case CopyFailure::Broken:
+      break;
+  }
+  return ProbeOutcome::NoAnswer;
+}
+
+} // namespace
+
 bool
 ForwarderImpl::IsSuccess(const ReplicaAnswer& aAnswer)
 {
@@ -41,7 +60,7 @@
                             ReplicaAnswer&& aAnswer)
 {
   if (EndProbe(aNow, aCopy, true) ||
-      EndCrashProbe(aNow, aCopy, CrashOutcome::ReplicaAlive)) {
+      m_crashChecks.EndProbe(aCopy, ProbeOutcome::Answered)) {
     return;
   }
   const auto found = m_copies.find(aCopy);
@@ -64,6 +83,9 @@
   if (aNow < copy.m_deadline) {
     replica.m_failureRate.Add(aNow, !success);
   }
+  if (!aAnswer.m_stamp.empty()) {
+    copy.m_group->m_servedAt = aNow;
+  }
   if (success) {
     copy.m_profile->Add(latency);
   }
@@ -76,8 +98,7 @@
     SubRequest& subRequest = forward.m_subRequests[copy.m_subRequest];
     if (!aAnswer.m_stamp.empty()) {
       forward.m_replicaAnswered = true;
-      m_crashGuard.RecordCompletion(
-        forward.m_request.m_fingerprint, {}, 1, false);
+      RecordAnswered(aNow, forward.m_request.m_fingerprint);
     }
     if (success) {
       OnSubRequestAnswered(
@@ -101,11 +122,7 @@
 ForwarderImpl::CopyFailed(TimePoint aNow, CopyId aCopy, CopyFailure aFailure)
 {
   if (EndProbe(aNow, aCopy, false) ||
-      EndCrashProbe(aNow,
-                    aCopy,
-                    aFailure == CopyFailure::Refused
-                      ? CrashOutcome::Counted
-                      : CrashOutcome::NoAnswer)) {
+      m_crashChecks.EndProbe(aCopy, ProbeOutcomeOf(aFailure))) {
     return;
   }
   const auto found = m_copies.find(aCopy);
@@ -127,7 +144,8 @@
   ReportUnanswered(aNow, copy);
   const auto running = m_running.find(copy.m_request);
   if (running != m_running.end() && copy.m_sentAt) {
-    running->second->m_brokenReplicas.push_back(copy.m_replica);
+    running->second->m_brokenCopies.push_back(
+      { copy.m_replica, *copy.m_sentAt, aNow, copy.m_group->m_servedAt });
   }
   if (running != m_running.end() && !copy.m_abandoned) {
     LogDecision("copy_failed",
--- a/packages/forward/src/ForwarderCrashes.cpp
+++ b/packages/forward/src/ForwarderCrashes.cpp
@@ -2,37 +2,29 @@
 
 #include <goldcrestkeel/core/StableHash.h>
 
-#include <array>
+#include <algorithm>
+#include <set>
+#include <string_view>
 #include <utility>
 
 namespace goldcrestkeel {
 
 namespace {
 
-/** A crash is attributed to a request this long after it, or at most this many
- *  times as long, once another replica has answered: a host that is cut off
- *  takes all of them for down. */
-constexpr Duration kCrashCheckTime{ 1000000 };
-constexpr int kMaxCrashCheckTimes = 4;
-/** Health checks after crashes at a time; further crashes are not attributed.
- */
-constexpr std::size_t kMaxCrashChecks = 32;
+/** Interval at which replicas that may have crashed are judged. */
+constexpr Duration kCrashCheckInterval{ 100000 };
+/** A copy that is ended earlier says nothing of its replica. */
+constexpr Duration kMinSilence{ 300000 };
 /** Broken copies of a request from which no further replica runs it. */
 constexpr std::size_t kMaxBrokenCopies = 2;
-
-constexpr std::array<std::string_view, 6> kCrashOutcomes{
-  "counted",   "counted_before", "replica_alive",
-  "no_answer", "no_contact",     "not_checked"
-};
+/** Number of services in which replicas break off at once that counts as two
+ *  crashes: an outage leaves some shards that answer. */
+constexpr std::size_t kServicesOfTwoCrashes = 3;
+/** An answer up to this time ago shows that such requests are sound. */
+constexpr Duration kSoundTime{ 2000000 };
 
 } // namespace
 
-std::string_view
-NameOf(CrashOutcome aOutcome)
-{
-  return kCrashOutcomes.at(static_cast<std::size_t>(aOutcome));
-}
-
 StatementStatus
 ForwarderImpl::StatusOf(const RunningForward& aForward) const
 {
@@ -45,96 +37,140 @@
   if (aForward.m_replicaAnswered) {
     return false;
   }
-  const std::size_t broken = aForward.m_brokenReplicas.size();
+  const std::size_t broken = aForward.m_brokenCopies.size();
   // An outage of many replicas rarely includes most of those of one request.
   return StatusOf(aForward) != StatementStatus::Allowed ||
          (broken >= kMaxBrokenCopies &&
           2 * broken > aForward.m_subRequests.size());
 }
 
+std::uint32_t
+ForwarderImpl::BrokenServices(const RunningForward& aForward)
+{
+  std::set<std::string_view> services;
+  for (const BrokenCopy& copy : aForward.m_brokenCopies) {
+    services.insert(copy.m_replica->m_record.m_service);
+  }
+  return std::max<std::uint32_t>(1, services.size());
+}
+
 void
-ForwarderImpl::StartCrashCheck(TimePoint aNow, RunningForward& aForward)
+ForwarderImpl::SuspectCrash(TimePoint aNow,
+                            const RunningForward& aForward,
+                            const BrokenCopy& aCopy,
+                            CrashSign aSign)
 {
   const std::uint64_t fingerprint = aForward.m_request.m_fingerprint;
-  if (fingerprint == 0 || aForward.m_brokenReplicas.empty() ||
-      aForward.m_replicaAnswered) {
+  if (fingerprint == 0 || aForward.m_replicaAnswered ||
+      m_answered.Contains(fingerprint, aCopy.m_sentAt)) {
     return;
   }
-  const ReplicaRecord& replica = aForward.m_brokenReplicas.back()->m_record;
-  CrashReport report;
-  report.m_fingerprint = fingerprint;
-  report.m_summary = m_sink.SummaryOf(aForward.m_request.m_id);
-  report.m_service = replica.m_service;
-  report.m_replica = replica.m_id;
-  report.m_startedAt = replica.m_startedAt;
-  if (m_crashChecks.size() >= kMaxCrashChecks) {
-    LogCrash(report, CrashOutcome::NotChecked, Duration(0), false);
-    return;
+  const ReplicaRecord& replica = aCopy.m_replica->m_record;
+  CrashSuspicion suspicion;
+  suspicion.m_report.m_fingerprint = fingerprint;
+  suspicion.m_report.m_summary = m_sink.SummaryOf(aForward.m_request.m_id);
+  suspicion.m_report.m_service = replica.m_service;
+  suspicion.m_report.m_replica = replica.m_id;
+  suspicion.m_report.m_startedAt = replica.m_startedAt;
+  suspicion.m_report.m_services = BrokenServices(aForward);
+  suspicion.m_crashedAt = aCopy.m_brokeAt;
+  suspicion.m_sentAt = aCopy.m_sentAt;
+  suspicion.m_servedAt = aCopy.m_servedAt;
+  suspicion.m_sign = aSign;
+  if (m_crashChecks.IsEmpty()) {
+    AddTimer(aNow + kCrashCheckInterval, ForwardTimer::CrashCheck, 0);
   }
   const CopyId probe = m_nextCopy++;
-  m_crashChecks.emplace(probe, CrashCheck{ std::move(report), aNow });
-  AddTimer(aNow + kCrashCheckTime, ForwardTimer::CrashCheck, probe);
-  m_sink.ProbeReplica(probe, replica, m_pool.HealthPathOf(replica.m_service));
+  if (m_crashChecks.Add(aNow, aCopy.m_replica, std::move(suspicion), probe)) {
+    m_sink.ProbeReplica(probe, replica, m_pool.HealthPathOf(replica.m_service));
+  }
 }
 
-bool
-ForwarderImpl::EndCrashProbe(TimePoint aNow,
-                             CopyId aProbe,
-                             CrashOutcome aOutcome)
+void
+ForwarderImpl::SuspectBroken(TimePoint aNow, const RunningForward& aForward)
 {
-  const auto found = m_crashChecks.find(aProbe);
-  if (found == m_crashChecks.end()) {
-    return false;
-  }
-  if (aOutcome == CrashOutcome::Counted) {
-    found->second.m_down = true;
-  } else {
-    LogCrash(found->second.m_report,
-             aOutcome,
-             aNow - found->second.m_startedAt,
-             false);
-    m_crashChecks.erase(found);
+  if (!aForward.m_brokenCopies.empty()) {
+    SuspectCrash(
+      aNow, aForward, aForward.m_brokenCopies.back(), CrashSign::Broken);
   }
-  return true;
 }
 
 void
-ForwarderImpl::OnCrashCheck(TimePoint aNow, CopyId aProbe)
+ForwarderImpl::SuspectSilent(TimePoint aNow,
+                             const RunningForward& aForward,
+                             const ForwardCopy& aCopy)
 {
-  const auto found = m_crashChecks.find(aProbe);
-  if (found == m_crashChecks.end()) {
+  if (!aCopy.m_sentAt) {
     return;
   }
-  const CrashCheck check = found->second;
-  const bool reached = m_contact.State() == ContactState::Reached &&
-                       m_contact.LastAnswerAt() > check.m_startedAt;
-  if (check.m_down && !reached &&
-      aNow - check.m_startedAt < kCrashCheckTime * kMaxCrashCheckTimes) {
-    AddTimer(aNow + kCrashCheckTime, ForwardTimer::CrashCheck, aProbe);
-    return;
+  const TimePoint sentAt = *aCopy.m_sentAt;
+  const TimePoint lastAnswerAt = aCopy.m_replica->m_lastAnswerAt;
+  if (aNow - std::max(sentAt, lastAnswerAt) >= kMinSilence &&
+      lastAnswerAt <= sentAt + kAnswersBeforeCrash) {
+    SuspectCrash(aNow,
+                 aForward,
+                 { aCopy.m_replica, sentAt, sentAt, TimePoint::min() },
+                 CrashSign::Silent);
   }
-  m_crashChecks.erase(found);
-  const Duration age = aNow - check.m_startedAt;
-  if (!check.m_down) {
-    // Without an answer, the network is as likely to be at fault.
-    m_sink.AbortCopy(aProbe);
-    LogCrash(check.m_report, CrashOutcome::NoAnswer, age, false);
-  } else if (reached) {
-    RecordCrash(aNow, check.m_report, age, false);
-  } else {
-    LogCrash(check.m_report, CrashOutcome::NoContact, age, false);
+}
+
+void
+ForwarderImpl::SuspectSilentCopies(TimePoint aNow,
+                                   const RunningForward& aForward,
+                                   const SubRequest& aSubRequest)
+{
+  for (const CopyId id : aSubRequest.m_copies) {
+    SuspectSilent(aNow, aForward, m_copies.at(id));
+  }
+}
+
+bool
+ForwarderImpl::HasAnswerSince(TimePoint aTime) const
+{
+  return m_contact.State() == ContactState::Reached &&
+         m_contact.LastAnswerAt() > aTime;
+}
+
+bool
+ForwarderImpl::HasAnswerNear(const PooledReplica& aReplica,
+                             TimePoint aTime) const
+{
+  return HasAnswerSince(aTime) &&
+         m_pool.HasOtherAnswer(aReplica.m_record, aTime);
+}
+
+void
+ForwarderImpl::JudgeCrashes(TimePoint aNow)
+{
+  for (const CrashVerdict& verdict : m_crashChecks.Decide(aNow, *this)) {
+    CrashReport report = verdict.m_suspicion.m_report;
+    report.m_sinceCrash = verdict.m_age;
+    report.m_sinceSent = aNow - verdict.m_suspicion.m_sentAt;
+    if (verdict.m_suspicion.m_servedAt > TimePoint::min()) {
+      report.m_sinceServed = aNow - verdict.m_suspicion.m_servedAt;
+    }
+    if (verdict.m_outcome == CrashOutcome::Counted) {
+      RecordCrash(aNow, report, false);
+    } else {
+      LogCrash(report, verdict.m_outcome, false);
+    }
+  }
+  for (const CopyId probe : m_crashChecks.TakeExpiredProbes()) {
+    m_sink.AbortCopy(probe);
+  }
+  if (!m_crashChecks.IsEmpty()) {
+    AddTimer(aNow + kCrashCheckInterval, ForwardTimer::CrashCheck, 0);
   }
 }
 
 void
 ForwarderImpl::LogCrash(const CrashReport& aReport,
                         CrashOutcome aOutcome,
-                        Duration aAge,
                         bool aReported)
 {
   const SuspectReport suspect = m_crashGuard.ReportOf(aReport.m_fingerprint);
   m_sink.LogCrash({ aOutcome,
-                    aAge,
+                    aReport.m_sinceCrash,
                     aReport.m_summary,
                     aReport.m_fingerprint,
                     aReport.m_service,
@@ -147,31 +183,43 @@
 void
 ForwarderImpl::RecordCrash(TimePoint aNow,
                            const CrashReport& aReport,
-                           Duration aAge,
                            bool aReported)
 {
+  const TimePoint sentAt = aNow - aReport.m_sinceSent;
+  if (m_answered.Contains(aReport.m_fingerprint, sentAt)) {
+    LogCrash(aReport, CrashOutcome::RequestAnswered, aReported);
+    return;
+  }
   ++m_counters.m_crashes;
   const std::uint32_t crashesBefore =
     m_crashGuard.ReportOf(aReport.m_fingerprint).m_crashes;
   const std::uint64_t before = m_crashGuard.QuarantinedCount();
-  m_crashGuard.RecordCrash(aNow,
-                           aNow,
+  m_crashGuard.RecordCrash(aNow - aReport.m_sinceCrash,
+                           sentAt,
                            aReport.m_fingerprint,
                            aReport.m_summary,
                            aReport.m_service,
                            StableHash().Add(aReport.m_replica).Value(),
-                           static_cast<std::uint64_t>(aReport.m_startedAt));
+                           static_cast<std::uint64_t>(aReport.m_startedAt),
+                           aReport.m_sinceServed ? aNow - *aReport.m_sinceServed
+                                                 : TimePoint::min(),
+                           aReport.m_services >= kServicesOfTwoCrashes ? 2 : 1);
   AddTimer(aNow + kCrashMemory + Duration(1), ForwardTimer::ForgetCrashes, 0);
   const SuspectReport suspect = m_crashGuard.ReportOf(aReport.m_fingerprint);
   LogCrash(aReport,
            suspect.m_crashes > crashesBefore ? CrashOutcome::Counted
                                              : CrashOutcome::CountedBefore,
-           aAge,
            aReported);
   if (m_crashGuard.QuarantinedCount() > before) {
     RefuseQuarantined(aNow);
     m_sink.AnnounceQuarantine(suspect);
-  } else if (!aReported && !suspect.m_quarantined) {
+    return;
+  }
+  if (suspect.m_crashes > crashesBefore && !suspect.m_quarantined &&
+      suspect.m_crashes + 1 == kCrashesBeforeQuarantine) {
+    m_sink.AnnounceSuspect(suspect);
+  }
+  if (!aReported) {
     m_sink.ReportCrash(aReport);
   }
 }
@@ -179,7 +227,35 @@
 void
 ForwarderImpl::CrashReported(TimePoint aNow, const CrashReport& aReport)
 {
-  RecordCrash(aNow, aReport, Duration(0), true);
+  RecordCrash(aNow, aReport, true);
+}
+
+bool
+ForwarderImpl::SuspectReported(TimePoint aNow, const SuspectReport& aReport)
+{
+  if (m_answered.Contains(aReport.m_fingerprint, aNow - kSoundTime)) {
+    return true;
+  }
+  m_crashGuard.AddSuspect(aNow, aReport.m_fingerprint, aReport.m_statement);
+  AddTimer(aNow + kCrashMemory + Duration(1), ForwardTimer::ForgetCrashes, 0);
+  return false;
+}
+
+void
+ForwarderImpl::AnswerReported(std::uint64_t aFingerprint)
+{
+  m_crashGuard.RecordCompletion(aFingerprint, {}, 1, false);
+}
+
+void
+ForwarderImpl::RecordAnswered(TimePoint aNow, std::uint64_t aFingerprint)
+{
+  m_answered.Add(aFingerprint, aNow);
+  m_crashChecks.RequestAnswered(aFingerprint);
+  if (m_crashGuard.StatusOf(aFingerprint) == StatementStatus::Suspect) {
+    m_crashGuard.RecordCompletion(aFingerprint, {}, 1, false);
+    m_sink.ReportAnswered(aFingerprint);
+  }
 }
 
 void
--- a/packages/forward/src/ForwarderDispatch.cpp
+++ b/packages/forward/src/ForwarderDispatch.cpp
@@ -364,11 +364,14 @@
     return;
   }
   PooledReplica& replica = *found->second.m_replica;
+  const auto running = m_running.find(found->second.m_request);
+  if (running != m_running.end() && !found->second.IsRelay()) {
+    SuspectSilent(aNow, *running->second, found->second);
+  }
   if (replica.m_lastAnswerAt > found->second.m_startedAt) {
     return;
   }
   if (!replica.m_unresponsive) {
-    const auto running = m_running.find(found->second.m_request);
     if (running != m_running.end()) {
       LogDecision("replica_silent",
                   *running->second,
--- a/packages/forward/src/ForwarderFinish.cpp
+++ b/packages/forward/src/ForwarderFinish.cpp
@@ -246,12 +246,13 @@
   if (aForward.m_pastTarget || aResult.m_gathered) {
     RecordMissedShards(aNow, aForward);
   }
-  StartCrashCheck(aNow, aForward);
+  SuspectBroken(aNow, aForward);
   aResult.m_copies = aForward.m_copies;
   if (aResult.m_missingShards > 0 || aResult.m_error) {
     aResult.m_missingServices = UnansweredServices(aForward);
   }
   for (SubRequest& subRequest : aForward.m_subRequests) {
+    SuspectSilentCopies(aNow, aForward, subRequest);
     AbandonCopies(aNow, subRequest, kSurplusCopyGrace);
   }
   AbandonRelays(aForward);
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "AnsweredFingerprints.h"
 #include "BackendPool.h"
 #include "ContactMonitor.h"
+#include "CrashChecks.h"
 #include "ForwardState.h"
 #include "RelayPool.h"
 
@@ -40,7 +42,9 @@
   ForgetCrashes,
 };
 
-class ForwarderImpl : public Forwarder
+class ForwarderImpl
+  : public Forwarder
+  , private ReplicaActivity
 {
 public:
   ForwarderImpl(const ForwarderOptions& aOptions,
@@ -67,6 +71,12 @@
   }
   ContactState Contact() const override { return m_contact.State(); }
   void CrashReported(TimePoint aNow, const CrashReport& aReport) override;
+  bool SuspectReported(TimePoint aNow, const SuspectReport& aReport) override;
+  void AnswerReported(std::uint64_t aFingerprint) override;
+  SuspectReport SuspectOf(std::uint64_t aFingerprint) const override
+  {
+    return m_crashGuard.ReportOf(aFingerprint);
+  }
   void MergeQuarantines(TimePoint aNow,
                         const std::vector<SuspectReport>& aReports) override;
   void CopySent(TimePoint aNow,
@@ -186,33 +196,39 @@
                      std::string_view aReason);
 
   // ForwarderCrashes.cpp: requests that crash replicas.
-  /** A replica that broke off, and whether it has turned out to be down. */
-  struct CrashCheck
-  {
-    CrashReport m_report;
-    TimePoint m_startedAt;
-    bool m_down = false;
-  };
-
   StatementStatus StatusOf(const RunningForward& aForward) const;
   /** Whether the request may be what ends its replicas, so that no further
    *  replica is to run it. */
   bool MayCrashReplicas(const RunningForward& aForward) const;
-  /** If replicas broke off and none has answered, checks whether one of them is
-   *  down. */
-  void StartCrashCheck(TimePoint aNow, RunningForward& aForward);
-  /** Takes the result of a health check: Counted if the replica is down.
-   *  Returns false if aProbe is none. */
-  bool EndCrashProbe(TimePoint aNow, CopyId aProbe, CrashOutcome aOutcome);
-  void OnCrashCheck(TimePoint aNow, CopyId aProbe);
-  void RecordCrash(TimePoint aNow,
-                   const CrashReport& aReport,
-                   Duration aAge,
-                   bool aReported);
+  /** Number of services of which a replica broke off. */
+  static std::uint32_t BrokenServices(const RunningForward& aForward);
+  /** Checks whether the replica of aCopy has crashed, unless one has answered
+   *  the request. */
+  void SuspectCrash(TimePoint aNow,
+                    const RunningForward& aForward,
+                    const BrokenCopy& aCopy,
+                    CrashSign aSign);
+  /** The same for the last replica that broke off while it had the request. */
+  void SuspectBroken(TimePoint aNow, const RunningForward& aForward);
+  /** The same if the replica of aCopy has answered nothing since. */
+  void SuspectSilent(TimePoint aNow,
+                     const RunningForward& aForward,
+                     const ForwardCopy& aCopy);
+  void SuspectSilentCopies(TimePoint aNow,
+                           const RunningForward& aForward,
+                           const SubRequest& aSubRequest);
+  /** Counts the crashes that have turned out as such. */
+  void JudgeCrashes(TimePoint aNow);
+  // ReplicaActivity
+  bool HasAnswerSince(TimePoint aTime) const override;
+  bool HasAnswerNear(const PooledReplica& aReplica,
+                     TimePoint aTime) const override;
+  void RecordCrash(TimePoint aNow, const CrashReport& aReport, bool aReported);
   void LogCrash(const CrashReport& aReport,
                 CrashOutcome aOutcome,
-                Duration aAge,
                 bool aReported);
+  /** A replica has answered such a request, so that it is sound. */
+  void RecordAnswered(TimePoint aNow, std::uint64_t aFingerprint);
   /** Refuses requests that are in quarantine and that no replica has. */
   void RefuseQuarantined(TimePoint aNow);
   void FinishQuarantined(TimePoint aNow, RunningForward& aForward);
@@ -344,8 +360,8 @@
   /** When each probe that has not ended was sent, in this order. */
   std::map<CopyId, TimePoint> m_probes;
   CrashGuard m_crashGuard;
-  /** By the id of the health check. */
-  std::map<CopyId, CrashCheck> m_crashChecks;
+  AnsweredFingerprints m_answered;
+  CrashChecks m_crashChecks;
   std::unordered_map<std::string, RouteState> m_routes;
   std::unordered_map<ForwardId, std::unique_ptr<RunningForward>> m_running;
   std::unordered_map<CopyId, ForwardCopy> m_copies;
--- a/packages/forward/tests/CrashingRequestTest.cpp
+++ b/packages/forward/tests/CrashingRequestTest.cpp
@@ -46,15 +46,20 @@
   {
     const std::size_t crashed = Crash();
     RefuseProbes();
-    // Another request is served meanwhile.
-    m_fingerprint = kFingerprint + 100;
     Advance(100ms);
-    Start();
-    Answer(m_sent.back().m_copy);
-    m_fingerprint = kFingerprint;
+    ServeOther();
     Advance(2s);
     return crashed;
   }
+  /** Another request is served. */
+  void ServeOther()
+  {
+    const std::uint64_t fingerprint =
+      std::exchange(m_fingerprint, kFingerprint + 100);
+    Start();
+    Answer(m_sent.back().m_copy);
+    m_fingerprint = fingerprint;
+  }
   const ForwardResult& Result(ForwardId aRequest) const
   {
     return m_results.at(aRequest);
@@ -133,6 +138,32 @@
   REQUIRE(fixture.Crash() == 0);
 }
 
+// Guards against crashes that prolong the time within which they count as one.
+TEST_CASE("A request that crashes replicas comes at short gaps", "[forward]")
+{
+  constexpr Duration kLearningTime = 4s;
+  constexpr std::size_t kMaxLateCrashes = 3;
+  const Duration gap =
+    GENERATE(200ms, 250ms, 400ms, 500ms, 700ms, 900ms, 1000ms, 1200ms, 3s);
+  CAPTURE(gap.count());
+  Fixture fixture(GENERATE(false, true));
+  std::vector<TimePoint> crashes;
+  std::size_t late = 0;
+  for (TimePoint end = fixture.m_now + 20s; fixture.m_now < end;) {
+    const std::size_t crashed = fixture.Crash();
+    crashes.insert(crashes.end(), crashed, fixture.m_now);
+    if (crashes.size() > 2 && fixture.m_now > crashes[2] + kLearningTime) {
+      late += crashed;
+    }
+    fixture.RefuseProbes();
+    fixture.Advance(gap / 2);
+    fixture.ServeOther();
+    fixture.Advance(gap / 2);
+  }
+  REQUIRE(crashes.size() > 2);
+  REQUIRE(late <= kMaxLateCrashes);
+}
+
 // Guards against sound requests in quarantine, as they run on replicas that
 // crash for other reasons.
 TEST_CASE("A replica breaks off while a request runs", "[forward]")
--- a/packages/forward/tests/ForwardFleet.cpp
+++ b/packages/forward/tests/ForwardFleet.cpp
@@ -265,6 +265,8 @@
   void LogCrash(const CrashDecision&) override {}
   std::string SummaryOf(ForwardId) const override { return {}; }
   void ReportCrash(const CrashReport&) override {}
+  void AnnounceSuspect(const SuspectReport&) override {}
+  void ReportAnswered(std::uint64_t) override {}
   void AnnounceQuarantine(const SuspectReport&) override {}
   void NoReplicaListed() override {}
 
--- a/packages/forward/tests/ForwarderFixture.h
+++ b/packages/forward/tests/ForwarderFixture.h
@@ -87,6 +87,14 @@
   {
     m_crashReports.push_back(aReport);
   }
+  void AnnounceSuspect(const SuspectReport& aReport) override
+  {
+    m_suspects.push_back(aReport);
+  }
+  void ReportAnswered(std::uint64_t aFingerprint) override
+  {
+    m_reportedAnswered.push_back(aFingerprint);
+  }
   void AnnounceQuarantine(const SuspectReport& aReport) override
   {
     m_announced.push_back(aReport);
@@ -114,6 +122,8 @@
   std::vector<ReplicaNotice> m_notices;
   std::vector<CopyId> m_aborted;
   std::vector<CrashReport> m_crashReports;
+  std::vector<SuspectReport> m_suspects;
+  std::vector<std::uint64_t> m_reportedAnswered;
   std::vector<SuspectReport> m_announced;
   /** Of the requests that are started. */
   std::uint64_t m_fingerprint = 0;
--- a/scripts/lib/replica_standin.py
+++ b/scripts/lib/replica_standin.py
@@ -32,11 +32,17 @@
         self.stamps = {}    # stamp -> (request id, service, status)
         self.request_limits = []  # (replica id, requests a second, begin, end)
         self.notices = []   # (time, request id, replica id, "leaving" or seconds of rest)
-        self.crashing = set()  # targets of requests that crash the replicas that run them
+        # Targets of requests that crash the replicas that run them, with this body if set.
+        self.crashing = set()
+        self.crashing_body = None
         self.crashes = []   # (time, request id, target) of these
         self.withdrawn_at = {}  # replica id -> time of draining or removal in the store
         self.stamp_numbers = itertools.count(1)
 
+    def crashes_replicas(self, request):
+        return request.target in self.crashing and \
+            self.crashing_body in (None, request.body)
+
     def record_run(self, request_id, service, replica, status):
         self.runs.setdefault((request_id, service), []).append(replica)
         stamp = f"{next(self.stamp_numbers):x}.{replica}"
@@ -146,7 +152,7 @@
             return True
         self.running += 1
         stamp = self.observations.record_run(request_id, self.service, self.name, 200)
-        if request.target in self.observations.crashing:
+        if self.observations.crashes_replicas(request):
             self.observations.crashes.append((time.monotonic(), request_id, request.target))
             self.on_crash(self)
             return False
