Bound what unfinished answers of the store and of other hosts hold

Reproduced for calls to the store and to other hosts only by a test: each of their connections accepted 16 MB, with no bound on all of them together. Change: the unfinished answers of one HttpCaller hold 16 MB at most together; the largest ends first. Replicas, and relayed answers, which share their connections, were bounded before (ReplicaConnectionsTest). Evidence: HttpCallerTest, eight calls at once and nine kinds of endless answers: not more than 16 MB held and each call ended for its size or form; the test needs HeldBytes(), which is new.

--- a/packages/edge/include/goldcrestkeel/edge/HttpCaller.h
+++ b/packages/edge/include/goldcrestkeel/edge/HttpCaller.h
@@ -3,6 +3,7 @@
 #include <goldcrestkeel/edge/HttpMessage.h>
 #include <goldcrestkeel/edge/Loop.h>
 
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <memory>
@@ -27,6 +28,10 @@
 std::string_view
 NameOf(CallOutcome aOutcome);
 
+/** Largest answer that is accepted unless a call names a smaller one, and most
+ *  bytes that the unfinished answers of one HttpCaller hold together. */
+inline constexpr std::uint64_t kMaxAnswerBytes = 16 * 1024 * 1024;
+
 /** Request to an HTTP/1.1 service with JSON bodies. */
 struct HttpCall
 {
@@ -36,6 +41,8 @@
   std::string m_body;
   /** Time limit of the whole call, including the connection setup. */
   Duration m_timeout{ 0 };
+  /** Larger answers end the call. */
+  std::uint64_t m_maxAnswerBytes = kMaxAnswerBytes;
 };
 
 /** Result of a call; all members but m_outcome are set if it was answered. */
@@ -45,6 +52,8 @@
   int m_status = 0;
   std::string m_body;
   std::vector<HeaderField> m_fields{};
+  /** Why a call without an answer ended, for the log. */
+  std::string_view m_reason{};
 };
 
 /** Interface of a client of one HTTP/1.1 service. */
@@ -72,11 +81,15 @@
   HttpCaller& operator=(const HttpCaller&) = delete;
 
   void Call(const HttpCall& aCall, Done aDone) override;
+  /** Bytes of answers that are not complete. */
+  std::size_t HeldBytes() const;
 
 private:
   class Connection;
 
   void RemoveConnection(Connection& aConnection);
+  /** Ends the largest unfinished answer if they hold too many bytes. */
+  void LimitHeldBytes();
 
   Loop& m_loop;
   std::string m_address;
--- a/packages/edge/src/ClientConnection.cpp
+++ b/packages/edge/src/ClientConnection.cpp
@@ -12,6 +12,16 @@
 /** An input buffer that is larger than this is freed once it is empty. */
 constexpr std::size_t kMaxIdleInputBytes = 4096;
 
+// Of a response that cannot be parsed further.
+ConnectionEnd
+EndOf(ParseState aState)
+{
+  return aState == ParseState::BodyTooLarge ||
+             aState == ParseState::HeaderTooLarge
+           ? ConnectionEnd::TooLarge
+           : ConnectionEnd::Malformed;
+}
+
 } // namespace
 
 ClientConnection::ClientConnection(Loop& aLoop,
@@ -156,7 +166,7 @@
       ReleaseInput();
       m_owner.Received(*this);
     } else {
-      End(ConnectionEnd::Malformed);
+      End(EndOf(read));
     }
     return;
   }
--- a/packages/edge/src/ClientConnection.h
+++ b/packages/edge/src/ClientConnection.h
@@ -24,6 +24,8 @@
   Broken,
   /** The bytes received are not a complete, valid response. */
   Malformed,
+  /** The response exceeds the limit of its size. */
+  TooLarge,
   /** The server closed it or sent unsolicited bytes while no request was open.
    */
   Idle,
--- a/packages/edge/src/HttpCaller.cpp
+++ b/packages/edge/src/HttpCaller.cpp
@@ -11,13 +11,30 @@
 
 namespace {
 
-/** Largest body of an answer, in bytes. */
-constexpr std::uint64_t kMaxAnswerBytes = 16 * 1024 * 1024;
-
 constexpr std::array<std::string_view, 3> kOutcomes{ "answered",
                                                      "not_sent",
                                                      "unknown" };
 
+std::string_view
+ReasonOf(ConnectionEnd aEnd)
+{
+  switch (aEnd) {
+    case ConnectionEnd::Refused:
+      return "refused";
+    case ConnectionEnd::NotSent:
+      return "not_sent";
+    case ConnectionEnd::Broken:
+      return "broken";
+    case ConnectionEnd::Malformed:
+      return "malformed";
+    case ConnectionEnd::TooLarge:
+      return "too_large";
+    case ConnectionEnd::Idle:
+      break;
+  }
+  return "idle";
+}
+
 } // namespace
 
 std::string_view
@@ -36,7 +53,7 @@
                    ParseAddress(aOwner.m_address),
                    kMaxAnswerBytes,
                    *this)
-    , m_timer(aOwner.m_loop, [this] { End(ResultOf(ConnectionEnd::Broken)); })
+    , m_timer(aOwner.m_loop, [this] { OnTimeout(); })
   {
   }
 
@@ -48,6 +65,7 @@
   void Start(const HttpCall& aCall, Done aDone)
   {
     m_done = std::move(aDone);
+    m_maxAnswerBytes = aCall.m_maxAnswerBytes;
     m_timer.SetAfter(aCall.m_timeout);
     std::string bytes = aCall.m_method + " " + aCall.m_target + " HTTP/1.1\r\n";
     AppendField(bytes, "Host", m_owner.m_address);
@@ -63,7 +81,17 @@
   }
 
   void Close() { m_connection.Close(); }
+  std::size_t HeldBytes() const { return m_connection.HeldBytes(); }
+  void EndTooLarge() { End(ResultOf(ConnectionEnd::TooLarge)); }
 
+  void Received(ClientConnection&) override
+  {
+    if (HeldBytes() > m_maxAnswerBytes) {
+      EndTooLarge();
+    } else {
+      m_owner.LimitHeldBytes();
+    }
+  }
   void Connected(ClientConnection&) override {}
   void Sent(ClientConnection&) override {}
   AnswerMatch MatchRequest(ClientConnection&, const ResponseMessage&) override
@@ -95,7 +123,17 @@
   {
     const bool sent = aEnd != ConnectionEnd::Refused &&
                       aEnd != ConnectionEnd::NotSent && m_connection.WasSent();
-    return { sent ? CallOutcome::Unknown : CallOutcome::NotSent, 0, {} };
+    HttpCallResult result;
+    result.m_outcome = sent ? CallOutcome::Unknown : CallOutcome::NotSent;
+    result.m_reason = ReasonOf(aEnd);
+    return result;
+  }
+
+  void OnTimeout()
+  {
+    HttpCallResult result = ResultOf(ConnectionEnd::Broken);
+    result.m_reason = "timeout";
+    End(result);
   }
 
   void End(const HttpCallResult& aResult)
@@ -110,6 +148,7 @@
 
   HttpCaller& m_owner;
   Done m_done;
+  std::uint64_t m_maxAnswerBytes = kMaxAnswerBytes;
   ClientConnection m_connection;
   LoopTimer m_timer;
 };
@@ -155,6 +194,30 @@
   }
 }
 
+std::size_t
+HttpCaller::HeldBytes() const
+{
+  std::size_t held = 0;
+  for (const auto& connection : m_connections) {
+    held += connection->HeldBytes();
+  }
+  return held;
+}
+
+void
+HttpCaller::LimitHeldBytes()
+{
+  if (HeldBytes() > kMaxAnswerBytes) {
+    const auto largest =
+      std::max_element(m_connections.begin(),
+                       m_connections.end(),
+                       [](const auto& aLeft, const auto& aRight) {
+                         return aLeft->HeldBytes() < aRight->HeldBytes();
+                       });
+    (*largest)->EndTooLarge();
+  }
+}
+
 std::string
 EscapeQueryValue(std::string_view aText)
 {
--- a/packages/edge/src/ReplicaConnections.cpp
+++ b/packages/edge/src/ReplicaConnections.cpp
@@ -59,6 +59,7 @@
     case ConnectionEnd::NotSent:
       return CopyFailure::NotSent;
     case ConnectionEnd::Malformed:
+    case ConnectionEnd::TooLarge:
       return CopyFailure::Malformed;
     case ConnectionEnd::Broken:
     case ConnectionEnd::Idle:
--- a/packages/edge/tests/HttpCallerTest.cpp
+++ b/packages/edge/tests/HttpCallerTest.cpp
@@ -1,3 +1,5 @@
+#include "LoopbackServer.h"
+
 #include <goldcrestkeel/Edge.h>
 #include <goldcrestkeel/Net.h>
 
@@ -8,8 +10,10 @@
 
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace goldcrestkeel;
+using namespace goldcrestkeel::testing;
 using namespace std::chrono_literals;
 
 namespace {
@@ -51,6 +55,16 @@
   std::string m_address;
 };
 
+std::string
+InterimAnswers()
+{
+  std::string answers;
+  while (answers.size() < 65536) {
+    answers += "HTTP/1.1 100 Continue\r\n\r\n";
+  }
+  return answers;
+}
+
 } // namespace
 
 // Guards against a crash with std::bad_function_call when an answer arrives
@@ -78,3 +92,60 @@
   loop.RunOnce(false);
   REQUIRE(ended == 1);
 }
+
+// Guards against a host that runs out of memory while the store or another host
+// sends without end.
+TEST_CASE("Calls whose answers do not end hold a bounded number of bytes",
+          "[caller]")
+{
+  constexpr std::size_t kCalls = 8;
+  const auto [head, more] = GENERATE(table<std::string, std::string>(
+    { { "HTTP/1.1 200 OK\r\n\r\n", std::string(65536, 'x') },
+      { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "10000\r\n" + std::string(65536, 'x') + "\r\n" },
+      { "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+        std::string(65536, 'x') },
+      { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10;",
+        std::string(65536, 'x') },
+      { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        "A: b\r\n" },
+      { "HTTP/1.1 200 OK\r\nA: ", std::string(65536, 'x') },
+      { "HTTP/1.1 200 OK\r\n", "A: b\r\n" },
+      { "HTTP/1.1 100 Continue\r\n\r\n", InterimAnswers() },
+      { "junk", std::string(65536, 'x') } }));
+  INFO(head);
+  const std::uint64_t limit = GENERATE(64 * 1024, kMaxAnswerBytes);
+  LoopbackServer server;
+  SystemClock clock;
+  Loop loop(clock);
+  HttpCaller caller(loop, server.Address());
+  std::vector<std::string> reasons;
+  for (std::size_t i = 0; i < kCalls; ++i) {
+    HttpCall call;
+    call.m_target = "/endless";
+    call.m_timeout = 10s;
+    call.m_maxAnswerBytes = limit;
+    caller.Call(call, [&](const HttpCallResult& aResult) {
+      REQUIRE(aResult.m_outcome == CallOutcome::Unknown);
+      reasons.emplace_back(aResult.m_reason);
+    });
+  }
+  std::size_t open = 0;
+  while (open < kCalls) {
+    loop.RunOnce(false);
+    open = server.Accept();
+  }
+  for (std::size_t i = 0; i < kCalls; ++i) {
+    server.Send(i, head);
+  }
+  while (reasons.size() < kCalls) {
+    for (std::size_t i = 0; i < kCalls; ++i) {
+      server.Send(i, more);
+    }
+    loop.RunOnce(false);
+    REQUIRE(caller.HeldBytes() <= kMaxAnswerBytes);
+  }
+  for (const std::string& one : reasons) {
+    REQUIRE((one == "too_large" || one == "malformed"));
+  }
+}
