Attribute crashes of replicas that fall silent, in gathered requests too

Cause: the silence was looked at only when a copy counted as unresponsive (up to 1.8 s), it was judged only while the host was in contact, which ends when all replicas of the shards are silent, and silent shards did not count as several services. Change: a late copy is looked at after 0.7 s; the replica has crashed if it answered nothing for 1 s and another one in its data centre answered 0.5 s or more after the request was sent, so that answers that cross a cut of the network show nothing. The answer of another instance to a health check shows a restart. Tests: CrashChecksTest, CrashingRequestTest ("A replica falls silent with a request", "A request is suspected on another host"), CrashMessagesTest.

--- a/packages/edge/include/goldcrestkeel/edge/FieldNames.h
+++ b/packages/edge/include/goldcrestkeel/edge/FieldNames.h
@@ -30,6 +30,8 @@
   std::string m_shardStamps;
   /** Number of shards missing from a gathered answer. */
   std::string m_missingShards;
+  /** Id of the replica, in its answers to health checks. */
+  std::string m_instance{};
 };
 
 } // namespace goldcrestkeel
--- a/packages/edge/src/ReplicaAnswers.cpp
+++ b/packages/edge/src/ReplicaAnswers.cpp
@@ -86,6 +86,8 @@
   ReplicaAnswer answer;
   answer.m_status = aAnswer.m_status;
   answer.m_stamp = std::string(FieldValue(aAnswer.m_fields, m_names.m_stamp));
+  answer.m_instance =
+    std::string(FieldValue(aAnswer.m_fields, m_names.m_instance));
   answer.m_wrongInstance = aAnswer.m_status == kMisdirected;
   answer.m_notRun = answer.m_wrongInstance ||
                     !FieldValue(aAnswer.m_fields, m_names.m_notRun).empty();
--- a/packages/edge/tests/CrashMessagesTest.cpp
+++ b/packages/edge/tests/CrashMessagesTest.cpp
@@ -60,6 +60,12 @@
   suspect.m_crashes = 3;
   suspect.m_version = 4;
   message.m_quarantined = { suspect };
+  message.m_suspects = { suspect };
+  message.m_answered = { 11, 12 };
+  message.m_crashes[0].m_sinceCrash = std::chrono::milliseconds(300);
+  message.m_crashes[0].m_sinceSent = std::chrono::milliseconds(400);
+  message.m_crashes[0].m_sinceServed = std::chrono::milliseconds(310);
+  message.m_crashes[0].m_services = 4;
   const std::string body = EncodeCrashMessage(message);
 
   SECTION("in messages that arrive as they were sent")
@@ -71,6 +77,19 @@
     REQUIRE(report.m_crashes == 3);
     REQUIRE(report.m_version == 4);
     REQUIRE(report.m_quarantined);
+    REQUIRE(decoded.m_suspects.at(0).m_fingerprint == 9);
+    REQUIRE_FALSE(decoded.m_suspects.at(0).m_quarantined);
+    REQUIRE(decoded.m_answered == message.m_answered);
+  }
+
+  SECTION("also those of an earlier version, which name no ages")
+  {
+    const CrashMessage decoded = DecodeCrashMessage(
+      R"({"crashes":[{"fingerprint":"a","request":"GET /a","service":"s",
+          "replica":"r","started_at_ms":17}],"quarantined":[]})");
+    REQUIRE(decoded.m_crashes.at(0).m_sinceCrash == Duration(0));
+    REQUIRE(decoded.m_crashes.at(0).m_services == 1);
+    REQUIRE(decoded.m_suspects.empty());
   }
 
   SECTION("and others are refused")
--- a/packages/forward/include/goldcrestkeel/forward/Forwarder.h
+++ b/packages/forward/include/goldcrestkeel/forward/Forwarder.h
@@ -73,6 +73,8 @@
   bool m_notRun = false;
   /** The request reached another instance than the one it was addressed to. */
   bool m_wrongInstance = false;
+  /** In the answer to a health check: id of the replica; empty if absent. */
+  std::string m_instance{};
   std::optional<LoadReport> m_load;
   /** Requests a second that the replica takes from all entry hosts together;
    *  not set if it names no limit. */
--- a/packages/forward/src/BackendPool.cpp
+++ b/packages/forward/src/BackendPool.cpp
@@ -274,6 +274,7 @@
                           const ReplicaAnswer& aAnswer)
 {
   aReplica.m_lastAnswerAt = aNow;
+  aReplica.m_hasAnswered = true;
   aReplica.m_unresponsive = false;
   aReplica.m_backoffs = 0;
   aReplica.m_backoffUntil = aNow;
--- a/packages/forward/src/BackendPool.h
+++ b/packages/forward/src/BackendPool.h
@@ -115,6 +115,7 @@
   std::uint32_t m_backoffs = 0;
   /** Time of the last answer; before the first one, time of discovery. */
   TimePoint m_lastAnswerAt;
+  bool m_hasAnswered = false;
 };
 
 /** A sub-request that waits for a replica with capacity. */
--- a/packages/forward/src/BackendShares.cpp
+++ b/packages/forward/src/BackendShares.cpp
@@ -132,7 +132,7 @@
 {
   return std::any_of(m_byId.begin(), m_byId.end(), [&](const auto& aItem) {
     const PooledReplica& other = *aItem.second;
-    return other.m_latency > 0 && other.m_lastAnswerAt > aTime &&
+    return other.m_hasAnswered && other.m_lastAnswerAt > aTime &&
            other.m_record.m_dataCentre == aReplica.m_dataCentre &&
            other.m_record.m_id != aReplica.m_id;
   });
--- a/packages/forward/src/CrashChecks.cpp
+++ b/packages/forward/src/CrashChecks.cpp
@@ -13,7 +13,6 @@
 constexpr Duration kDownTime{ 300000 };
 /** The same for a replica that answers nothing; replicas pause for 250 ms. */
 constexpr Duration kNoAnswerTime{ 1000000 };
-constexpr Duration kSilentTime{ 1500000 };
 /** A suspicion ends after this time: without an answer of any other replica,
  *  this host is as likely to be cut off. */
 constexpr Duration kMaxCheckTime{ 4000000 };
@@ -74,7 +73,9 @@
 }
 
 bool
-CrashChecks::EndProbe(CopyId aProbe, ProbeOutcome aOutcome)
+CrashChecks::EndProbe(CopyId aProbe,
+                      ProbeOutcome aOutcome,
+                      std::string_view aInstance)
 {
   const auto found =
     std::find_if(m_checks.begin(), m_checks.end(), [&](const auto& aItem) {
@@ -83,8 +84,11 @@
   if (found == m_checks.end()) {
     return false;
   }
-  found->second.m_probe.reset();
-  found->second.m_outcome = aOutcome;
+  Check& check = found->second;
+  const bool another =
+    !aInstance.empty() && aInstance != check.m_replica->m_record.m_id;
+  check.m_probe.reset();
+  check.m_outcome = another ? ProbeOutcome::Down : aOutcome;
   return true;
 }
 
@@ -127,8 +131,13 @@
   if (aCheck.m_outcome == ProbeOutcome::Answered || answered) {
     return CrashOutcome::ReplicaAlive;
   }
-  if (age >= (silent ? kSilentTime : kNoAnswerTime) &&
-      aActivity.HasAnswerNear(*aCheck.m_replica, since)) {
+  // Answers that were on their way when a network was cut show nothing.
+  const bool nearAnswers =
+    silent
+      ? aActivity.HasAnswerNear(*aCheck.m_replica, since + kAnswersBeforeCrash)
+      : aActivity.HasAnswerSince(since) &&
+          aActivity.HasAnswerNear(*aCheck.m_replica, since);
+  if (age >= kNoAnswerTime && nearAnswers) {
     return CrashOutcome::Counted;
   }
   return age >= kMaxCheckTime ? std::optional(CrashOutcome::NoAnswer)
--- a/packages/forward/src/CrashChecks.h
+++ b/packages/forward/src/CrashChecks.h
@@ -8,7 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <string>
+#include <string_view>
 #include <vector>
 
 namespace goldcrestkeel {
@@ -64,7 +64,8 @@
   virtual ~ReplicaActivity() = default;
   /** Whether the host reaches replicas, and one has answered since. */
   virtual bool HasAnswerSince(TimePoint aTime) const = 0;
-  /** The same for a replica other than aReplica in its data centre. */
+  /** Whether a replica other than aReplica in its data centre has answered
+   *  since. */
   virtual bool HasAnswerNear(const PooledReplica& aReplica,
                              TimePoint aTime) const = 0;
 };
@@ -81,8 +82,11 @@
            const std::shared_ptr<const PooledReplica>& aReplica,
            CrashSuspicion aSuspicion,
            CopyId aProbe);
-  /** Takes the result of a health check; returns false if aProbe is none. */
-  bool EndProbe(CopyId aProbe, ProbeOutcome aOutcome);
+  /** Takes the result of a health check, and the id of the replica that
+   *  answered it, if any; returns false if aProbe is none. */
+  bool EndProbe(CopyId aProbe,
+                ProbeOutcome aOutcome,
+                std::string_view aInstance = {});
   /** A replica has answered a request with this fingerprint. */
   void RequestAnswered(std::uint64_t aFingerprint);
 
--- a/packages/forward/src/Forwarder.cpp
+++ b/packages/forward/src/Forwarder.cpp
@@ -246,6 +246,9 @@
       case ForwardTimer::CrashCheck:
         JudgeCrashes(aNow);
         continue;
+      case ForwardTimer::Silent:
+        OnSilentTimer(aNow, timer.m_id);
+        continue;
       case ForwardTimer::ForgetCrashes:
         m_crashGuard.ForgetBefore(aNow - kCrashMemory);
         continue;
--- a/packages/forward/src/ForwarderCopies.cpp
+++ b/packages/forward/src/ForwarderCopies.cpp
@@ -60,7 +60,8 @@
                             ReplicaAnswer&& aAnswer)
 {
   if (EndProbe(aNow, aCopy, true) ||
-      m_crashChecks.EndProbe(aCopy, ProbeOutcome::Answered)) {
+      m_crashChecks.EndProbe(
+        aCopy, ProbeOutcome::Answered, aAnswer.m_instance)) {
     return;
   }
   const auto found = m_copies.find(aCopy);
--- a/packages/forward/src/ForwarderCrashes.cpp
+++ b/packages/forward/src/ForwarderCrashes.cpp
@@ -17,7 +17,7 @@
 constexpr Duration kMinSilence{ 300000 };
 /** Broken copies of a request from which no further replica runs it. */
 constexpr std::size_t kMaxBrokenCopies = 2;
-/** Number of services in which replicas break off at once that counts as two
+/** Number of services whose replicas seem to crash at once that counts as two
  *  crashes: an outage leaves some shards that answer. */
 constexpr std::size_t kServicesOfTwoCrashes = 3;
 /** An answer up to this time ago shows that such requests are sound. */
@@ -44,13 +44,32 @@
           2 * broken > aForward.m_subRequests.size());
 }
 
+bool
+ForwarderImpl::IsSilent(TimePoint aNow, const ForwardCopy& aCopy)
+{
+  if (!aCopy.m_sentAt) {
+    return false;
+  }
+  const TimePoint lastAnswerAt = aCopy.m_replica->m_lastAnswerAt;
+  return aNow - std::max(*aCopy.m_sentAt, lastAnswerAt) >= kMinSilence &&
+         lastAnswerAt <= *aCopy.m_sentAt + kAnswersBeforeCrash;
+}
+
 std::uint32_t
-ForwarderImpl::BrokenServices(const RunningForward& aForward)
+ForwarderImpl::SuspectedServices(TimePoint aNow,
+                                 const RunningForward& aForward) const
 {
   std::set<std::string_view> services;
   for (const BrokenCopy& copy : aForward.m_brokenCopies) {
     services.insert(copy.m_replica->m_record.m_service);
   }
+  for (const SubRequest& subRequest : aForward.m_subRequests) {
+    for (const CopyId id : subRequest.m_copies) {
+      if (IsSilent(aNow, m_copies.at(id))) {
+        services.insert(subRequest.m_group->m_name);
+      }
+    }
+  }
   return std::max<std::uint32_t>(1, services.size());
 }
 
@@ -72,7 +91,7 @@
   suspicion.m_report.m_service = replica.m_service;
   suspicion.m_report.m_replica = replica.m_id;
   suspicion.m_report.m_startedAt = replica.m_startedAt;
-  suspicion.m_report.m_services = BrokenServices(aForward);
+  suspicion.m_report.m_services = SuspectedServices(aNow, aForward);
   suspicion.m_crashedAt = aCopy.m_brokeAt;
   suspicion.m_sentAt = aCopy.m_sentAt;
   suspicion.m_servedAt = aCopy.m_servedAt;
@@ -100,17 +119,25 @@
                              const RunningForward& aForward,
                              const ForwardCopy& aCopy)
 {
-  if (!aCopy.m_sentAt) {
+  if (IsSilent(aNow, aCopy)) {
+    SuspectCrash(
+      aNow,
+      aForward,
+      { aCopy.m_replica, *aCopy.m_sentAt, *aCopy.m_sentAt, TimePoint::min() },
+      CrashSign::Silent);
+  }
+}
+
+void
+ForwarderImpl::OnSilentTimer(TimePoint aNow, CopyId aCopy)
+{
+  const auto copy = m_copies.find(aCopy);
+  if (copy == m_copies.end()) {
     return;
   }
-  const TimePoint sentAt = *aCopy.m_sentAt;
-  const TimePoint lastAnswerAt = aCopy.m_replica->m_lastAnswerAt;
-  if (aNow - std::max(sentAt, lastAnswerAt) >= kMinSilence &&
-      lastAnswerAt <= sentAt + kAnswersBeforeCrash) {
-    SuspectCrash(aNow,
-                 aForward,
-                 { aCopy.m_replica, sentAt, sentAt, TimePoint::min() },
-                 CrashSign::Silent);
+  const auto running = m_running.find(copy->second.m_request);
+  if (running != m_running.end()) {
+    SuspectSilent(aNow, *running->second, copy->second);
   }
 }
 
@@ -135,8 +162,7 @@
 ForwarderImpl::HasAnswerNear(const PooledReplica& aReplica,
                              TimePoint aTime) const
 {
-  return HasAnswerSince(aTime) &&
-         m_pool.HasOtherAnswer(aReplica.m_record, aTime);
+  return m_pool.HasOtherAnswer(aReplica.m_record, aTime);
 }
 
 void
@@ -151,7 +177,8 @@
     }
     if (verdict.m_outcome == CrashOutcome::Counted) {
       RecordCrash(aNow, report, false);
-    } else {
+    } else if (verdict.m_suspicion.m_sign == CrashSign::Broken) {
+      // Replicas are often silent for a while.
       LogCrash(report, verdict.m_outcome, false);
     }
   }
--- a/packages/forward/src/ForwarderDispatch.cpp
+++ b/packages/forward/src/ForwarderDispatch.cpp
@@ -19,6 +19,9 @@
  *  late threshold, while the replica answers nothing else. */
 constexpr Duration kMinUnresponsiveTime{ 700000 };
 constexpr int kUnresponsiveFactor = 6;
+/** A replica that has answered nothing for this time after a copy that is late
+ *  may have crashed; replicas pause for 250 ms. */
+constexpr Duration kMinSilentTime{ 700000 };
 /** Fraction of the repeat budget that is reserved for retries. */
 constexpr double kRetryReserve = 0.25;
 /** Additional copies beyond the attempts of the route, in place of copies that
@@ -315,6 +318,11 @@
                std::max(kMinUnresponsiveTime, age * kUnresponsiveFactor),
              ForwardTimer::Unresponsive,
              aCopy);
+    if (!copy.IsRelay()) {
+      AddTimer(std::max(aNow, copy.m_startedAt + kMinSilentTime),
+               ForwardTimer::Silent,
+               aCopy);
+    }
   }
   const auto running = m_running.find(copy.m_request);
   if (running == m_running.end() || copy.m_abandoned || copy.IsRelay()) {
@@ -364,14 +372,11 @@
     return;
   }
   PooledReplica& replica = *found->second.m_replica;
-  const auto running = m_running.find(found->second.m_request);
-  if (running != m_running.end() && !found->second.IsRelay()) {
-    SuspectSilent(aNow, *running->second, found->second);
-  }
   if (replica.m_lastAnswerAt > found->second.m_startedAt) {
     return;
   }
   if (!replica.m_unresponsive) {
+    const auto running = m_running.find(found->second.m_request);
     if (running != m_running.end()) {
       LogDecision("replica_silent",
                   *running->second,
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -38,6 +38,8 @@
   Contact,
   /** A crash is attributed to the request that was running, or not. */
   CrashCheck,
+  /** The replica of a late copy may have crashed. */
+  Silent,
   /** Crashes of long ago are forgotten. */
   ForgetCrashes,
 };
@@ -200,8 +202,11 @@
   /** Whether the request may be what ends its replicas, so that no further
    *  replica is to run it. */
   bool MayCrashReplicas(const RunningForward& aForward) const;
-  /** Number of services of which a replica broke off. */
-  static std::uint32_t BrokenServices(const RunningForward& aForward);
+  /** Whether the replica of aCopy has answered nothing for some time. */
+  static bool IsSilent(TimePoint aNow, const ForwardCopy& aCopy);
+  /** Number of services of which a replica broke off or is silent. */
+  std::uint32_t SuspectedServices(TimePoint aNow,
+                                  const RunningForward& aForward) const;
   /** Checks whether the replica of aCopy has crashed, unless one has answered
    *  the request. */
   void SuspectCrash(TimePoint aNow,
@@ -214,6 +219,7 @@
   void SuspectSilent(TimePoint aNow,
                      const RunningForward& aForward,
                      const ForwardCopy& aCopy);
+  void OnSilentTimer(TimePoint aNow, CopyId aCopy);
   void SuspectSilentCopies(TimePoint aNow,
                            const RunningForward& aForward,
                            const SubRequest& aSubRequest);
--- a/packages/forward/tests/CrashingRequestTest.cpp
+++ b/packages/forward/tests/CrashingRequestTest.cpp
@@ -263,6 +263,17 @@
   fixture.Start();
   REQUIRE(fixture.m_sent.size() == 6);
 
+  SECTION("which counts as two crashes")
+  {
+    for (std::size_t i = 0; i < fixture.m_sent.size(); ++i) {
+      fixture.Fail(fixture.m_sent.at(i).m_copy, CopyFailure::Broken);
+    }
+    fixture.RefuseProbes();
+    fixture.ServeOther();
+    fixture.Advance(1s);
+    REQUIRE(fixture.m_forwarder->SuspectOf(kFingerprint).m_crashes == 2);
+  }
+
   SECTION("and is not sent to a second one of most")
   {
     failFirst(6);
@@ -338,6 +349,80 @@
   }
 }
 
+// Guards against a popular request in quarantine, which other hosts than the
+// counting ones see answered.
+TEST_CASE("A request is suspected on another host", "[forward]")
+{
+  Fixture fixture;
+
+  SECTION("which asks all hosts, one crash before the quarantine")
+  {
+    fixture.CrashAndLearn();
+    REQUIRE(fixture.m_suspects.empty());
+    fixture.CrashAndLearn();
+    REQUIRE(fixture.m_suspects.size() == 1);
+
+    SECTION("and one tells that replicas answer it")
+    {
+      fixture.m_forwarder->AnswerReported(kFingerprint);
+      REQUIRE(fixture.CrashAndLearn() == 2);
+      REQUIRE(fixture.m_announced.empty());
+    }
+  }
+
+  SECTION("and was answered here lately")
+  {
+    fixture.Start();
+    fixture.Answer(fixture.m_sent.back().m_copy);
+    fixture.Advance(1s);
+    REQUIRE(fixture.m_forwarder->SuspectReported(fixture.m_now, Quarantine()));
+    REQUIRE(fixture.Crash() == 2);
+  }
+
+  SECTION("so that one replica at most runs it")
+  {
+    REQUIRE_FALSE(
+      fixture.m_forwarder->SuspectReported(fixture.m_now, Quarantine()));
+    REQUIRE(fixture.Crash() == 1);
+
+    SECTION("until one answers, which the counting hosts are told")
+    {
+      fixture.Start();
+      fixture.Answer(fixture.m_sent.back().m_copy);
+      REQUIRE(fixture.m_reportedAnswered ==
+              std::vector<std::uint64_t>{ kFingerprint });
+      REQUIRE(fixture.Crash() == 2);
+    }
+  }
+
+  SECTION("and its crash is reported, though it was answered since")
+  {
+    fixture.Start();
+    fixture.Answer(fixture.m_sent.back().m_copy);
+    CrashReport report;
+    report.m_fingerprint = kFingerprint;
+    report.m_sinceSent = 100ms;
+    fixture.m_forwarder->CrashReported(fixture.m_now, report);
+    REQUIRE(fixture.m_forwarder->SuspectOf(kFingerprint).m_crashes == 0);
+  }
+}
+
+TEST_CASE("A replica falls silent with a request", "[forward]")
+{
+  Fixture fixture(false);
+  fixture.Start(4s);
+  // Others are served, and the caller waits, or leaves.
+  for (int i = 0; i < 20; ++i) {
+    fixture.Advance(100ms);
+    fixture.ServeOther();
+    if (i == 5 && GENERATE(false, true)) {
+      fixture.m_forwarder->Cancel(fixture.m_now, 1);
+    }
+  }
+  REQUIRE(fixture.m_crashReports.size() == 1);
+  REQUIRE(fixture.m_crashReports[0].m_replica == fixture.m_sent[0].m_replica);
+}
+
 // Guards against a host that asks the shards itself when another one has
 // refused to.
 TEST_CASE("A host refuses a relayed request that is in quarantine", "[forward]")
