Do not blame requests that are sent to replicas which are already dead

What callers would see: a popular, sound request refused for ten minutes. Cause: for a dead replica that does not refuse connections, an answer of any other replica in its data centre sufficed, up to 4 s later, as when the first ones were back. Change: the service must have answered within 2 s before, and another of its replicas, as one in the data centre, between 0.5 and 2 s after the crash.

--- a/packages/forward/src/BackendPool.h
+++ b/packages/forward/src/BackendPool.h
@@ -174,8 +174,8 @@
    *  its connections. */
   void SetHosts(const std::vector<HostRecord>& aHosts);
 
-  /** Whether another replica in the data centre of aReplica has answered since.
-   */
+  /** Whether another replica in the data centre of aReplica has answered since,
+   *  and another one of its service. */
   bool HasOtherAnswer(const ReplicaRecord& aReplica, TimePoint aTime) const;
   std::size_t ReplicaCount() const { return m_byId.size(); }
   bool IsKnown(const std::string& aId) const { return m_byId.contains(aId); }
--- a/packages/forward/src/CrashChecks.cpp
+++ b/packages/forward/src/CrashChecks.cpp
@@ -16,6 +16,10 @@
 /** A suspicion ends after this time: without an answer of any other replica,
  *  this host is as likely to be cut off. */
 constexpr Duration kMaxCheckTime{ 4000000 };
+/** The same for a replica that answers nothing. Its service must have answered
+ *  within this time before the crash, too: if all its replicas are dead, the
+ *  requests that are still sent to them did not end them. */
+constexpr Duration kMaxNoAnswerTime{ 2000000 };
 /** Answers that were on their way when the replica crashed arrive within this
  *  time. */
 constexpr Duration kCrossingTime{ 20000 };
@@ -132,16 +136,13 @@
     return CrashOutcome::ReplicaAlive;
   }
   // Answers that were on their way when a network was cut show nothing.
-  const bool nearAnswers =
-    silent
-      ? aActivity.HasAnswerNear(*aCheck.m_replica, since + kAnswersBeforeCrash)
-      : aActivity.HasAnswerSince(since) &&
-          aActivity.HasAnswerNear(*aCheck.m_replica, since);
-  if (age >= kNoAnswerTime && nearAnswers) {
+  if (age >= kNoAnswerTime &&
+      aSuspicion.m_servedAt > aSuspicion.m_crashedAt - kMaxNoAnswerTime &&
+      aActivity.HasAnswerNear(*aCheck.m_replica, since + kAnswersBeforeCrash)) {
     return CrashOutcome::Counted;
   }
-  return age >= kMaxCheckTime ? std::optional(CrashOutcome::NoAnswer)
-                              : std::nullopt;
+  return age >= kMaxNoAnswerTime ? std::optional(CrashOutcome::NoAnswer)
+                                 : std::nullopt;
 }
 
 std::vector<CrashVerdict>
--- a/packages/forward/src/CrashChecks.h
+++ b/packages/forward/src/CrashChecks.h
@@ -64,8 +64,8 @@
   virtual ~ReplicaActivity() = default;
   /** Whether the host reaches replicas, and one has answered since. */
   virtual bool HasAnswerSince(TimePoint aTime) const = 0;
-  /** Whether a replica other than aReplica in its data centre has answered
-   *  since. */
+  /** Whether another replica in the data centre of aReplica has answered since,
+   *  and another one of its service. */
   virtual bool HasAnswerNear(const PooledReplica& aReplica,
                              TimePoint aTime) const = 0;
 };
--- a/packages/forward/src/ForwardState.h
+++ b/packages/forward/src/ForwardState.h
@@ -64,6 +64,8 @@
   TimePoint m_deadline;
   /** When the first byte was written; not set before. */
   std::optional<TimePoint> m_sentAt;
+  /** When the service had last answered a request before that. */
+  TimePoint m_servedAt = TimePoint::min();
   /** Valid once the copy was sent. */
   ConnectionState m_connection = ConnectionState::New;
   bool m_late = false;
--- a/packages/forward/src/ForwarderCopies.cpp
+++ b/packages/forward/src/ForwarderCopies.cpp
@@ -42,6 +42,7 @@
   ForwardCopy& copy = found->second;
   copy.m_sentAt = aNow;
   copy.m_connection = aConnection;
+  copy.m_servedAt = copy.m_group->m_servedAt;
   const auto running = m_running.find(copy.m_request);
   if (running == m_running.end() || copy.m_abandoned) {
     return;
--- a/packages/forward/src/ForwarderCrashes.cpp
+++ b/packages/forward/src/ForwarderCrashes.cpp
@@ -123,7 +123,7 @@
     SuspectCrash(
       aNow,
       aForward,
-      { aCopy.m_replica, *aCopy.m_sentAt, *aCopy.m_sentAt, TimePoint::min() },
+      { aCopy.m_replica, *aCopy.m_sentAt, *aCopy.m_sentAt, aCopy.m_servedAt },
       CrashSign::Silent);
   }
 }
--- a/packages/forward/tests/CrashChecksTest.cpp
+++ b/packages/forward/tests/CrashChecksTest.cpp
@@ -31,6 +31,7 @@
     suspicion.m_report.m_fingerprint = aFingerprint;
     suspicion.m_crashedAt = m_now;
     suspicion.m_sentAt = m_now;
+    suspicion.m_servedAt = m_now - m_servedAgo;
     suspicion.m_sign = aSign;
     return m_checks.Add(m_now, m_replica, suspicion, kProbe);
   }
@@ -51,6 +52,7 @@
 
   TimePoint m_now{ 1000s };
   std::shared_ptr<PooledReplica> m_replica = std::make_shared<PooledReplica>();
+  Duration m_servedAgo = 1s;
   bool m_anyAnswers = true;
   bool m_nearAnswers = true;
   CrashChecks m_checks;
@@ -170,6 +172,16 @@
   }
 }
 
+// Guards against requests in quarantine that are sent to replicas which are
+// already dead.
+TEST_CASE("All replicas of a service are dead, and answer nothing", "[forward]")
+{
+  Fixture fixture;
+  fixture.m_servedAgo = 2s;
+  fixture.Suspect(GENERATE(CrashSign::Broken, CrashSign::Silent));
+  REQUIRE(fixture.Wait(2s) == Outcomes{ CrashOutcome::NoAnswer });
+}
+
 TEST_CASE("A replica falls silent while it has a request", "[forward]")
 {
   Fixture fixture;
