--- a/scripts/lib/proxy.py
+++ b/scripts/lib/proxy.py
@@ -9,6 +9,12 @@
     return writer.get_extra_info("peername"), writer.get_extra_info("sockname")
 
 
+# What becomes of the connections to a target that has crashed. "refused", "hanging", "cut":
+# open ones are reset, and new ones refused, accepted without an answer, or accepted and
+# reset. "silent": open and new ones stay without an answer.
+DEATHS = ("refused", "hanging", "cut", "silent")
+
+
 class Proxy:
     """Forwards connections from one address to another. `mode` is None, "silent"
     (blocks both directions), "no_answers" (blocks data from the target) or "refuse"
@@ -37,6 +43,18 @@
             self.server = None
         self.reset_all()
 
+    def fail(self, death):
+        """The target has crashed; close() ends what is left."""
+        if death == "refused":
+            self.close()
+        elif death == "cut":
+            self.mode = "refuse"
+            self.reset_all()
+        else:
+            self.mode = "silent"
+            if death == "hanging":
+                self.reset_all()
+
     def reset_all(self):
         for connection in list(self.connections):
             for writer in connection:
--- a/scripts/lib/replica_standin.py
+++ b/scripts/lib/replica_standin.py
@@ -11,6 +11,29 @@
 RECORD_BYTES = 16
 
 
+# Bytes without end: how they begin, and what follows again and again.
+ENDLESS = [(b"HTTP/1.1 200 OK\r\n\r\n", b"x" * 16384),
+           (b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", b"x" * 16384),
+           (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", b"1\r\nx\r\n" * 2048),
+           (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", b"x" * 16384),
+           (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", b"A: b\r\n" * 2048),
+           (b"HTTP/1.1 200 OK\r\n", b"A: b\r\n" * 2048),
+           (b"HTTP/1.1 200 OK\r\nA: ", b"x" * 16384),
+           (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 512),
+           (b"no answer at all", b"x" * 16384)]
+ENDLESS_INTERVAL_S = 0.005
+
+
+async def send_endless(writer, kind):
+    """Returns when the peer has closed the connection."""
+    begin, more = kind
+    writer.write(begin)
+    while not writer.transport.is_closing():
+        writer.write(more)
+        await writer.drain()
+        await asyncio.sleep(ENDLESS_INTERVAL_S)
+
+
 def shard_records(request_id, service):
     """Records that each replica of a shard returns for a request, concatenated."""
     return b"".join(
@@ -52,8 +75,8 @@
 
 class Replica:
     """One process run of a replica. `faults` maps a kind of fault to its probability:
-    an answer is lost, reset, cut in half, malformed ("spoilt"), sent twice, or sent again
-    where the next answer on its connection is expected ("late")."""
+    an answer is lost, reset, cut in half, malformed ("spoilt"), without end ("endless"), sent
+    twice, or sent again where the next answer on its connection is expected ("late")."""
 
     def __init__(self, observations, store, random, service, name, address, zone, mean_work_s):
         self.observations = observations
@@ -74,6 +97,7 @@
         self.slowdown = 1.0
         self.request_limit = None  # requests a second from all hosts together
         self.faults = {}
+        self.endless = ENDLESS[0]
         self.sequence = 0
         self.started_at_ms = int(time.time() * 1000)
         self.on_crash = lambda replica: replica.stop()
@@ -179,6 +203,8 @@
             ("X-Goldcrestkeel-Server-Stamp", stamp),
             ("X-Goldcrestkeel-Request-Id", request_id),
             ("X-Goldcrestkeel-Server-Load", f"{self.running},0,{self.slots}")]
+        if not request_id:  # a health check
+            response_fields.append(("X-Goldcrestkeel-Instance-Id", self.name))
         if self.request_limit is not None:
             response_fields.append(("Server-Limit", str(self.request_limit)))
         if self.leaving or self.draining:
@@ -201,6 +227,9 @@
         if draw < self.faults.get("spoilt", 0):
             writer.write(b"\x00\xffno answer at all\r\n\r\n")
             return False
+        if draw < self.faults.get("endless", 0):
+            await send_endless(writer, self.endless)
+            return False
         answers.write(data)
         if draw < self.faults.get("twice", 0):
             await asyncio.sleep(self.random.uniform(0, 0.02))
--- a/scripts/lib/soak_faults.py
+++ b/scripts/lib/soak_faults.py
@@ -5,7 +5,9 @@
 import signal
 import time
 
+import replica_standin
 import soak_callers
+from proxy import DEATHS
 
 
 class Faults:
@@ -22,6 +24,7 @@
         self.busy_hosts = set()
         self.resharding = False
         self.crashing = False
+        self.death = "refused"
         self.restoring = False
         # The method names appear in events.log.
         self.events = [
@@ -34,7 +37,7 @@
             (2, self.hosts_cut_off),
             (3, self.replica_spoils), (1, self.replica_hangs), (2, self.answers_come_again),
             (2, self.change_configuration), (1, self.divide_anew),
-            (2, self.request_crashes_replicas), (1, self.odd_entry)]
+            (2, self.request_crashes_replicas), (1, self.odd_entry), (2, self.replica_endless)]
 
     async def inject(self, seconds):
         end = time.monotonic() + seconds
@@ -111,7 +114,7 @@
         seconds = self.random.uniform(0.5, 5)
         self.record_disturbance(seconds)
         store.mark_disturbed(seconds)
-        store.mode = self.random.choice(["busy", "reset", "silent"])
+        store.mode = self.random.choice(["busy", "reset", "silent", "endless"])
         await asyncio.sleep(seconds)
         store.mode = None
 
@@ -226,22 +229,32 @@
         kind = soak_callers.RequestKind(
             kind.name, kind.method, target, kind.deadline_ms, kind.idempotent)
         self.run.observations.crashing.add(target)
+        self.death = self.random.choice(DEATHS)
+        gap_s = self.random.choice([0.25, 0.5, 0.7, 1.0, 1.5, 3.0])
+        self.run.log(f"{target} crashes replicas, every {gap_s} s, {self.death}")
         for replica, _ in self.run.replicas.values():
             replica.on_crash = self._crash
-        for _ in range(9):
-            await self.run.callers.send_once(
-                self.random.choice(self.run.hosts), kind, b"crash")
-            await asyncio.sleep(1.5)
+        sent = []
+        for _ in range(int(min(20, max(5, 10 / gap_s)))):
+            sent.append(asyncio.create_task(self.run.callers.send_once(
+                self.random.choice(self.run.hosts), kind, b"crash")))
+            await asyncio.sleep(gap_s)
+        await asyncio.gather(*sent)
         self.crashing = False
 
     def _crash(self, replica):
         self.run.mark_disturbed(0.5)
         if replica.name in self.run.replicas:
-            self.run.remove_replica(replica.name)
-            self.tasks.append(asyncio.create_task(self._come_back(replica)))
+            _, proxy = self.run.replicas.pop(replica.name)
+            proxy.fail(self.death)
+            if self.death != "silent":
+                replica.stop()
+            self.tasks.append(asyncio.create_task(self._come_back(replica, proxy)))
 
-    async def _come_back(self, old):
+    async def _come_back(self, old, proxy):
         await asyncio.sleep(self.random.uniform(1, 3))
+        proxy.close()
+        old.stop()
         replica = await self.run.add_replica(old.service, old.zone)
         replica.on_crash = self._crash
         await old.leave()
@@ -297,6 +310,17 @@
             await asyncio.sleep(self.random.uniform(1, 3))
             replica.faults.clear()
 
+    async def replica_endless(self):
+        """A replica sends bytes that are no answer until the host closes."""
+        name = self._pick_replica()
+        if name:
+            replica = self.run.replicas[name][0]
+            replica.endless = self.random.choice(replica_standin.ENDLESS)
+            replica.faults["endless"] = self.random.uniform(0.1, 1)
+            self.record_disturbance(3)
+            await asyncio.sleep(self.random.uniform(1, 3))
+            replica.faults.pop("endless", None)
+
     async def answers_come_again(self):
         """All replicas of a service reject requests, so that some are sent again to the
         same one, and send second copies of answers late."""
--- a/scripts/lib/store_standin.py
+++ b/scripts/lib/store_standin.py
@@ -1,6 +1,6 @@
 """Simulated store of the users' platform: keys with revisions, leases, watches.
 
-Faults: `mode` is None, "busy" (503), "reset" or "silent" (no response) and applies
+Faults: `mode` is None, "busy" (503), "reset", "silent" (no response) or "endless" (bytes without end) and applies
 to the client IPs in `rejected_peers`, or to all clients if that is None;
 `lost_response_ratio` is the fraction of requests that are executed but get no
 response, nor does any later one on their connections; `delay_s` delays each response. All requests run on one event loop.
@@ -12,6 +12,7 @@
 import time
 from urllib.parse import parse_qs, urlsplit
 
+import replica_standin
 import wire
 
 HISTORY_RETENTION_S = 20
@@ -138,6 +139,10 @@
                     if self.mode == "reset":
                         wire.reset(writer)
                         return
+                    if self.mode == "endless":
+                        await replica_standin.send_endless(
+                            writer, self.random.choice(replica_standin.ENDLESS))
+                        return
                     await asyncio.sleep(3600)
                 status, body = await self._call(request)
                 if self.delay_s:
