Take a proven connection that breaks for a sign that the replica lived

Cause: all 18 checks ended with no_answer. Nothing of the service answered half a second after the crash, since the next attempt had ended the rest by then; that condition keeps requests from blame that are sent to replicas which are already dead. Change: it holds for requests on new connections and for silent replicas only. A connection that had brought an answer, and breaks while a request is on it, shows that the replica lived until then. Tests: CrashChecksTest, "but the request was on a connection that had brought answers". Also EdgeServerTest for the reply that names a quarantine, which had none.

--- a/packages/edge/tests/EdgeServerTest.cpp
+++ b/packages/edge/tests/EdgeServerTest.cpp
@@ -338,6 +338,23 @@
     }
   }
 
+  // Guards against a host that does not learn of the quarantine as the store is
+  // away.
+  SECTION("and learns so if it reports a crash of such a request")
+  {
+    host.Send(message(body));
+    fixture.RunFor(20ms);
+    CrashReport crash;
+    crash.m_fingerprint = suspect.m_fingerprint;
+    host.Send(message(EncodeCrashMessage({ { crash }, {} })));
+    fixture.RunFor(20ms);
+    const std::string& received = host.Received();
+    const CrashMessage reply = DecodeCrashMessage(
+      std::string_view(received).substr(received.rfind("\r\n\r\n") + 4));
+    REQUIRE(reply.m_quarantined.size() == 1);
+    REQUIRE(reply.m_quarantined[0].m_fingerprint == suspect.m_fingerprint);
+  }
+
   SECTION("in bytes that are none, which are refused")
   {
     host.Send(message("{}"));
--- a/packages/forward/src/BackendPool.h
+++ b/packages/forward/src/BackendPool.h
@@ -10,6 +10,7 @@
 #include <goldcrestkeel/forward/HostRecord.h>
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -174,9 +175,11 @@
    *  its connections. */
   void SetHosts(const std::vector<HostRecord>& aHosts);
 
-  /** Whether another replica in the data centre of aReplica has answered since,
-   *  and another one of its service. */
-  bool HasOtherAnswer(const ReplicaRecord& aReplica, TimePoint aTime) const;
+  /** Whether another replica that aMatches has answered since. */
+  bool HasOtherAnswer(
+    const ReplicaRecord& aReplica,
+    TimePoint aTime,
+    const std::function<bool(const ReplicaRecord&)>& aMatches) const;
   std::size_t ReplicaCount() const { return m_byId.size(); }
   bool IsKnown(const std::string& aId) const { return m_byId.contains(aId); }
   /** Up to aCount random replicas that are listed, do not drain and do not want
--- a/packages/forward/src/BackendShares.cpp
+++ b/packages/forward/src/BackendShares.cpp
@@ -127,21 +127,16 @@
 }
 
 bool
-BackendPool::HasOtherAnswer(const ReplicaRecord& aReplica,
-                            TimePoint aTime) const
+BackendPool::HasOtherAnswer(
+  const ReplicaRecord& aReplica,
+  TimePoint aTime,
+  const std::function<bool(const ReplicaRecord&)>& aMatches) const
 {
-  bool inDataCentre = false;
-  bool ofService = false;
-  for (const auto& [id, other] : m_byId) {
-    if (other->m_hasAnswered && other->m_lastAnswerAt > aTime &&
-        id != aReplica.m_id) {
-      const ReplicaRecord& record = other->m_record;
-      inDataCentre =
-        inDataCentre || record.m_dataCentre == aReplica.m_dataCentre;
-      ofService = ofService || record.m_service == aReplica.m_service;
-    }
-  }
-  return inDataCentre && ofService;
+  return std::any_of(m_byId.begin(), m_byId.end(), [&](const auto& aItem) {
+    const PooledReplica& other = *aItem.second;
+    return other.m_hasAnswered && other.m_lastAnswerAt > aTime &&
+           other.m_record.m_id != aReplica.m_id && aMatches(other.m_record);
+  });
 }
 
 std::string
--- a/packages/forward/src/CrashChecks.cpp
+++ b/packages/forward/src/CrashChecks.cpp
@@ -16,10 +16,14 @@
 /** A suspicion ends after this time: without an answer of any other replica,
  *  this host is as likely to be cut off. */
 constexpr Duration kMaxCheckTime{ 4000000 };
-/** The same for a replica that answers nothing. Its service must have answered
- *  within this time before the crash, too: if all its replicas are dead, the
- *  requests that are still sent to them did not end them. */
+/** The same for a replica that answers nothing. Unless it is certain that it
+ *  lived, its service must have answered within this time before the crash: if
+ *  all its replicas are dead, the requests that are still sent to them did not
+ *  end them. */
 constexpr Duration kMaxNoAnswerTime{ 2000000 };
+/** Answers that were on their way when a network was cut arrive within this
+ *  time, and show nothing. */
+constexpr Duration kCrossingCutTime{ 100000 };
 /** Answers that were on their way when the replica crashed arrive within this
  *  time. */
 constexpr Duration kCrossingTime{ 20000 };
@@ -67,7 +71,7 @@
     return false;
   }
   // A slow replica must not get a health check in addition.
-  const bool probe = aSuspicion.m_sign == CrashSign::Broken && !check.m_probe &&
+  const bool probe = aSuspicion.m_sign != CrashSign::Silent && !check.m_probe &&
                      !check.m_outcome;
   check.m_suspicions.push_back(std::move(aSuspicion));
   if (probe) {
@@ -135,10 +139,13 @@
   if (aCheck.m_outcome == ProbeOutcome::Answered || answered) {
     return CrashOutcome::ReplicaAlive;
   }
-  // Answers that were on their way when a network was cut show nothing.
-  if (age >= kNoAnswerTime &&
-      aSuspicion.m_servedAt > aSuspicion.m_crashedAt - kMaxNoAnswerTime &&
-      aActivity.HasAnswerNear(*aCheck.m_replica, since + kAnswersBeforeCrash)) {
+  const bool lived =
+    aSuspicion.m_sign == CrashSign::Broken ||
+    (aSuspicion.m_servedAt > aSuspicion.m_crashedAt - kMaxNoAnswerTime &&
+     aActivity.HasAnswerOfService(*aCheck.m_replica,
+                                  since + kAnswersBeforeCrash));
+  if (age >= kNoAnswerTime && lived &&
+      aActivity.HasAnswerNear(*aCheck.m_replica, since + kCrossingCutTime)) {
     return CrashOutcome::Counted;
   }
   return age >= kMaxNoAnswerTime ? std::optional(CrashOutcome::NoAnswer)
--- a/packages/forward/src/CrashChecks.h
+++ b/packages/forward/src/CrashChecks.h
@@ -16,8 +16,11 @@
 /** What made a replica look as if it had crashed. */
 enum class CrashSign
 {
-  /** The connection broke while it had a request. */
+  /** A connection that it had answered on broke while it had a request. */
   Broken,
+  /** A new connection broke, after a request was sent on it. The replica may
+   *  have been dead already. */
+  BrokenNew,
   /** It answers nothing while it has a request. */
   Silent,
 };
@@ -64,10 +67,13 @@
   virtual ~ReplicaActivity() = default;
   /** Whether the host reaches replicas, and one has answered since. */
   virtual bool HasAnswerSince(TimePoint aTime) const = 0;
-  /** Whether another replica in the data centre of aReplica has answered since,
-   *  and another one of its service. */
+  /** Whether another replica in the data centre of aReplica has answered since.
+   */
   virtual bool HasAnswerNear(const PooledReplica& aReplica,
                              TimePoint aTime) const = 0;
+  /** The same for another replica of its service. */
+  virtual bool HasAnswerOfService(const PooledReplica& aReplica,
+                                  TimePoint aTime) const = 0;
 };
 
 /** Finds out whether replicas that broke off or fell silent have crashed. A
--- a/packages/forward/src/ForwardState.h
+++ b/packages/forward/src/ForwardState.h
@@ -141,6 +141,7 @@
 struct BrokenCopy
 {
   std::shared_ptr<PooledReplica> m_replica;
+  ConnectionState m_connection = ConnectionState::New;
   TimePoint m_sentAt;
   TimePoint m_brokeAt;
   /** When the service had last answered a request. */
--- a/packages/forward/src/ForwarderCopies.cpp
+++ b/packages/forward/src/ForwarderCopies.cpp
@@ -146,8 +146,11 @@
   ReportUnanswered(aNow, copy);
   const auto running = m_running.find(copy.m_request);
   if (running != m_running.end() && copy.m_sentAt) {
-    running->second->m_brokenCopies.push_back(
-      { copy.m_replica, *copy.m_sentAt, aNow, copy.m_group->m_servedAt });
+    running->second->m_brokenCopies.push_back({ copy.m_replica,
+                                                copy.m_connection,
+                                                *copy.m_sentAt,
+                                                aNow,
+                                                copy.m_group->m_servedAt });
   }
   if (running != m_running.end() && !copy.m_abandoned) {
     LogDecision("copy_failed",
--- a/packages/forward/src/ForwarderCrashes.cpp
+++ b/packages/forward/src/ForwarderCrashes.cpp
@@ -108,9 +108,15 @@
 void
 ForwarderImpl::SuspectBroken(TimePoint aNow, const RunningForward& aForward)
 {
-  if (!aForward.m_brokenCopies.empty()) {
-    SuspectCrash(
-      aNow, aForward, aForward.m_brokenCopies.back(), CrashSign::Broken);
+  const auto& copies = aForward.m_brokenCopies;
+  const auto proven =
+    std::find_if(copies.rbegin(), copies.rend(), [](const BrokenCopy& aCopy) {
+      return aCopy.m_connection == ConnectionState::Proven;
+    });
+  if (proven != copies.rend()) {
+    SuspectCrash(aNow, aForward, *proven, CrashSign::Broken);
+  } else if (!copies.empty()) {
+    SuspectCrash(aNow, aForward, copies.back(), CrashSign::BrokenNew);
   }
 }
 
@@ -120,11 +126,14 @@
                              const ForwardCopy& aCopy)
 {
   if (IsSilent(aNow, aCopy)) {
-    SuspectCrash(
-      aNow,
-      aForward,
-      { aCopy.m_replica, *aCopy.m_sentAt, *aCopy.m_sentAt, aCopy.m_servedAt },
-      CrashSign::Silent);
+    SuspectCrash(aNow,
+                 aForward,
+                 { aCopy.m_replica,
+                   aCopy.m_connection,
+                   *aCopy.m_sentAt,
+                   *aCopy.m_sentAt,
+                   aCopy.m_servedAt },
+                 CrashSign::Silent);
   }
 }
 
@@ -162,7 +171,22 @@
 ForwarderImpl::HasAnswerNear(const PooledReplica& aReplica,
                              TimePoint aTime) const
 {
-  return m_pool.HasOtherAnswer(aReplica.m_record, aTime);
+  const ReplicaRecord& replica = aReplica.m_record;
+  return m_pool.HasOtherAnswer(
+    replica, aTime, [&](const ReplicaRecord& aOther) {
+      return aOther.m_dataCentre == replica.m_dataCentre;
+    });
+}
+
+bool
+ForwarderImpl::HasAnswerOfService(const PooledReplica& aReplica,
+                                  TimePoint aTime) const
+{
+  const ReplicaRecord& replica = aReplica.m_record;
+  return m_pool.HasOtherAnswer(
+    replica, aTime, [&](const ReplicaRecord& aOther) {
+      return aOther.m_service == replica.m_service;
+    });
 }
 
 void
@@ -177,7 +201,7 @@
     }
     if (verdict.m_outcome == CrashOutcome::Counted) {
       RecordCrash(aNow, report, false);
-    } else if (verdict.m_suspicion.m_sign == CrashSign::Broken) {
+    } else if (verdict.m_suspicion.m_sign != CrashSign::Silent) {
       // Replicas are often silent for a while.
       LogCrash(report, verdict.m_outcome, false);
     }
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -229,6 +229,8 @@
   bool HasAnswerSince(TimePoint aTime) const override;
   bool HasAnswerNear(const PooledReplica& aReplica,
                      TimePoint aTime) const override;
+  bool HasAnswerOfService(const PooledReplica& aReplica,
+                          TimePoint aTime) const override;
   void RecordCrash(TimePoint aNow, const CrashReport& aReport, bool aReported);
   void LogCrash(const CrashReport& aReport,
                 CrashOutcome aOutcome,
--- a/packages/forward/tests/CrashChecksTest.cpp
+++ b/packages/forward/tests/CrashChecksTest.cpp
@@ -23,6 +23,10 @@
   {
     return m_nearAnswers;
   }
+  bool HasAnswerOfService(const PooledReplica&, TimePoint) const override
+  {
+    return m_serviceAnswers;
+  }
 
   bool Suspect(CrashSign aSign = CrashSign::Broken,
                std::uint64_t aFingerprint = 7)
@@ -55,6 +59,7 @@
   Duration m_servedAgo = 1s;
   bool m_anyAnswers = true;
   bool m_nearAnswers = true;
+  bool m_serviceAnswers = true;
   CrashChecks m_checks;
 };
 
@@ -177,9 +182,29 @@
 TEST_CASE("All replicas of a service are dead, and answer nothing", "[forward]")
 {
   Fixture fixture;
-  fixture.m_servedAgo = 2s;
-  fixture.Suspect(GENERATE(CrashSign::Broken, CrashSign::Silent));
-  REQUIRE(fixture.Wait(2s) == Outcomes{ CrashOutcome::NoAnswer });
+  const CrashSign sign = GENERATE(CrashSign::BrokenNew, CrashSign::Silent);
+
+  SECTION("since some time")
+  {
+    fixture.m_servedAgo = 2s;
+    fixture.Suspect(sign);
+    REQUIRE(fixture.Wait(2s) == Outcomes{ CrashOutcome::NoAnswer });
+  }
+
+  SECTION("from now on")
+  {
+    fixture.m_serviceAnswers = false;
+    fixture.Suspect(sign);
+    REQUIRE(fixture.Wait(2s) == Outcomes{ CrashOutcome::NoAnswer });
+  }
+
+  SECTION("but the request was on a connection that had brought answers")
+  {
+    fixture.m_servedAgo = 2s;
+    fixture.m_serviceAnswers = false;
+    fixture.Suspect(CrashSign::Broken);
+    REQUIRE(fixture.Wait(1100ms) == Outcomes{ CrashOutcome::Counted });
+  }
 }
 
 TEST_CASE("A replica falls silent while it has a request", "[forward]")
