Do not count crashes twice that another host asks about

What callers would see: a popular request in quarantine after two crashes. Cause: a host that was asked about a suspect took it for one crash, and added those of the report that came after the question: 1 + 2 for a gathered request, which was then in quarantine. Change: a suspect of another host counts no crash here. Test: CrashingRequestTest, "and its crashes are reported, which count once"; before: 3 == 2.

--- a/packages/core/include/goldcrestkeel/core/CrashGuard.h
+++ b/packages/core/include/goldcrestkeel/core/CrashGuard.h
@@ -90,8 +90,8 @@
                         double aFraction,
                         bool aReset);
 
-  /** Another host has counted crashes of a statement: it becomes suspect here,
-   *  unless it is already. */
+  /** Another host has counted crashes of a statement: it is suspect here until
+   *  it completes. The crashes do not count here. */
   void AddSuspect(TimePoint aNow,
                   std::uint64_t aFingerprint,
                   const std::string& aStatement);
@@ -120,6 +120,8 @@
     /** Shards of which replicas crashed while this host ran the statement. */
     std::vector<std::string> m_shards;
     TimePoint m_lastCrash = TimePoint::min();
+    /** Another host has counted crashes, which this one has not. */
+    bool m_suspectElsewhere = false;
     /** When the last crash that was counted happened. */
     std::optional<TimePoint> m_countedAt;
     /** Replicas that crashed, with their incarnations. */
--- a/packages/core/src/CrashGuard.cpp
+++ b/packages/core/src/CrashGuard.cpp
@@ -62,8 +62,9 @@
   if (report.m_quarantined) {
     return StatementStatus::Quarantined;
   }
-  return report.m_crashes > 0 ? StatementStatus::Suspect
-                              : StatementStatus::Allowed;
+  return report.m_crashes > 0 || entry->second.m_suspectElsewhere
+           ? StatementStatus::Suspect
+           : StatementStatus::Allowed;
 }
 
 void
@@ -127,6 +128,7 @@
     return;
   }
   Entry& entry = found->second;
+  entry.m_suspectElsewhere = false;
   if (entry.m_report.m_crashes == 0 || entry.m_report.m_quarantined) {
     return;
   }
@@ -157,12 +159,9 @@
   EvictEntries();
   Entry& entry = m_entries[aFingerprint];
   entry.m_lastCrash = aNow;
-  SuspectReport& report = entry.m_report;
-  report.m_fingerprint = aFingerprint;
-  report.m_statement = aStatement;
-  report.m_crashes = 1;
-  ++report.m_version;
-  ++m_version;
+  entry.m_suspectElsewhere = true;
+  entry.m_report.m_fingerprint = aFingerprint;
+  entry.m_report.m_statement = aStatement;
 }
 
 void
--- a/packages/forward/tests/CrashingRequestTest.cpp
+++ b/packages/forward/tests/CrashingRequestTest.cpp
@@ -395,6 +395,19 @@
     }
   }
 
+  // Guards against a request in quarantine after two crashes, as the question
+  // comes before the report.
+  SECTION("and its crashes are reported, which count once")
+  {
+    fixture.m_forwarder->SuspectReported(fixture.m_now, Quarantine());
+    CrashReport report;
+    report.m_fingerprint = kFingerprint;
+    report.m_services = 3;
+    fixture.m_forwarder->CrashReported(fixture.m_now, report);
+    REQUIRE(fixture.m_forwarder->SuspectOf(kFingerprint).m_crashes == 2);
+    REQUIRE(fixture.m_announced.empty());
+  }
+
   SECTION("and its crash is reported, though it was answered since")
   {
     fixture.Start();
