Let the answer of any replica show that a host is not cut off

Cause: all checks ended with no_answer, since the first attempt had ended all replicas in the data centre of the host, so that no other one there could answer. Change: if a proven connection broke, an answer of any replica 0.1 s or more later will do. For replicas that may have been dead before, the conditions stay.

--- a/packages/forward/src/CrashChecks.cpp
+++ b/packages/forward/src/CrashChecks.cpp
@@ -139,13 +139,18 @@
   if (aCheck.m_outcome == ProbeOutcome::Answered || answered) {
     return CrashOutcome::ReplicaAlive;
   }
-  const bool lived =
-    aSuspicion.m_sign == CrashSign::Broken ||
-    (aSuspicion.m_servedAt > aSuspicion.m_crashedAt - kMaxNoAnswerTime &&
-     aActivity.HasAnswerOfService(*aCheck.m_replica,
-                                  since + kAnswersBeforeCrash));
-  if (age >= kNoAnswerTime && lived &&
-      aActivity.HasAnswerNear(*aCheck.m_replica, since + kCrossingCutTime)) {
+  bool othersAnswer = false;
+  if (aSuspicion.m_sign == CrashSign::Broken) {
+    othersAnswer = aActivity.LastAnswerAt() > since + kCrossingCutTime;
+  } else {
+    // Only part of the network may be cut, or the replica was dead before.
+    othersAnswer =
+      aSuspicion.m_servedAt > aSuspicion.m_crashedAt - kMaxNoAnswerTime &&
+      aActivity.HasAnswerNear(*aCheck.m_replica, since + kCrossingCutTime) &&
+      aActivity.HasAnswerOfService(*aCheck.m_replica,
+                                   since + kAnswersBeforeCrash);
+  }
+  if (age >= kNoAnswerTime && othersAnswer) {
     return CrashOutcome::Counted;
   }
   return age >= kMaxNoAnswerTime ? std::optional(CrashOutcome::NoAnswer)
@@ -156,7 +161,8 @@
 CrashChecks::Decide(TimePoint aNow, const ReplicaActivity& aActivity)
 {
   std::vector<CrashVerdict> verdicts = std::exchange(m_ended, {});
-  for (auto& [id, check] : m_checks) {
+  for (auto& item : m_checks) {
+    Check& check = item.second;
     std::erase_if(check.m_suspicions, [&](const CrashSuspicion& aSuspicion) {
       const auto outcome = Judge(aNow, check, aSuspicion, aActivity);
       if (outcome) {
--- a/packages/forward/src/CrashChecks.h
+++ b/packages/forward/src/CrashChecks.h
@@ -67,6 +67,8 @@
   virtual ~ReplicaActivity() = default;
   /** Whether the host reaches replicas, and one has answered since. */
   virtual bool HasAnswerSince(TimePoint aTime) const = 0;
+  /** When any replica has last answered. */
+  virtual TimePoint LastAnswerAt() const = 0;
   /** Whether another replica in the data centre of aReplica has answered since.
    */
   virtual bool HasAnswerNear(const PooledReplica& aReplica,
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -227,6 +227,7 @@
   void JudgeCrashes(TimePoint aNow);
   // ReplicaActivity
   bool HasAnswerSince(TimePoint aTime) const override;
+  TimePoint LastAnswerAt() const override { return m_contact.LastAnswerAt(); }
   bool HasAnswerNear(const PooledReplica& aReplica,
                      TimePoint aTime) const override;
   bool HasAnswerOfService(const PooledReplica& aReplica,
--- a/packages/forward/tests/CrashingRequestTest.cpp
+++ b/packages/forward/tests/CrashingRequestTest.cpp
@@ -178,6 +178,34 @@
     REQUIRE(fixture.m_probes.empty());
   }
 
+  SECTION("and one like it was answered meanwhile: it is sound")
+  {
+    fixture.ApplyRoute(fixture.SingleRoute(false), 10);
+    fixture.m_answerProbes = false;
+    fixture.Start();
+    const CopyId broken = fixture.m_sent.back().m_copy;
+    fixture.Advance(10ms);
+    fixture.Start();
+    const CopyId like = fixture.m_sent.back().m_copy;
+
+    SECTION("before, so that no health check is sent")
+    {
+      fixture.Answer(like);
+      fixture.Fail(broken, CopyFailure::Broken);
+      REQUIRE(fixture.m_probes.empty());
+    }
+
+    SECTION("or after, which ends the health check")
+    {
+      fixture.Fail(broken, CopyFailure::Broken);
+      REQUIRE(fixture.m_probes.size() == 1);
+      fixture.Answer(like);
+      fixture.Advance(150ms);
+      REQUIRE(fixture.m_aborted ==
+              std::vector<CopyId>{ fixture.m_probes.back() });
+    }
+  }
+
   SECTION("or was down before, so that it has not run there")
   {
     fixture.m_sendAtOnce = false;
