--- a/packages/forward/tests/CrashingRequestTest.cpp
+++ b/packages/forward/tests/CrashingRequestTest.cpp
@@ -463,6 +463,7 @@
     fixture.m_forwarder->UpdateReplica(
       fixture.m_now, fixture.Replica("other", i), fixture.m_now);
   }
+  fixture.ServeOther();
   for (int i = 0; i < 40; ++i) {
     fixture.Start();
     ForwardRequest request;
