--- a/packages/forward/include/goldcrestkeel/forward/CrashReport.h
+++ b/packages/forward/include/goldcrestkeel/forward/CrashReport.h
@@ -27,7 +27,8 @@
   /** Time since the service had last answered another request before the crash;
    *  not set if it had answered none. */
   std::optional<Duration> m_sinceServed{};
-  /** Number of services whose replicas broke off while they had the request. */
+  /** Number of services whose replicas broke off, or fell silent, while they
+   * had the request. */
   std::uint32_t m_services = 1;
 
   bool operator==(const CrashReport&) const = default;
@@ -42,7 +43,8 @@
   CountedBefore,
   /** The replica has answered its health check. */
   ReplicaAlive,
-  /** Neither the replica nor another one near it has answered. */
+  /** The replica has not answered, but too few others have to tell its crash
+   *  from a network that is cut. */
   NoAnswer,
   /** The replica is down, but no other one has answered either. */
   NoContact,
@@ -60,7 +62,7 @@
 struct CrashDecision
 {
   CrashOutcome m_outcome = CrashOutcome::Counted;
-  /** Time since the replica broke off; 0 if another host has observed it. */
+  /** Time since the replica broke off. */
   Duration m_age{ 0 };
   std::string_view m_summary;
   std::uint64_t m_fingerprint = 0;
