Put no request in quarantine that replicas have answered lately

Cause: a gathered request ended all replicas of the shards twice within a second (hanging). The popular one was at work each time, on proven connections, and nothing of it was answered in between: it could not be told from the one that ended them. It had been answered until the first crash, but answers before a crash counted for 2 s only, and only when hosts were asked. Change: a request that any host asked has answered within 10 s is cleared, and a host that has itself answered one counts no crash that would put it in quarantine. A request that crashes each replica is never answered.

--- a/packages/forward/src/AnsweredFingerprints.h
+++ b/packages/forward/src/AnsweredFingerprints.h
@@ -30,7 +30,7 @@
     std::uint64_t m_fingerprint = 0;
     TimePoint m_answeredAt;
   };
-  static constexpr std::size_t kEntries = 2048;
+  static constexpr std::size_t kEntries = 8192;
 
   std::array<Entry, kEntries> m_entries{};
 };
--- a/packages/forward/src/ForwarderCrashes.cpp
+++ b/packages/forward/src/ForwarderCrashes.cpp
@@ -20,8 +20,9 @@
 /** Number of services whose replicas seem to crash at once that counts as two
  *  crashes: an outage leaves some shards that answer. */
 constexpr std::size_t kServicesOfTwoCrashes = 3;
-/** An answer up to this time ago shows that such requests are sound. */
-constexpr Duration kSoundTime{ 2000000 };
+/** An answer up to this time ago shows that such requests are sound: all
+ *  replicas of a service can be dead for some seconds. */
+constexpr Duration kSoundTime{ 10000000 };
 
 } // namespace
 
@@ -244,6 +245,13 @@
   ++m_counters.m_crashes;
   const std::uint32_t crashesBefore =
     m_crashGuard.ReportOf(aReport.m_fingerprint).m_crashes;
+  const std::uint32_t crashes =
+    aReport.m_services >= kServicesOfTwoCrashes ? 2 : 1;
+  if (crashesBefore + crashes >= kCrashesBeforeQuarantine &&
+      m_answered.Contains(aReport.m_fingerprint, aNow - kSoundTime)) {
+    LogCrash(aReport, CrashOutcome::RequestAnswered, aReported);
+    return;
+  }
   const std::uint64_t before = m_crashGuard.QuarantinedCount();
   m_crashGuard.RecordCrash(aNow - aReport.m_sinceCrash,
                            sentAt,
@@ -254,7 +262,7 @@
                            static_cast<std::uint64_t>(aReport.m_startedAt),
                            aReport.m_sinceServed ? aNow - *aReport.m_sinceServed
                                                  : TimePoint::min(),
-                           aReport.m_services >= kServicesOfTwoCrashes ? 2 : 1);
+                           crashes);
   AddTimer(aNow + kCrashMemory + Duration(1), ForwardTimer::ForgetCrashes, 0);
   const SuspectReport suspect = m_crashGuard.ReportOf(aReport.m_fingerprint);
   LogCrash(aReport,
