Add the interfaces of tenants, regions, warm-up limits and evacuation

The configuration names tenants, regions that routes and tenants may be served in, warm-up limits of services, and evacuated data centres. None of it was decoded. This adds the structures, the decoding and the names of the header fields that the parts of docs/tenants-and-overload.md build on; the forwarder does not act on them yet, so that nothing changes for callers.

--- a/packages/edge/include/goldcrestkeel/edge/FieldNames.h
+++ b/packages/edge/include/goldcrestkeel/edge/FieldNames.h
@@ -16,7 +16,8 @@
   /** Stamp by which a replica proves that it produced the answer. */
   std::string m_stamp;
   /** Load of a replica: running requests, waiting requests and slots, as
-   *  "running,waiting,slots". */
+   *  "running,waiting,slots" and, on some replicas, the time that work takes
+   *  there now, in percent of the usual time. */
   std::string m_load;
   /** Requests a second that a replica takes from all entry hosts together; a
    *  decimal number. Present in its answers for as long as the limit holds. */
@@ -32,6 +33,14 @@
   std::string m_missingShards;
   /** Id of the replica, in its answers to health checks. */
   std::string m_instance{};
+  /** Key of the caller's tenant, after m_keyScheme and a space. */
+  std::string m_key{};
+  std::string m_keyScheme{};
+  /** Name of the caller's tenant, set by entry hosts. */
+  std::string m_tenant{};
+  /** How long a replica stays cold, in milliseconds, in its answers to health
+   *  checks. */
+  std::string m_warmupMs{};
 };
 
 } // namespace goldcrestkeel
--- a/packages/edge/include/goldcrestkeel/edge/TopologySource.h
+++ b/packages/edge/include/goldcrestkeel/edge/TopologySource.h
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,8 @@
   virtual void OnReplicaListComplete() = 0;
   /** The live entry hosts, including this one once it is listed. */
   virtual void OnHosts(const std::vector<HostRecord>& aHosts) = 0;
+  /** The data centres that are evacuated, at each change. */
+  virtual void OnEvacuations(const std::set<std::string>& aDataCentres) = 0;
   /** Requests that are in quarantine, as KeepQuarantine() has kept them. */
   virtual void OnQuarantines(const std::vector<SuspectReport>& aReports) = 0;
 };
--- a/packages/edge/src/EdgeServerImpl.h
+++ b/packages/edge/src/EdgeServerImpl.h
@@ -91,6 +91,7 @@
                         std::optional<TimePoint> aChangedAfter) override;
   void OnReplicaListComplete() override;
   void OnHosts(const std::vector<HostRecord>& aHosts) override;
+  void OnEvacuations(const std::set<std::string>& aDataCentres) override;
   void OnQuarantines(const std::vector<SuspectReport>& aReports) override;
 
 private:
--- a/packages/edge/src/EdgeTopology.cpp
+++ b/packages/edge/src/EdgeTopology.cpp
@@ -84,4 +84,10 @@
   m_crashReporter.SetHosts(aHosts);
 }
 
+void
+EdgeServer::Impl::OnEvacuations(const std::set<std::string>& aDataCentres)
+{
+  m_forwarder->SetEvacuated(m_loop.Now(), aDataCentres);
+}
+
 } // namespace goldcrestkeel
--- a/packages/edge/src/ReplicaAnswers.cpp
+++ b/packages/edge/src/ReplicaAnswers.cpp
@@ -36,6 +36,11 @@
     }
     at = parsed.ptr;
   }
+  // The fourth figure is optional.
+  while (at != end && (*at == ',' || *at == ' ')) {
+    ++at;
+  }
+  std::from_chars(at, end, report.m_workPercent);
   return report;
 }
 
@@ -104,6 +109,10 @@
   answer.m_quarantined =
     !FieldValue(aAnswer.m_fields, kQuarantinedField).empty();
   answer.m_load = ParseLoad(FieldValue(aAnswer.m_fields, m_names.m_load));
+  if (const auto warmup = ParseNumber<std::uint32_t>(
+        FieldValue(aAnswer.m_fields, m_names.m_warmupMs))) {
+    answer.m_warmupLeft = std::chrono::milliseconds(*warmup);
+  }
   answer.m_leaving = FieldValue(aAnswer.m_fields, m_names.m_leaving) == "1";
   if (aAnswer.m_status == kServiceUnavailable) {
     answer.m_restFor =
--- a/packages/forward/include/goldcrestkeel/Forward.h
+++ b/packages/forward/include/goldcrestkeel/Forward.h
@@ -8,3 +8,4 @@
 #include <goldcrestkeel/forward/HostRecord.h>
 #include <goldcrestkeel/forward/ReplicaRecord.h>
 #include <goldcrestkeel/forward/RoutingTable.h>
+#include <goldcrestkeel/forward/Tenant.h>
--- a/packages/forward/include/goldcrestkeel/forward/Forwarder.h
+++ b/packages/forward/include/goldcrestkeel/forward/Forwarder.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -58,6 +59,15 @@
   /** Equal for requests that ask replicas for the same; 0 to exempt the request
    *  from the crash guard. */
   std::uint64_t m_fingerprint = 0;
+  /** Tenant of the caller, owned by m_table; nullptr if it has none. */
+  const Tenant* m_tenant = nullptr;
+
+  /** Priority under overload; 0 is the highest. */
+  std::uint32_t Priority() const
+  {
+    return m_tenant && m_tenant->m_priority ? *m_tenant->m_priority
+                                            : m_route->m_priority;
+  }
 };
 
 /** A complete answer of a replica, or of an entry host to a relayed request. */
@@ -76,6 +86,8 @@
   /** In the answer to a health check: id of the replica; empty if absent. */
   std::string m_instance{};
   std::optional<LoadReport> m_load;
+  /** In the answer to a health check: how long the replica stays cold. */
+  std::optional<Duration> m_warmupLeft{};
   /** Requests a second that the replica takes from all entry hosts together;
    *  not set if it names no limit. */
   std::optional<double> m_requestLimit;
@@ -341,6 +353,9 @@
   /** Sets the entry hosts, some of which may gather shards for this one. */
   virtual void SetHosts(TimePoint aNow,
                         const std::vector<HostRecord>& aHosts) = 0;
+  /** Sets the data centres whose replicas get no requests. */
+  virtual void SetEvacuated(TimePoint aNow,
+                            const std::set<std::string>& aDataCentres) = 0;
 
   /** Adds or updates a replica. aChangedAfter: the change was made after this
    *  time; not set if that is unknown. A replica that drains is then used only
--- a/packages/forward/include/goldcrestkeel/forward/ReplicaRecord.h
+++ b/packages/forward/include/goldcrestkeel/forward/ReplicaRecord.h
@@ -36,6 +36,9 @@
   std::uint32_t m_running = 0;
   std::uint32_t m_waiting = 0;
   std::uint32_t m_slots = 0;
+  /** How long work takes on the replica's machine now, in percent of the usual
+   *  time; 0 if the report does not state it. */
+  std::uint32_t m_workPercent = 0;
 };
 
 } // namespace goldcrestkeel
--- a/packages/forward/include/goldcrestkeel/forward/RoutingTable.h
+++ b/packages/forward/include/goldcrestkeel/forward/RoutingTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <goldcrestkeel/core/Time.h>
+#include <goldcrestkeel/forward/Tenant.h>
 
 #include <cstdint>
 #include <map>
@@ -57,6 +58,10 @@
   /** Services of a route without m_gather; not empty for such a route. */
   std::vector<WeightedService> m_services;
   std::optional<GatherRule> m_gather;
+  /** Callers need no key. */
+  bool m_public = false;
+  /** Regions whose replicas may serve the route; empty for all. */
+  std::vector<std::string> m_allowedRegions;
 
   bool operator==(const Route&) const = default;
 };
@@ -69,6 +74,11 @@
   std::uint32_t m_connections = 1;
   /** Path at which a replica tells whether it is healthy. */
   std::string m_healthPath{ "/" };
+  /** How long a replica is cold after its start; 0 if that is not stated. */
+  Duration m_warmupTime{ 0 };
+  /** Requests a second that a cold replica takes from all entry hosts together;
+   *  0 for no limit. */
+  double m_warmupPerSecond = 0;
 
   bool operator==(const RoutedService&) const = default;
 };
@@ -91,9 +101,12 @@
   std::vector<Route> m_routes;
   std::map<std::string, RoutedService> m_services;
   CallerLimits m_limits;
+  /** Set if callers have to identify as tenants. */
+  bool m_hasTenants = false;
+  std::vector<Tenant> m_tenants;
 
-  /** Builds the lookup index. Call it after the last change of m_routes and
-   *  before Find(). */
+  /** Builds the lookup indexes. Call it after the last change of m_routes and
+   *  m_tenants and before any of the methods below. */
   void Index();
 
   /** Returns the route of aHost with the longest prefix of aPath, or nullptr if
@@ -101,9 +114,18 @@
    *  case-insensitively. The pointer is valid as long as the table. */
   const Route* Find(std::string_view aHost, std::string_view aPath) const;
 
+  /** Returns the tenant that holds aKey, or nullptr if there is none. The
+   *  pointer is valid as long as the table. */
+  const Tenant* FindTenantByKey(std::string_view aKey) const;
+  /** Returns the tenant named aName, or nullptr if there is none. */
+  const Tenant* FindTenant(std::string_view aName) const;
+
 private:
   /** Indexes into m_routes by host name, longest prefix first. */
   std::unordered_map<std::string, std::vector<std::size_t>> m_byHost;
+  /** Indexes into m_tenants by name, and by key. */
+  std::unordered_map<std::string, std::size_t> m_tenantByName;
+  std::unordered_map<std::string, std::size_t> m_tenantByKey;
 };
 
 } // namespace goldcrestkeel
--- a/packages/forward/src/BackendPool.h
+++ b/packages/forward/src/BackendPool.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -82,6 +83,8 @@
   bool m_listed = true;
   /** Another replica, or another instance of this one, has its address. */
   bool m_replaced = false;
+  /** Its data centre is evacuated. */
+  bool m_evacuated = false;
 
   /** Moving average of the response time without queueing at the replica,
    *  including the network, in microseconds; 0 before the first sample. */
@@ -174,6 +177,8 @@
   /** Sets the entry hosts. Hosts in the data centre of a replica get most of
    *  its connections. */
   void SetHosts(const std::vector<HostRecord>& aHosts);
+  /** Sets the data centres whose replicas get no requests. */
+  void SetEvacuated(const std::set<std::string>& aDataCentres);
 
   /** Whether another replica that aMatches has answered since. */
   bool HasOtherAnswer(
@@ -291,6 +296,7 @@
   std::uint32_t m_liveHosts = 1;
   bool m_openConnectionsOnly = false;
   std::map<std::string, std::uint32_t> m_hostsPerDataCentre;
+  std::set<std::string> m_evacuated;
   /** By name. */
   std::unordered_map<std::string, RoutedService> m_services;
   std::map<std::string, std::unique_ptr<BackendGroup>> m_groups;
--- a/packages/forward/src/BackendShares.cpp
+++ b/packages/forward/src/BackendShares.cpp
@@ -55,6 +55,15 @@
   }
 }
 
+void
+BackendPool::SetEvacuated(const std::set<std::string>& aDataCentres)
+{
+  m_evacuated = aDataCentres;
+  for (const auto& [id, replica] : m_byId) {
+    replica->m_evacuated = m_evacuated.contains(replica->m_record.m_dataCentre);
+  }
+}
+
 double
 BackendPool::ShareOf(const PooledReplica& aReplica) const
 {
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -57,6 +57,8 @@
                 std::shared_ptr<const RoutingTable> aTable) override;
   void SetLiveHosts(std::uint32_t aHosts) override;
   void SetHosts(TimePoint aNow, const std::vector<HostRecord>& aHosts) override;
+  void SetEvacuated(TimePoint aNow,
+                    const std::set<std::string>& aDataCentres) override;
   void UpdateReplica(TimePoint aNow,
                      const ReplicaRecord& aRecord,
                      std::optional<TimePoint> aChangedAfter) override;
--- a/packages/forward/src/RoutingTable.cpp
+++ b/packages/forward/src/RoutingTable.cpp
@@ -35,6 +35,14 @@
                               m_routes[aRight].m_pathPrefix.size();
                      });
   }
+  m_tenantByName.clear();
+  m_tenantByKey.clear();
+  for (std::size_t i = 0; i < m_tenants.size(); ++i) {
+    m_tenantByName.emplace(m_tenants[i].m_name, i);
+    for (const std::string& key : m_tenants[i].m_keys) {
+      m_tenantByKey.emplace(key, i);
+    }
+  }
 }
 
 const Route*
@@ -52,4 +60,18 @@
   return nullptr;
 }
 
+const Tenant*
+RoutingTable::FindTenantByKey(std::string_view aKey) const
+{
+  const auto found = m_tenantByKey.find(std::string(aKey));
+  return found == m_tenantByKey.end() ? nullptr : &m_tenants[found->second];
+}
+
+const Tenant*
+RoutingTable::FindTenant(std::string_view aName) const
+{
+  const auto found = m_tenantByName.find(std::string(aName));
+  return found == m_tenantByName.end() ? nullptr : &m_tenants[found->second];
+}
+
 } // namespace goldcrestkeel
