--- /dev/null
+++ b/packages/admission/include/goldcrestkeel/Admission.h
@@ -0,0 +1,4 @@
+#pragma once
+
+/** Decisions on which requests are admitted and in which order: rate limits of
+ *  tenants over all hosts, queue order, load shedding. Performs no I/O. */
