Bind requests to the regions of their route and tenant

Routes and tenants may name the regions they are served in, but the forwarder sent requests anywhere, and used the priority of the route for all tenants. The key of a tenant was looked up by a hash of the key itself, whose comparison stops at the first byte that differs.

BackendPool and RelayPool now take a RegionFilter wherever a replica or host is chosen, or it is asked whether one can be used. The filter points to the two lists of the table, so that no strings are copied for a request. It is not an optional argument, so that a new call cannot omit it. A failed search for another host no longer holds back requests of other regions, and one that waits for a replica of its regions no longer blocks those behind it.

--- a/packages/forward/include/goldcrestkeel/Forward.h
+++ b/packages/forward/include/goldcrestkeel/Forward.h
@@ -9,3 +9,4 @@
 #include <goldcrestkeel/forward/ReplicaRecord.h>
 #include <goldcrestkeel/forward/RoutingTable.h>
 #include <goldcrestkeel/forward/Tenant.h>
+#include <goldcrestkeel/forward/TenantKeys.h>
--- a/packages/forward/include/goldcrestkeel/forward/RoutingTable.h
+++ b/packages/forward/include/goldcrestkeel/forward/RoutingTable.h
@@ -2,6 +2,7 @@
 
 #include <goldcrestkeel/core/Time.h>
 #include <goldcrestkeel/forward/Tenant.h>
+#include <goldcrestkeel/forward/TenantKeys.h>
 
 #include <cstdint>
 #include <map>
@@ -104,6 +105,9 @@
   /** Set if callers have to identify as tenants. */
   bool m_hasTenants = false;
   std::vector<Tenant> m_tenants;
+  /** Why tenants or some of their keys were left out, for the log; never with a
+   *  key. */
+  std::vector<std::string> m_tenantFaults;
 
   /** Builds the lookup indexes. Call it after the last change of m_routes and
    *  m_tenants and before any of the methods below. */
@@ -114,8 +118,8 @@
    *  case-insensitively. The pointer is valid as long as the table. */
   const Route* Find(std::string_view aHost, std::string_view aPath) const;
 
-  /** Returns the tenant that holds aKey, or nullptr if there is none. The
-   *  pointer is valid as long as the table. */
+  /** Returns the tenant that holds aKey, or nullptr if there is none or more
+   *  than one. The pointer is valid as long as the table. */
   const Tenant* FindTenantByKey(std::string_view aKey) const;
   /** Returns the tenant named aName, or nullptr if there is none. */
   const Tenant* FindTenant(std::string_view aName) const;
@@ -125,7 +129,7 @@
   std::unordered_map<std::string, std::vector<std::size_t>> m_byHost;
   /** Indexes into m_tenants by name, and by key. */
   std::unordered_map<std::string, std::size_t> m_tenantByName;
-  std::unordered_map<std::string, std::size_t> m_tenantByKey;
+  TenantKeys m_tenantKeys;
 };
 
 } // namespace goldcrestkeel
--- a/packages/forward/src/BackendPool.cpp
+++ b/packages/forward/src/BackendPool.cpp
@@ -154,14 +154,16 @@
 BackendPool::Choose(TimePoint aNow,
                     const BackendGroup& aGroup,
                     const std::vector<std::string>& aExclude,
-                    ReplicaTier aWorst)
+                    ReplicaTier aWorst,
+                    const RegionFilter& aRegions)
 {
   std::shared_ptr<PooledReplica> best;
   ReplicaTier bestTier = aWorst;
   double bestScore = 0;
   for (const auto& replica : aGroup.m_replicas) {
     const ReplicaTier tier = TierOf(aNow, *replica);
-    if (tier > bestTier || Contains(aExclude, replica->m_record.m_id)) {
+    if (tier > bestTier || Contains(aExclude, replica->m_record.m_id) ||
+        !aRegions.Allows(replica->m_region)) {
       continue;
     }
     const double score = Score(aNow, aGroup, *replica);
@@ -177,25 +179,29 @@
 bool
 BackendPool::HasUsableReplica(TimePoint aNow,
                               const BackendGroup& aGroup,
-                              const std::vector<std::string>& aExclude)
+                              const std::vector<std::string>& aExclude,
+                              const RegionFilter& aRegions)
 {
   return std::any_of(aGroup.m_replicas.begin(),
                      aGroup.m_replicas.end(),
                      [&](const std::shared_ptr<PooledReplica>& aReplica) {
                        return TierOf(aNow, *aReplica) !=
                                 ReplicaTier::Unavailable &&
-                              !Contains(aExclude, aReplica->m_record.m_id);
+                              !Contains(aExclude, aReplica->m_record.m_id) &&
+                              aRegions.Allows(aReplica->m_region);
                      });
 }
 
 bool
 BackendPool::IsHeldByRest(TimePoint aNow,
                           const BackendGroup& aGroup,
-                          const std::vector<std::string>& aExclude)
+                          const std::vector<std::string>& aExclude,
+                          const RegionFilter& aRegions)
 {
   bool held = false;
   for (const auto& replica : aGroup.m_replicas) {
     if (Contains(aExclude, replica->m_record.m_id) ||
+        !aRegions.Allows(replica->m_region) ||
         TierWithoutRest(aNow, *replica) == ReplicaTier::Unavailable) {
       continue;
     }
--- a/packages/forward/src/BackendPool.h
+++ b/packages/forward/src/BackendPool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "DecayingRate.h"
+#include "RegionFilter.h"
 #include "RepeatBudget.h"
 #include "ReplicaNotices.h"
 #include "RequestLimit.h"
@@ -59,11 +60,17 @@
 DistanceBetween(const ForwarderOptions& aOptions,
                 const std::string& aDataCentre);
 
+/** Region of aDataCentre; empty if it belongs to none. */
+std::string
+RegionOf(const ForwarderOptions& aOptions, const std::string& aDataCentre);
+
 /** State of a replica, or of an entry host in RelayPool. */
 struct PooledReplica
 {
   ReplicaRecord m_record;
   Distance m_distance = Distance::OtherRegion;
+  /** Empty if its data centre belongs to none. */
+  std::string m_region;
 
   /** Copies sent or waiting for a connection, including abandoned ones. */
   std::uint32_t m_inFlight = 0;
@@ -223,34 +230,41 @@
   static ReplicaTier TierWithoutRest(TimePoint aNow,
                                      const PooledReplica& aReplica);
 
-  /** Selects the best replica of aGroup whose id is not in aExclude and whose
-   *  tier is not worse than aWorst; nullptr if there is none. */
+  /** Selects the best replica of aGroup that aRegions allows, whose id is not
+   * in aExclude and whose tier is not worse than aWorst; nullptr if there is
+   * none.
+   */
   std::shared_ptr<PooledReplica> Choose(
     TimePoint aNow,
     const BackendGroup& aGroup,
     const std::vector<std::string>& aExclude,
-    ReplicaTier aWorst);
+    ReplicaTier aWorst,
+    const RegionFilter& aRegions);
 
   /** Estimates the response time of a copy that is sent to aReplica now. */
   Duration ExpectedLatency(TimePoint aNow,
                            const BackendGroup& aGroup,
                            const PooledReplica& aReplica) const;
 
-  /** Whether aGroup has a replica, not in aExclude, that is not Unavailable. */
+  /** Whether aGroup has a replica that aRegions allows, not in aExclude, that
+   *  is not Unavailable. */
   static bool HasUsableReplica(TimePoint aNow,
                                const BackendGroup& aGroup,
-                               const std::vector<std::string>& aExclude);
+                               const std::vector<std::string>& aExclude,
+                               const RegionFilter& aRegions);
 
-  /** Whether the replicas of aGroup, without those in aExclude, would be usable
-   *  but want no request from this host now. */
+  /** Whether the replicas of aGroup that aRegions allows, without those in
+   *  aExclude, would be usable but want no request from this host now. */
   static bool IsHeldByRest(TimePoint aNow,
                            const BackendGroup& aGroup,
-                           const std::vector<std::string>& aExclude);
+                           const std::vector<std::string>& aExclude,
+                           const RegionFilter& aRegions);
 
-  /** The next permits of the replicas of aGroup, if all that are usable have
-   *  request limits that are used up. */
+  /** The next permits of the replicas of aGroup that aRegions allows, if all
+   *  that are usable have request limits that are used up. */
   static std::optional<NextPermits> PermitsOf(TimePoint aNow,
-                                              const BackendGroup& aGroup);
+                                              const BackendGroup& aGroup,
+                                              const RegionFilter& aRegions);
 
   /** Whether service discovery lists a non-draining replica of aGroup. */
   static bool HasListedReplica(const BackendGroup& aGroup);
--- a/packages/forward/src/BackendRegistry.cpp
+++ b/packages/forward/src/BackendRegistry.cpp
@@ -60,6 +60,7 @@
   replica->m_record = aRecord;
   replica->m_listed = true;
   replica->m_distance = DistanceBetween(m_options, aRecord.m_dataCentre);
+  replica->m_region = RegionOf(m_options, aRecord.m_dataCentre);
   replica->m_warmupEndsAt = aNow + aRecord.m_warmupLeft;
   UpdateShares(Group(aRecord.m_service));
   if (!aRecord.m_draining) {
--- a/packages/forward/src/BackendShares.cpp
+++ b/packages/forward/src/BackendShares.cpp
@@ -43,6 +43,13 @@
   return same ? Distance::SameRegion : Distance::OtherRegion;
 }
 
+std::string
+RegionOf(const ForwarderOptions& aOptions, const std::string& aDataCentre)
+{
+  const auto found = aOptions.m_regions.find(aDataCentre);
+  return found == aOptions.m_regions.end() ? std::string() : found->second;
+}
+
 void
 BackendPool::SetHosts(const std::vector<HostRecord>& aHosts)
 {
@@ -188,11 +195,14 @@
 }
 
 std::optional<NextPermits>
-BackendPool::PermitsOf(TimePoint aNow, const BackendGroup& aGroup)
+BackendPool::PermitsOf(TimePoint aNow,
+                       const BackendGroup& aGroup,
+                       const RegionFilter& aRegions)
 {
   std::optional<NextPermits> permits;
   for (const auto& replica : aGroup.m_replicas) {
-    if (TierOf(aNow, *replica) == ReplicaTier::Unavailable) {
+    if (TierOf(aNow, *replica) == ReplicaTier::Unavailable ||
+        !aRegions.Allows(replica->m_region)) {
       continue;
     }
     const Duration time = replica->m_requestLimit.TimeToPermit(aNow);
--- a/packages/forward/src/ForwardState.h
+++ b/packages/forward/src/ForwardState.h
@@ -152,6 +152,9 @@
 struct RunningForward
 {
   ForwardRequest m_request;
+  /** Regions whose replicas and hosts may serve the request. It refers to lists
+   *  in m_request.m_table. */
+  RegionFilter m_regions;
   TimePoint m_startedAt;
   std::vector<SubRequest> m_subRequests;
   /** Number of sub-requests in state Answered. */
--- a/packages/forward/src/Forwarder.cpp
+++ b/packages/forward/src/Forwarder.cpp
@@ -29,6 +29,14 @@
  *  replicas at nearly the same moment. */
 constexpr Duration kSameCrashTime{ 1000000 };
 
+RegionFilter
+RegionsOf(const ForwardRequest& aRequest)
+{
+  static const RegionFilter::Regions kAll;
+  return { aRequest.m_route->m_allowedRegions,
+           aRequest.m_tenant ? aRequest.m_tenant->m_allowedRegions : kAll };
+}
+
 } // namespace
 
 std::string_view
@@ -122,6 +130,7 @@
   forward.m_request = aRequest;
   forward.m_startedAt = aNow;
   const Route& route = *aRequest.m_route;
+  forward.m_regions = RegionsOf(aRequest);
   forward.m_routeState = &m_routes[route.m_name];
   MakeSubRequests(forward);
   const std::vector<RelayPool::Assignment> assignments =
--- a/packages/forward/src/ForwarderContact.cpp
+++ b/packages/forward/src/ForwarderContact.cpp
@@ -85,7 +85,7 @@
   switch (aReport.m_state) {
     case ContactState::Lost:
       ++m_counters.m_contactLosses;
-      if (UsesFallback()) {
+      if (UsesFallback({})) {
         RelayRunningRequests(aNow);
       }
       return;
@@ -104,9 +104,10 @@
 }
 
 bool
-ForwarderImpl::UsesFallback() const
+ForwarderImpl::UsesFallback(const RegionFilter& aRegions) const
 {
-  return m_contact.State() >= ContactState::Limited && m_relayPool.HasHosts();
+  return m_contact.State() >= ContactState::Limited &&
+         m_relayPool.HasHosts(aRegions);
 }
 
 bool
@@ -117,17 +118,16 @@
   if (aForward.m_fallbackFailed || aForward.m_request.m_relayedShards) {
     return false;
   }
-  if (!UsesFallback()) {
+  if (!UsesFallback(aForward.m_regions)) {
     return aNow >= aSubRequest.m_group->m_noFallbackUntil &&
-           BackendPool::IsHeldByRest(
-             aNow, *aSubRequest.m_group, aSubRequest.m_triedReplicas) &&
-           m_relayPool.HasHosts();
+           BackendPool::IsHeldByRest(aNow,
+                                     *aSubRequest.m_group,
+                                     aSubRequest.m_triedReplicas,
+                                     aForward.m_regions) &&
+           m_relayPool.HasHosts(aForward.m_regions);
   }
   return m_contact.State() == ContactState::Lost ||
-         !m_pool.Choose(aNow,
-                        *aSubRequest.m_group,
-                        aSubRequest.m_triedReplicas,
-                        ReplicaTier::Draining);
+         !ChooseReplica(aNow, aForward, aSubRequest, ReplicaTier::Draining);
 }
 
 void
@@ -197,8 +197,8 @@
 {
   RelayPool::Assignment assignment;
   if (aForward.m_fallbackHosts.size() < kMaxFallbackHosts) {
-    assignment =
-      m_relayPool.ChooseFallback(aNow, aForward.m_fallbackHosts, m_random);
+    assignment = m_relayPool.ChooseFallback(
+      aNow, aForward.m_fallbackHosts, m_random, aForward.m_regions);
   }
   assignment.m_shards = aIndexes;
   if (!assignment.m_host) {
@@ -209,9 +209,12 @@
                 "no other host serves",
                 aNow - m_contact.StateSince());
     aForward.m_fallbackFailed = true;
-    for (const std::uint32_t index : aIndexes) {
-      aForward.m_subRequests[index].m_group->m_noFallbackUntil =
-        aNow + kNoFallbackTime;
+    // Other requests may use hosts that this one may not.
+    if (!aForward.m_regions.IsRestricted()) {
+      for (const std::uint32_t index : aIndexes) {
+        aForward.m_subRequests[index].m_group->m_noFallbackUntil =
+          aNow + kNoFallbackTime;
+      }
     }
     if (m_contact.State() == ContactState::Lost) {
       FailRelayedSubRequests(aNow, aForward, aIndexes);
@@ -227,8 +230,8 @@
               aForward,
               assignment.m_group->m_name,
               host,
-              UsesFallback() ? NameOf(m_contact.State())
-                             : std::string_view("replicas rest"),
+              UsesFallback({}) ? NameOf(m_contact.State())
+                               : std::string_view("replicas rest"),
               aNow - m_contact.StateSince());
   SendRelay(aNow, aForward, assignment, RelayReason::Fallback);
 }
--- a/packages/forward/src/ForwarderDispatch.cpp
+++ b/packages/forward/src/ForwarderDispatch.cpp
@@ -73,10 +73,8 @@
                         CopyReason aReason)
 {
   SubRequest& subRequest = aForward.m_subRequests[aIndex];
-  const auto replica = m_pool.Choose(aNow,
-                                     *subRequest.m_group,
-                                     subRequest.m_triedReplicas,
-                                     ReplicaTier::Draining);
+  const auto replica =
+    ChooseReplica(aNow, aForward, subRequest, ReplicaTier::Draining);
   if (replica) {
     SendTo(aNow, aForward, aIndex, replica, aReason);
     return;
@@ -87,8 +85,10 @@
     SendFallback(aNow, aForward, { aIndex });
     return;
   }
-  if (BackendPool::HasUsableReplica(
-        aNow, *subRequest.m_group, subRequest.m_triedReplicas)) {
+  if (BackendPool::HasUsableReplica(aNow,
+                                    *subRequest.m_group,
+                                    subRequest.m_triedReplicas,
+                                    aForward.m_regions)) {
     Enqueue(aNow, aForward, aIndex);
     return;
   }
@@ -161,7 +161,7 @@
     return;
   }
   subRequest.m_state = SubRequest::State::Waiting;
-  const QueuedSubRequest entry{ aForward.m_request.m_route->m_priority,
+  const QueuedSubRequest entry{ aForward.m_request.Priority(),
                                 aForward.m_request.m_deadline,
                                 aForward.m_request.m_id,
                                 aIndex };
@@ -214,11 +214,12 @@
     }
     RunningForward& forward = *running->second;
     SubRequest& subRequest = forward.m_subRequests[entry->m_subRequest];
-    const auto replica = m_pool.Choose(
-      aNow, aGroup, subRequest.m_triedReplicas, ReplicaTier::Draining);
+    const auto replica =
+      ChooseReplica(aNow, forward, subRequest, ReplicaTier::Draining);
     if (!replica) {
-      // Later entries may have tried fewer replicas.
-      if (subRequest.m_triedReplicas.empty()) {
+      // Later entries may have tried fewer replicas, or may use other regions.
+      if (subRequest.m_triedReplicas.empty() &&
+          !forward.m_regions.IsRestricted()) {
         return;
       }
       ++entry;
@@ -334,10 +335,8 @@
   if (subRequest.m_state != SubRequest::State::Running) {
     return;
   }
-  const auto other = m_pool.Choose(aNow,
-                                   *subRequest.m_group,
-                                   subRequest.m_triedReplicas,
-                                   ReplicaTier::Degraded);
+  const auto other =
+    ChooseReplica(aNow, forward, subRequest, ReplicaTier::Degraded);
   if (!copy.m_sentAt) {
     if (other) {
       BackendPool::BackOff(aNow, *copy.m_replica, kUnreachableBackoff);
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -161,7 +161,7 @@
   /** Ends a probe; returns false if aProbe is none. */
   bool EndProbe(TimePoint aNow, CopyId aProbe, bool aAnswered);
   /** Whether other hosts are asked to serve what this one cannot. */
-  bool UsesFallback() const;
+  bool UsesFallback(const RegionFilter& aRegions) const;
   /** Whether another host is to be asked for aSubRequest: this one reaches no
    *  replica, or all that it reaches want no request from it. */
   bool NeedsFallback(TimePoint aNow,
@@ -311,7 +311,8 @@
   void AbandonCopies(TimePoint aNow, SubRequest& aSubRequest, Duration aDelay);
   void AbortUnsentCopies(const SubRequest& aSubRequest);
 
-  // ForwarderLimits.cpp: request limits of replicas, and overloaded shards.
+  // ForwarderLimits.cpp: request limits of replicas, allowed regions, and
+  // overloaded shards.
   /** Sheds load of overloaded shards: skips them in some of the requests whose
    *  answer may lack them, and in all of these if request limits leave no time.
    */
@@ -329,6 +330,12 @@
                      const ReplicaAnswer& aAnswer);
   /** Sends the copies that wait for a connection to aReplica elsewhere. */
   void MoveUnsentCopies(TimePoint aNow, const PooledReplica& aReplica);
+  /** Selects a replica that the request may use and has not tried; nullptr if
+   *  there is none. */
+  std::shared_ptr<PooledReplica> ChooseReplica(TimePoint aNow,
+                                               const RunningForward& aForward,
+                                               const SubRequest& aSubRequest,
+                                               ReplicaTier aWorst);
   /** Number of queued sub-requests that come before a new one. */
   std::size_t QueuedAhead(const BackendGroup& aGroup,
                           std::uint32_t aPriority) const;
--- a/packages/forward/src/ForwarderLimits.cpp
+++ b/packages/forward/src/ForwarderLimits.cpp
@@ -87,6 +87,19 @@
   }
 }
 
+std::shared_ptr<PooledReplica>
+ForwarderImpl::ChooseReplica(TimePoint aNow,
+                             const RunningForward& aForward,
+                             const SubRequest& aSubRequest,
+                             ReplicaTier aWorst)
+{
+  return m_pool.Choose(aNow,
+                       *aSubRequest.m_group,
+                       aSubRequest.m_triedReplicas,
+                       aWorst,
+                       aForward.m_regions);
+}
+
 std::size_t
 ForwarderImpl::QueuedAhead(const BackendGroup& aGroup,
                            std::uint32_t aPriority) const
@@ -107,16 +120,17 @@
                               const RunningForward& aForward,
                               const BackendGroup& aGroup) const
 {
-  if (!BackendPool::HasUsableReplica(aNow, aGroup, {})) {
+  const RegionFilter& regions = aForward.m_regions;
+  if (!BackendPool::HasUsableReplica(aNow, aGroup, {}, regions)) {
     return false;
   }
-  const auto permits = BackendPool::PermitsOf(aNow, aGroup);
+  const auto permits = BackendPool::PermitsOf(aNow, aGroup, regions);
   if (!permits) {
     return true;
   }
   const Route& route = *aForward.m_request.m_route;
   const double queueTimeUs =
-    static_cast<double>(QueuedAhead(aGroup, route.m_priority)) /
+    static_cast<double>(QueuedAhead(aGroup, aForward.m_request.Priority())) /
     permits->m_rate * kMicrosecondsPerSecond;
   const Duration wait =
     permits->m_first + Duration(static_cast<Duration::rep>(queueTimeUs));
@@ -142,7 +156,7 @@
     if (aForward.m_subRequests[index].m_state == SubRequest::State::Relayed) {
       continue;
     }
-    if (!BackendPool::HasUsableReplica(aNow, group, {})) {
+    if (!BackendPool::HasUsableReplica(aNow, group, {}, aForward.m_regions)) {
       ++withoutReplica;
     } else if (!IsServedInTime(aNow, aForward, group)) {
       overloaded.emplace_back(1, index);
--- a/packages/forward/src/ForwarderRelay.cpp
+++ b/packages/forward/src/ForwarderRelay.cpp
@@ -35,11 +35,12 @@
 {
   const ForwardRequest& request = aForward.m_request;
   // Relayed shards are not relayed again.
-  if (!request.m_route->m_gather || request.m_relayedShards || UsesFallback()) {
+  if (!request.m_route->m_gather || request.m_relayedShards ||
+      UsesFallback(aForward.m_regions)) {
     return {};
   }
-  auto assignments =
-    m_relayPool.AssignShards(aNow, request.m_route->m_gather->m_shards, m_pool);
+  auto assignments = m_relayPool.AssignShards(
+    aNow, request.m_route->m_gather->m_shards, m_pool, aForward.m_regions);
   for (const RelayPool::Assignment& assignment : assignments) {
     for (const std::uint32_t index : assignment.m_shards) {
       aForward.m_subRequests[index].m_state = SubRequest::State::Relayed;
--- a/packages/forward/src/RelayPool.cpp
+++ b/packages/forward/src/RelayPool.cpp
@@ -93,6 +93,7 @@
       pooled->m_record.m_address = host.m_relayAddress;
       pooled->m_record.m_dataCentre = host.m_dataCentre;
       pooled->m_distance = DistanceBetween(m_options, host.m_dataCentre);
+      pooled->m_region = RegionOf(m_options, host.m_dataCentre);
       pooled->m_lastAnswerAt = aNow;
       pooled->m_maxInFlight = kMaxRelaysPerHost;
     }
@@ -122,18 +123,20 @@
 std::vector<RelayPool::Assignment>
 RelayPool::AssignShards(TimePoint aNow,
                         const std::vector<std::string>& aShards,
-                        BackendPool& aPool) const
+                        BackendPool& aPool,
+                        const RegionFilter& aRegions) const
 {
   if (m_byDataCentre.empty()) {
     return {};
   }
   // Shards without a replica in this data centre, by the data centres that have
-  // one.
+  // one. As only allowed replicas count, so do only hosts in allowed regions.
   std::map<std::string_view, std::vector<std::uint32_t>> byDataCentre;
   for (std::uint32_t shard = 0; shard < aShards.size(); ++shard) {
     std::set<std::string_view> dataCentres;
     for (const auto& replica : aPool.Group(aShards[shard]).m_replicas) {
-      if (!replica->m_usableUntil && !replica->m_replaced) {
+      if (!replica->m_usableUntil && !replica->m_replaced &&
+          aRegions.Allows(replica->m_region)) {
         dataCentres.insert(replica->m_record.m_dataCentre);
       }
     }
@@ -174,18 +177,21 @@
 }
 
 bool
-RelayPool::HasHosts() const
+RelayPool::HasHosts(const RegionFilter& aRegions) const
 {
   return std::any_of(
-    m_byDataCentre.begin(), m_byDataCentre.end(), [](const auto& aEntry) {
-      return !aEntry.second->m_group.m_replicas.empty();
+    m_byDataCentre.begin(), m_byDataCentre.end(), [&](const auto& aEntry) {
+      // All hosts of a data centre are in the same region.
+      const auto& hosts = aEntry.second->m_group.m_replicas;
+      return !hosts.empty() && aRegions.Allows(hosts.front()->m_region);
     });
 }
 
 RelayPool::Assignment
 RelayPool::ChooseFallback(TimePoint aNow,
                           const std::vector<std::string>& aExclude,
-                          RandomSource& aRandom) const
+                          RandomSource& aRandom,
+                          const RegionFilter& aRegions) const
 {
   using Rank = std::tuple<bool, Distance, double>;
   Assignment unknown;
@@ -196,7 +202,8 @@
     for (const auto& host : hosts->m_group.m_replicas) {
       const std::string& id = host->m_record.m_id;
       if (BackendPool::TierOf(aNow, *host) > ReplicaTier::Degraded ||
-          std::find(aExclude.begin(), aExclude.end(), id) != aExclude.end()) {
+          std::find(aExclude.begin(), aExclude.end(), id) != aExclude.end() ||
+          !aRegions.Allows(host->m_region)) {
         continue;
       }
       const double preference = hosts->m_preference.at(id);
--- a/packages/forward/src/RelayPool.h
+++ b/packages/forward/src/RelayPool.h
@@ -32,20 +32,23 @@
     /** Ascending indexes into the list of shards. */
     std::vector<std::uint32_t> m_shards;
   };
-  /** Assigns some of aShards to other hosts; this host queries the rest. */
+  /** Assigns some of aShards to other hosts that aRegions allows; this host
+   *  queries the rest. */
   std::vector<Assignment> AssignShards(TimePoint aNow,
                                        const std::vector<std::string>& aShards,
-                                       BackendPool& aPool) const;
+                                       BackendPool& aPool,
+                                       const RegionFilter& aRegions) const;
 
-  /** Whether any other host takes requests of this one. */
-  bool HasHosts() const;
-  /** Chooses a host to serve requests while this one reaches no replica,
-   *  without those whose ids are in aExclude; its m_shards are empty, and its
-   *  m_host is nullptr if there is none. Spreads the requests over a few hosts
-   *  that have served such requests lately. */
+  /** Whether any other host that aRegions allows takes requests of this one. */
+  bool HasHosts(const RegionFilter& aRegions) const;
+  /** Chooses a host that aRegions allows to serve requests while this one
+   *  reaches no replica, without those whose ids are in aExclude; its m_shards
+   *  are empty, and its m_host is nullptr if there is none. Spreads the
+   * requests over a few hosts that have served such requests lately. */
   Assignment ChooseFallback(TimePoint aNow,
                             const std::vector<std::string>& aExclude,
-                            RandomSource& aRandom) const;
+                            RandomSource& aRandom,
+                            const RegionFilter& aRegions) const;
   /** A host of the data centre does not take such requests at the moment. */
   void HostDeclined(TimePoint aNow, const std::string& aDataCentre);
 
--- a/packages/forward/src/RoutingTable.cpp
+++ b/packages/forward/src/RoutingTable.cpp
@@ -36,11 +36,11 @@
                      });
   }
   m_tenantByName.clear();
-  m_tenantByKey.clear();
+  m_tenantKeys.Clear();
   for (std::size_t i = 0; i < m_tenants.size(); ++i) {
     m_tenantByName.emplace(m_tenants[i].m_name, i);
     for (const std::string& key : m_tenants[i].m_keys) {
-      m_tenantByKey.emplace(key, i);
+      m_tenantKeys.Add(key, i);
     }
   }
 }
@@ -63,8 +63,8 @@
 const Tenant*
 RoutingTable::FindTenantByKey(std::string_view aKey) const
 {
-  const auto found = m_tenantByKey.find(std::string(aKey));
-  return found == m_tenantByKey.end() ? nullptr : &m_tenants[found->second];
+  const auto index = m_tenantKeys.Find(aKey);
+  return index ? &m_tenants[*index] : nullptr;
 }
 
 const Tenant*
--- a/packages/forward/tests/ForwarderFixture.cpp
+++ b/packages/forward/tests/ForwarderFixture.cpp
@@ -101,6 +101,7 @@
   request.m_route = &m_table->m_routes.front();
   request.m_deadline = m_now + aDeadline;
   request.m_fingerprint = m_fingerprint;
+  request.m_tenant = m_tenant;
   m_forwarder->Start(m_now, request);
   return request.m_id;
 }
--- a/packages/forward/tests/ForwarderFixture.h
+++ b/packages/forward/tests/ForwarderFixture.h
@@ -127,6 +127,7 @@
   std::vector<SuspectReport> m_announced;
   /** Of the requests that are started. */
   std::uint64_t m_fingerprint = 0;
+  const Tenant* m_tenant = nullptr;
   std::map<ForwardId, ForwardResult> m_results;
   ForwardId m_next = 1;
 };
