Authenticate callers by the keys of tenants

Any caller was served, and replicas got whatever it named as its tenant.

A request to a route that is not public now needs the key of a tenant, or is answered with 401 before anything waits or is sent. Copies and relays carry the tenant's name and never the key. A caller could also have the request id, or the host, dropped from copies by naming them in its Connection field; both are kept.

--- a/packages/edge/src/CopyWriter.cpp
+++ b/packages/edge/src/CopyWriter.cpp
@@ -9,6 +9,7 @@
 
 /** Memory reserved for the request line and the header fields, in bytes. */
 constexpr std::size_t kReservedHeaderBytes = 768;
+constexpr std::string_view kHostField = "Host";
 
 std::string
 FormatMilliseconds(Duration aTime)
@@ -22,6 +23,7 @@
 std::string
 WriteHeader(const RequestMessage& aRequest,
             const EdgeFieldNames& aNames,
+            const IdentityFields& aIdentity,
             Duration aTimeLeft)
 {
   std::string bytes;
@@ -31,15 +33,30 @@
     .append(" ")
     .append(aRequest.m_target)
     .append(" HTTP/1.1\r\n");
-  for (const auto& [name, value] : EndToEndFields(aRequest.m_fields)) {
+  const std::vector<HeaderField> fields = EndToEndFields(aRequest.m_fields);
+  for (const auto& [name, value] : fields) {
     // A caller must not set the fields that entry hosts exchange.
-    if (!EqualsIgnoreCase(name, aNames.m_deadlineMs) &&
-        !EqualsIgnoreCase(name, aNames.m_targetInstance) &&
-        !IsHostField(name)) {
-      AppendField(bytes, name, value);
+    if (EqualsIgnoreCase(name, aNames.m_deadlineMs) ||
+        EqualsIgnoreCase(name, aNames.m_targetInstance) || IsHostField(name) ||
+        (aIdentity.m_replace && (EqualsIgnoreCase(name, aNames.m_key) ||
+                                 EqualsIgnoreCase(name, aNames.m_tenant)))) {
+      continue;
+    }
+    AppendField(bytes, name, value);
+  }
+  // A caller can have fields dropped by naming them in its Connection field.
+  // Without a host a copy is malformed, and an answer is recognised by its id.
+  for (const std::string_view needed :
+       { kHostField, std::string_view(aNames.m_requestId) }) {
+    const std::string_view value = FieldValue(aRequest.m_fields, needed);
+    if (!value.empty() && FieldValue(fields, needed).empty()) {
+      AppendField(bytes, needed, value);
     }
   }
   AppendField(bytes, aNames.m_deadlineMs, FormatMilliseconds(aTimeLeft));
+  if (!aIdentity.m_tenant.empty()) {
+    AppendField(bytes, aNames.m_tenant, aIdentity.m_tenant);
+  }
   return bytes;
 }
 
@@ -58,10 +75,11 @@
 std::string
 WriteCopy(const RequestMessage& aRequest,
           const EdgeFieldNames& aNames,
+          const IdentityFields& aIdentity,
           const std::string& aReplica,
           Duration aTimeLeft)
 {
-  std::string bytes = WriteHeader(aRequest, aNames, aTimeLeft);
+  std::string bytes = WriteHeader(aRequest, aNames, aIdentity, aTimeLeft);
   AppendField(bytes, aNames.m_targetInstance, aReplica);
   AppendBody(bytes, aRequest);
   return bytes;
@@ -70,10 +88,11 @@
 std::string
 WriteRelay(const RequestMessage& aRequest,
            const EdgeFieldNames& aNames,
+           const IdentityFields& aIdentity,
            const RelayParameters& aParameters,
            Duration aTimeLeft)
 {
-  std::string bytes = WriteHeader(aRequest, aNames, aTimeLeft);
+  std::string bytes = WriteHeader(aRequest, aNames, aIdentity, aTimeLeft);
   AppendRelayParameters(bytes, aParameters);
   AppendBody(bytes, aRequest);
   return bytes;
--- a/packages/edge/src/CopyWriter.h
+++ b/packages/edge/src/CopyWriter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CallerIdentity.h"
 #include "RelayFields.h"
 #include "ReplicaConnections.h"
 
@@ -11,11 +12,13 @@
 namespace goldcrestkeel {
 
 /** Serializes aRequest for the replica with the id aReplica. Method, target,
- *  body and end-to-end fields stay as they are. aTimeLeft is the time within
+ *  body and end-to-end fields stay as they are, except for those that aIdentity
+ *  replaces. aTimeLeft is the time within
  *  which the replica must answer. */
 std::string
 WriteCopy(const RequestMessage& aRequest,
           const EdgeFieldNames& aNames,
+          const IdentityFields& aIdentity,
           const std::string& aReplica,
           Duration aTimeLeft);
 
@@ -24,6 +27,7 @@
 std::string
 WriteRelay(const RequestMessage& aRequest,
            const EdgeFieldNames& aNames,
+           const IdentityFields& aIdentity,
            const RelayParameters& aParameters,
            Duration aTimeLeft);
 
--- a/packages/edge/src/EdgeLogLines.cpp
+++ b/packages/edge/src/EdgeLogLines.cpp
@@ -23,6 +23,7 @@
     "answer",
     { { "request", std::string_view(aOpen.m_requestId) },
       { "route", std::string_view(aOpen.m_route) },
+      { "tenant", std::string_view(aOpen.m_identity.m_tenant) },
       { "version", static_cast<std::int64_t>(aOpen.m_version) },
       { "status",
         static_cast<std::int64_t>(aResult.m_error
--- a/packages/edge/src/EdgeMetrics.cpp
+++ b/packages/edge/src/EdgeMetrics.cpp
@@ -37,6 +37,12 @@
       .Name("goldcrestkeel_edge_answers_total")
       .Help("Answers to callers by outcome")
       .Register(m_registry);
+  prometheus::Counter& m_unauthorized =
+    prometheus::BuildCounter()
+      .Name("goldcrestkeel_edge_unauthorized_total")
+      .Help("Requests refused for want of a valid key")
+      .Register(m_registry)
+      .Add({});
   prometheus::Family<prometheus::Histogram>& m_latency =
     prometheus::BuildHistogram()
       .Name("goldcrestkeel_edge_answer_seconds")
@@ -61,6 +67,12 @@
     .Observe(static_cast<double>(aTime.count()) / 1e6);
 }
 
+void
+EdgeMetrics::CountUnauthorized()
+{
+  m_impl->m_unauthorized.Increment();
+}
+
 std::string
 EdgeMetrics::Text(const ForwarderCounters& aCounters, const EdgeGauges& aGauges)
 {
--- a/packages/edge/src/EdgeMetrics.h
+++ b/packages/edge/src/EdgeMetrics.h
@@ -47,6 +47,9 @@
    *  the name of an error kind. */
   void CountAnswer(std::string_view aOutcome, Duration aTime);
 
+  /** Counts a request that was refused for want of a valid key. */
+  void CountUnauthorized();
+
   /** All metrics in the text format. */
   std::string Text(const ForwarderCounters& aCounters,
                    const EdgeGauges& aGauges);
--- a/packages/edge/src/EdgeRequests.cpp
+++ b/packages/edge/src/EdgeRequests.cpp
@@ -112,6 +112,10 @@
                std::nullopt);
     return;
   }
+  const auto identity = Identify(aSession, aRequest, *route);
+  if (!identity) {
+    return;
+  }
   const TimePoint now = m_loop.Now();
   ForwardRequest forward;
   if (parameters) {
@@ -124,6 +128,7 @@
   forward.m_id = m_nextRequest++;
   forward.m_table = m_table;
   forward.m_route = route;
+  forward.m_tenant = identity->m_tenant;
   const auto requestedTimeout =
     ParseMilliseconds(FieldValue(aRequest.m_fields, m_names.m_deadlineMs));
   // Another entry host has already subtracted the transit time.
@@ -139,6 +144,7 @@
   open.m_deadline = forward.m_deadline;
   open.m_route = route->m_name;
   open.m_version = m_table->m_version;
+  open.m_identity = IdentityFieldsOf(*m_table, *identity);
   m_requestBySession[open.m_session] = forward.m_id;
   m_openRequests.emplace(forward.m_id, std::move(open));
   m_forwarder->Start(now, forward);
@@ -264,6 +270,9 @@
       { "version",
         static_cast<std::int64_t>(m_table ? m_table->m_version : 0) } });
   CallerReply reply = ToErrorReply(aKind, aDetail, aRetryAfter);
+  if (aKind == ErrorKind::Unauthorized) {
+    reply.m_fields.emplace_back("WWW-Authenticate", m_names.m_keyScheme);
+  }
   if (aSession.Peer() == SessionPeer::Host) {
     reply.m_fields.emplace_back(kCopiesField, "0");
     reply.m_fields.emplace_back(kUnavailableField, "1");
--- a/packages/edge/src/EdgeServer.cpp
+++ b/packages/edge/src/EdgeServer.cpp
@@ -174,8 +174,11 @@
   copy.m_requestId = open.m_requestId;
   copy.m_requestEndsAt = open.m_deadline;
   copy.m_head = open.m_request.m_method == "HEAD";
-  copy.m_bytes =
-    WriteCopy(open.m_request, m_names, aReplica.m_id, aDeadline - m_loop.Now());
+  copy.m_bytes = WriteCopy(open.m_request,
+                           m_names,
+                           open.m_identity,
+                           aReplica.m_id,
+                           aDeadline - m_loop.Now());
   m_replicas.Send(aReplica, std::move(copy));
 }
 
@@ -195,6 +198,7 @@
   copy.m_head = open.m_request.m_method == "HEAD";
   copy.m_bytes = WriteRelay(open.m_request,
                             m_names,
+                            open.m_identity,
                             { open.m_version,
                               aPart.m_shards,
                               aPart.m_maxMissingShards,
--- a/packages/edge/src/EdgeServerImpl.h
+++ b/packages/edge/src/EdgeServerImpl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CallerIdentity.h"
 #include "CrashReporter.h"
 #include "EdgeMetrics.h"
 #include "FeedPolls.h"
@@ -104,6 +105,7 @@
     TimePoint m_deadline;
     std::string m_route;
     RoutingVersion m_version = 0;
+    IdentityFields m_identity;
   };
 
   /** A request of another entry host that is not relayed: a poll, or a message
@@ -121,6 +123,13 @@
   /** True if a request that another entry host relays can be served. */
   bool CanServeRelay(const std::optional<RelayParameters>& aParameters,
                      const Route& aRoute) const;
+  /** Identifies the caller; answers the request and returns std::nullopt if it
+   *  must not be served. */
+  std::optional<CallerIdentity> Identify(CallerSession& aSession,
+                                         const RequestMessage& aRequest,
+                                         const Route& aRoute);
+  /** Logs, once for a version, what is invalid in tenants and regions. */
+  void LogTenantFaults(const RoutingTable& aTable);
   bool IsReady() const;
   CallerReply ReadinessReply() const;
   CallerReply MetricsReply();
--- a/packages/edge/src/EdgeTopology.cpp
+++ b/packages/edge/src/EdgeTopology.cpp
@@ -30,6 +30,7 @@
     "table_in_force",
     { { "version", static_cast<std::int64_t>(aTable->m_version) },
       { "routes", static_cast<std::int64_t>(aTable->m_routes.size()) } });
+  LogTenantFaults(*aTable);
   m_table = std::move(aTable);
   m_forwarder->SetTable(m_loop.Now(), m_table);
 }
--- a/packages/edge/tests/RelayFieldsTest.cpp
+++ b/packages/edge/tests/RelayFieldsTest.cpp
@@ -73,12 +73,12 @@
   names.m_deadlineMs = "Deadline";
   names.m_targetInstance = "Target";
   const std::string relay =
-    WriteRelay(request, names, { 7, { 0, 3 }, 0, 85ms }, 100ms);
+    WriteRelay(request, names, {}, { 7, { 0, 3 }, 0, 85ms }, 100ms);
   REQUIRE(relay == "GET /p/ HTTP/1.1\r\nHost: h\r\nDeadline: 100\r\n"
                    "Goldcrestkeel-Table-Version: 7\r\n"
                    "Goldcrestkeel-Shards: 0,3\r\n"
                    "Goldcrestkeel-May-Miss: 0\r\n"
                    "Goldcrestkeel-Target-Ms: 85\r\n\r\n");
-  const std::string copy = WriteCopy(request, names, "r", 100ms);
+  const std::string copy = WriteCopy(request, names, {}, "r", 100ms);
   REQUIRE(copy.find("oldcrestkeel-") == std::string::npos);
 }
