--- a/packages/forward/src/BackendPool.h
+++ b/packages/forward/src/BackendPool.h
@@ -153,6 +153,8 @@
   double m_latency = 0;
   /** No other host is asked for this service before this time. */
   TimePoint m_noFallbackUntil;
+  /** The same for requests that are bound to regions. */
+  TimePoint m_noBoundFallbackUntil;
   /** Rate of gathered requests that were answered without this shard although
    *  they had queried it. */
   DecayingRate m_missRate{ kMissedWeight, kMissedTimeConstantUs };
--- a/packages/forward/src/ForwarderContact.cpp
+++ b/packages/forward/src/ForwarderContact.cpp
@@ -20,6 +20,14 @@
  *  lost contact as well, or have another version of the routing table. */
 constexpr Duration kDeclinedBackoff{ 250000 };
 
+// Other requests may use hosts that those bound to regions may not.
+TimePoint&
+NoFallbackUntil(BackendGroup& aGroup, const RegionFilter& aRegions)
+{
+  return aRegions.IsRestricted() ? aGroup.m_noBoundFallbackUntil
+                                 : aGroup.m_noFallbackUntil;
+}
+
 } // namespace
 
 void
@@ -119,7 +127,7 @@
     return false;
   }
   if (!UsesFallback(aForward.m_regions)) {
-    return aNow >= aSubRequest.m_group->m_noFallbackUntil &&
+    return aNow >= NoFallbackUntil(*aSubRequest.m_group, aForward.m_regions) &&
            BackendPool::IsHeldByRest(aNow,
                                      *aSubRequest.m_group,
                                      aSubRequest.m_triedReplicas,
@@ -209,12 +217,9 @@
                 "no other host serves",
                 aNow - m_contact.StateSince());
     aForward.m_fallbackFailed = true;
-    // Other requests may use hosts that this one may not.
-    if (!aForward.m_regions.IsRestricted()) {
-      for (const std::uint32_t index : aIndexes) {
-        aForward.m_subRequests[index].m_group->m_noFallbackUntil =
-          aNow + kNoFallbackTime;
-      }
+    for (const std::uint32_t index : aIndexes) {
+      NoFallbackUntil(*aForward.m_subRequests[index].m_group,
+                      aForward.m_regions) = aNow + kNoFallbackTime;
     }
     if (m_contact.State() == ContactState::Lost) {
       FailRelayedSubRequests(aNow, aForward, aIndexes);
--- a/packages/forward/tests/TenantRequestsTest.cpp
+++ b/packages/forward/tests/TenantRequestsTest.cpp
@@ -347,3 +347,39 @@
     REQUIRE(fixture.m_relays.size() == 1);
   }
 }
+
+// Guards against a request that finds no host in its regions, and then keeps
+// those of others from being relayed.
+TEST_CASE("The replicas of all regions rest", "[tenant]")
+{
+  TenantFixture fixture(SingleRoute(), {}, { "south" });
+  fixture.Add("single", "a", 1);
+  fixture.Add("single", "c", 1);
+  fixture.SetHosts();
+  ReplicaAnswer rest;
+  rest.m_status = 503;
+  rest.m_notRun = true;
+  rest.m_restFor = 2s;
+  const Tenant* const south = fixture.m_tenant;
+  fixture.m_tenant = nullptr;
+  fixture.Start();
+  for (std::size_t i = 0; i < 2; ++i) {
+    REQUIRE(fixture.m_sent.size() == i + 1);
+    fixture.AnswerWith(fixture.m_sent.back().m_copy, rest);
+  }
+  fixture.m_relays.clear();
+
+  fixture.m_tenant = south;
+  const ForwardId bound = fixture.Start();
+  REQUIRE(fixture.m_relays.size() == 1);
+  REQUIRE(fixture.m_relays.back().m_service == "c");
+  rest.m_restFor.reset();
+  fixture.AnswerWith(fixture.m_relays.back().m_copy, rest);
+  REQUIRE(fixture.IsRefused(bound));
+  // The next one would be declined as well.
+  REQUIRE(fixture.IsRefused(fixture.Start()));
+  REQUIRE(fixture.m_relays.size() == 1);
+  fixture.m_tenant = nullptr;
+  fixture.Start();
+  REQUIRE(fixture.m_relays.size() == 2);
+}
