--- a/packages/edge/src/FeedMessages.cpp
+++ b/packages/edge/src/FeedMessages.cpp
@@ -1,6 +1,7 @@
 #include "FeedMessages.h"
 
 #include <goldcrestkeel/edge/JsonNumbers.h>
+#include <goldcrestkeel/edge/JsonText.h>
 
 #include <nlohmann/json.hpp>
 
@@ -133,7 +134,7 @@
 FeedPoll
 DecodeFeedPoll(std::string_view aBody)
 {
-  const json document = json::parse(aBody);
+  const json document = ParseSecretJson(aBody);
   const std::uint64_t wait = UnsignedOf(document.at("wait_ms"));
   return { document.at("feed").get<std::string>(),
            document.at("reader").get<std::string>(),
