Serve no request from evacuated data centres

The forwarder counts replicas there as unavailable, moves copies that wait for a connection, refuses waiting requests that nothing else can serve, and does not count these replicas when it assigns shards to other hosts.

--- a/packages/forward/src/BackendPool.cpp
+++ b/packages/forward/src/BackendPool.cpp
@@ -124,7 +124,8 @@
 BackendPool::TierWithoutRest(TimePoint aNow, const PooledReplica& aReplica)
 {
   const bool probing = aReplica.m_unresponsive || aReplica.m_backoffs > 0;
-  if (aReplica.m_replaced || aNow < aReplica.m_backoffUntil ||
+  if (aReplica.m_evacuated || aReplica.m_replaced ||
+      aNow < aReplica.m_backoffUntil ||
       (probing && aReplica.m_inFlight > aReplica.m_lateCopies)) {
     return ReplicaTier::Unavailable;
   }
--- a/packages/forward/src/BackendPool.h
+++ b/packages/forward/src/BackendPool.h
@@ -42,7 +42,8 @@
    *  limit, or the replica reports or signalled overload. */
   Full,
   /** It was replaced, is unreachable or unresponsive, wants no request for a
-   *  time, or its drain grace period has ended. */
+   *  time, its drain grace period has ended, or its data centre is evacuated.
+   */
   Unavailable,
 };
 
@@ -187,8 +188,8 @@
     const std::function<bool(const ReplicaRecord&)>& aMatches) const;
   std::size_t ReplicaCount() const { return m_byId.size(); }
   bool IsKnown(const std::string& aId) const { return m_byId.contains(aId); }
-  /** Up to aCount random replicas that are listed, do not drain and do not want
-   *  rest, from as many data centres as possible. */
+  /** Up to aCount random replicas that are listed, do not drain, do not want
+   *  rest and are not evacuated, from as many data centres as possible. */
   std::vector<ReplicaRecord> Sample(TimePoint aNow, std::size_t aCount);
   std::string HealthPathOf(const std::string& aService) const;
   /** Counts a connection to a replica that has brought an answer, or the end of
--- a/packages/forward/src/BackendRegistry.cpp
+++ b/packages/forward/src/BackendRegistry.cpp
@@ -59,6 +59,7 @@
   const bool wasDraining = replica->m_listed && replica->m_record.m_draining;
   replica->m_record = aRecord;
   replica->m_listed = true;
+  replica->m_evacuated = m_evacuated.contains(aRecord.m_dataCentre);
   replica->m_distance = DistanceBetween(m_options, aRecord.m_dataCentre);
   replica->m_warmupEndsAt = aNow + aRecord.m_warmupLeft;
   UpdateShares(Group(aRecord.m_service));
--- a/packages/forward/src/BackendShares.cpp
+++ b/packages/forward/src/BackendShares.cpp
@@ -114,7 +114,7 @@
   std::vector<const ReplicaRecord*> listed;
   for (const auto& [id, replica] : m_byId) {
     if (!replica->m_usableUntil && !replica->m_replaced &&
-        !replica->m_notices.IsResting(aNow)) {
+        !replica->m_evacuated && !replica->m_notices.IsResting(aNow)) {
       listed.push_back(&replica->m_record);
     }
   }
--- a/packages/forward/src/Forwarder.cpp
+++ b/packages/forward/src/Forwarder.cpp
@@ -82,13 +82,6 @@
   m_relayPool.SetHosts(aNow, aHosts);
 }
 
-void
-ForwarderImpl::SetEvacuated(TimePoint,
-                            const std::set<std::string>& aDataCentres)
-{
-  m_pool.SetEvacuated(aDataCentres);
-}
-
 void
 ForwarderImpl::UpdateReplica(TimePoint aNow,
                              const ReplicaRecord& aRecord,
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -9,6 +9,7 @@
 
 #include <goldcrestkeel/forward/Forwarder.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -327,8 +328,14 @@
                      const BackendGroup& aGroup,
                      PooledReplica& aReplica,
                      const ReplicaAnswer& aAnswer);
-  /** Sends the copies that wait for a connection to aReplica elsewhere. */
-  void MoveUnsentCopies(TimePoint aNow, const PooledReplica& aReplica);
+  /** Sends the copies that wait for a connection to a replica that aMatches
+   *  elsewhere. */
+  void MoveUnsentCopies(
+    TimePoint aNow,
+    const std::function<bool(const PooledReplica&)>& aMatches);
+  /** Fails the queued sub-requests of aForward that no replica can take any
+   *  more, or has another host serve them. */
+  void FailUnservedWaiting(TimePoint aNow, RunningForward& aForward);
   /** Number of queued sub-requests that come before a new one. */
   std::size_t QueuedAhead(const BackendGroup& aGroup,
                           std::uint32_t aPriority) const;
--- a/packages/forward/src/ForwarderLimits.cpp
+++ b/packages/forward/src/ForwarderLimits.cpp
@@ -58,16 +58,56 @@
                               aReplica.m_inFlight });
   }
   if (notice == ReplicaNotice::Rest) {
-    MoveUnsentCopies(aNow, aReplica);
+    MoveUnsentCopies(
+      aNow, [&](const PooledReplica& aOther) { return &aOther == &aReplica; });
   }
 }
 
 void
-ForwarderImpl::MoveUnsentCopies(TimePoint aNow, const PooledReplica& aReplica)
+ForwarderImpl::SetEvacuated(TimePoint aNow,
+                            const std::set<std::string>& aDataCentres)
+{
+  m_pool.SetEvacuated(aDataCentres);
+  // By data centre, as replicas that are not listed any more may have some.
+  MoveUnsentCopies(aNow, [&](const PooledReplica& aReplica) {
+    return aDataCentres.contains(aReplica.m_record.m_dataCentre);
+  });
+  for (const ForwardId id : RunningIds()) {
+    const auto running = m_running.find(id);
+    if (running != m_running.end()) {
+      FailUnservedWaiting(aNow, *running->second);
+    }
+  }
+}
+
+void
+ForwarderImpl::FailUnservedWaiting(TimePoint aNow, RunningForward& aForward)
+{
+  const ForwardId request = aForward.m_request.m_id;
+  for (std::uint32_t index = 0; index < aForward.m_subRequests.size();
+       ++index) {
+    SubRequest& subRequest = aForward.m_subRequests[index];
+    if (subRequest.m_state != SubRequest::State::Waiting ||
+        BackendPool::HasUsableReplica(
+          aNow, *subRequest.m_group, subRequest.m_triedReplicas)) {
+      continue;
+    }
+    subRequest.m_state = SubRequest::State::Running;
+    Retry(aNow, aForward, index);
+    if (!m_running.contains(request)) {
+      return;
+    }
+  }
+}
+
+void
+ForwarderImpl::MoveUnsentCopies(
+  TimePoint aNow,
+  const std::function<bool(const PooledReplica&)>& aMatches)
 {
   std::vector<CopyId> unsent;
   for (const auto& [id, copy] : m_copies) {
-    if (copy.m_replica.get() == &aReplica && !copy.m_sentAt) {
+    if (!copy.IsRelay() && !copy.m_sentAt && aMatches(*copy.m_replica)) {
       unsent.push_back(id);
     }
   }
--- a/packages/forward/src/RelayPool.cpp
+++ b/packages/forward/src/RelayPool.cpp
@@ -133,7 +133,8 @@
   for (std::uint32_t shard = 0; shard < aShards.size(); ++shard) {
     std::set<std::string_view> dataCentres;
     for (const auto& replica : aPool.Group(aShards[shard]).m_replicas) {
-      if (!replica->m_usableUntil && !replica->m_replaced) {
+      if (!replica->m_usableUntil && !replica->m_replaced &&
+          !replica->m_evacuated) {
         dataCentres.insert(replica->m_record.m_dataCentre);
       }
     }
