Add warm-up limits, slow start and health checks of failed replicas

A replica that had started or recovered got either as many requests at once as all hosts had, or none while others were healthy.

--- a/packages/edge/src/EdgeLogLines.cpp
+++ b/packages/edge/src/EdgeLogLines.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-/** Logged in place of a request limit if the replica names none. */
+/** Logged in place of a limit if there is none. */
 constexpr double kNoLimit = -1;
 
 } // namespace
@@ -95,4 +95,18 @@
       { "in_flight", static_cast<std::int64_t>(aReport.m_inFlight) } });
 }
 
+void
+EdgeServer::Impl::LogReplicaPace(const ReplicaPaceReport& aReport)
+{
+  m_log.Write(LogPriority::Request,
+              "replica_pace",
+              { { "state", NameOf(aReport.m_pace) },
+                { "service", aReport.m_service },
+                { "replica", aReport.m_replica },
+                { "limit", aReport.m_limit.value_or(kNoLimit) },
+                { "left_ms", aReport.m_left.count() / 1000.0 },
+                { "reason", aReport.m_reason },
+                { "age_ms", aReport.m_age.count() / 1000.0 } });
+}
+
 } // namespace goldcrestkeel
--- a/packages/edge/src/EdgeMetrics.cpp
+++ b/packages/edge/src/EdgeMetrics.cpp
@@ -97,6 +97,16 @@
   impl.Set("quarantined",
            "Requests refused because they are in quarantine",
            aCounters.m_quarantined);
+  impl.Set("slow_starts", "Slow starts of replicas", aCounters.m_slowStarts);
+  impl.Set("cold_replicas",
+           "Times that a replica turned cold",
+           aCounters.m_coldReplicas);
+  impl.Set("paced_waits",
+           "Sub-requests that waited for the slow start of a replica",
+           aCounters.m_pacedWaits);
+  impl.Set("replica_checks",
+           "Health checks of replicas that had failed",
+           aCounters.m_replicaChecks);
   impl.Set("table_version", "Routing table in force", aGauges.m_tableVersion);
   impl.Set(
     "live_hosts", "Entry hosts counted in the store", aGauges.m_liveHosts);
--- a/packages/edge/src/EdgeServerImpl.h
+++ b/packages/edge/src/EdgeServerImpl.h
@@ -58,6 +58,7 @@
   void LogRequestLimit(const RequestLimitReport& aReport) override;
   void LogContact(const ContactReport& aReport) override;
   void LogReplicaNotice(const ReplicaNoticeReport& aReport) override;
+  void LogReplicaPace(const ReplicaPaceReport& aReport) override;
   void LogCrash(const CrashDecision& aDecision) override;
   std::string SummaryOf(ForwardId aRequest) const override;
   void ReportCrash(const CrashReport& aReport) override;
--- a/packages/forward/include/goldcrestkeel/Forward.h
+++ b/packages/forward/include/goldcrestkeel/Forward.h
@@ -6,6 +6,7 @@
 #include <goldcrestkeel/forward/CrashReport.h>
 #include <goldcrestkeel/forward/Forwarder.h>
 #include <goldcrestkeel/forward/HostRecord.h>
+#include <goldcrestkeel/forward/ReplicaPace.h>
 #include <goldcrestkeel/forward/ReplicaRecord.h>
 #include <goldcrestkeel/forward/RoutingTable.h>
 #include <goldcrestkeel/forward/Tenant.h>
--- a/packages/forward/include/goldcrestkeel/forward/Forwarder.h
+++ b/packages/forward/include/goldcrestkeel/forward/Forwarder.h
@@ -6,6 +6,7 @@
 #include <goldcrestkeel/core/Time.h>
 #include <goldcrestkeel/forward/CrashReport.h>
 #include <goldcrestkeel/forward/HostRecord.h>
+#include <goldcrestkeel/forward/ReplicaPace.h>
 #include <goldcrestkeel/forward/ReplicaRecord.h>
 #include <goldcrestkeel/forward/RoutingTable.h>
 
@@ -274,6 +275,7 @@
   virtual void LogRequestLimit(const RequestLimitReport& aReport) = 0;
   virtual void LogContact(const ContactReport& aReport) = 0;
   virtual void LogReplicaNotice(const ReplicaNoticeReport& aReport) = 0;
+  virtual void LogReplicaPace(const ReplicaPaceReport& aReport) = 0;
   virtual void LogCrash(const CrashDecision& aDecision) = 0;
   /** Method and target of a request in progress. */
   virtual std::string SummaryOf(ForwardId aRequest) const = 0;
@@ -334,6 +336,13 @@
   std::uint64_t m_crashes = 0;
   /** Requests that were refused because they are in quarantine. */
   std::uint64_t m_quarantined = 0;
+  /** Slow starts of replicas, and times that one turned cold. */
+  std::uint64_t m_slowStarts = 0;
+  std::uint64_t m_coldReplicas = 0;
+  /** Sub-requests that waited for the slow start of a replica. */
+  std::uint64_t m_pacedWaits = 0;
+  /** Health checks of replicas that had failed. */
+  std::uint64_t m_replicaChecks = 0;
 };
 
 /** Forwards requests to replicas: selects replicas, hedges and retries, gathers
--- a/packages/forward/src/BackendPool.cpp
+++ b/packages/forward/src/BackendPool.cpp
@@ -94,11 +94,15 @@
 }
 
 void
-BackendPool::SetTable(const RoutingTable& aTable)
+BackendPool::SetTable(TimePoint aNow, const RoutingTable& aTable)
 {
   for (const auto& [name, service] : aTable.m_services) {
     m_services[name] = service;
-    UpdateShares(Group(name));
+    BackendGroup& group = Group(name);
+    UpdateShares(group);
+    for (const auto& replica : group.m_replicas) {
+      replica->m_warmup.SetRate(aNow, service.m_warmupPerSecond, m_random);
+    }
   }
 }
 
@@ -123,7 +127,7 @@
 ReplicaTier
 BackendPool::TierWithoutRest(TimePoint aNow, const PooledReplica& aReplica)
 {
-  const bool probing = aReplica.m_unresponsive || aReplica.m_backoffs > 0;
+  const bool probing = aReplica.IsProbed();
   if (aReplica.m_evacuated || aReplica.m_replaced ||
       aNow < aReplica.m_backoffUntil ||
       (probing && aReplica.m_inFlight > aReplica.m_lateCopies)) {
@@ -138,12 +142,16 @@
                                            : ReplicaTier::Full;
   }
   if (aReplica.m_inFlight >= aReplica.m_maxInFlight ||
-      HasLongQueue(aNow, aReplica) || !aReplica.m_requestLimit.Allows(aNow)) {
+      HasLongQueue(aNow, aReplica) || !aReplica.m_requestLimit.Allows(aNow) ||
+      !aReplica.m_warmup.Allows(aNow)) {
     return probing ? ReplicaTier::Unavailable : ReplicaTier::Full;
   }
   if (aReplica.m_usableUntil) {
     return ReplicaTier::Draining;
   }
+  if (!aReplica.m_slowStart.Allows(aNow, aReplica.m_inFlight)) {
+    return ReplicaTier::Paced;
+  }
   const double failures = aReplica.m_failureRate.At(aNow);
   if (aReplica.m_lateCopies > 0 || probing || failures > kDegradedFailureRate) {
     return ReplicaTier::Degraded;
@@ -257,7 +265,7 @@
   const double expected =
     static_cast<double>(ExpectedLatency(aNow, aGroup, aReplica).count());
   const double failures = aReplica.m_failureRate.At(aNow);
-  const double warmup = aNow < aReplica.m_warmupEndsAt ? kWarmupFactor : 1;
+  const double warmup = aReplica.m_warmup.IsCold(aNow) ? kWarmupFactor : 1;
   // Unused permits of a request limit expire, and replicas without a limit have
   // to take the rest.
   const double distance = aReplica.m_requestLimit.PerSecond()
@@ -324,6 +332,7 @@
   const Duration backoff =
     std::min(kMaxBackoff, aFirst * (1U << std::min(aReplica.m_backoffs, 4U)));
   ++aReplica.m_backoffs;
+  aReplica.m_checkAnswered = false;
   aReplica.m_backoffUntil = aNow + backoff;
 }
 
--- a/packages/forward/src/BackendPool.h
+++ b/packages/forward/src/BackendPool.h
@@ -3,8 +3,8 @@
 #include "DecayingRate.h"
 #include "RepeatBudget.h"
 #include "ReplicaNotices.h"
-#include "RequestLimit.h"
 
+#include <goldcrestkeel/Pacing.h>
 #include <goldcrestkeel/core/Random.h>
 #include <goldcrestkeel/forward/Forwarder.h>
 #include <goldcrestkeel/forward/HostRecord.h>
@@ -17,6 +17,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -36,10 +37,12 @@
   Healthy,
   /** It has a late copy, is being probed or has failed recently. */
   Degraded,
+  /** It has what its slow start allows for now. */
+  Paced,
   /** It drains or is no longer listed; used only if there is no other. */
   Draining,
   /** This host has reached its in-flight limit or its share of the request
-   *  limit, or the replica reports or signalled overload. */
+   *  limit or warm-up limit, or the replica reports or signalled overload. */
   Full,
   /** It was replaced, is unreachable or unresponsive, wants no request for a
    *  time, its drain grace period has ended, or its data centre is evacuated.
@@ -110,7 +113,10 @@
   /** Until when the replica counts as full after it refused a request. */
   TimePoint m_fullUntil;
 
-  TimePoint m_warmupEndsAt;
+  WarmupLimit m_warmup;
+  SlowStart m_slowStart;
+  /** The last that was logged. */
+  ReplicaPace m_loggedPace = ReplicaPace::Usual;
 
   /** Copies to the replica got no answer in time. It gets one copy at a time,
    *  as a probe, until it answers. */
@@ -118,9 +124,19 @@
   TimePoint m_backoffUntil;
   /** Consecutive backoffs; 0 after an answer. */
   std::uint32_t m_backoffs = 0;
+  /** A health check is planned or under way. */
+  bool m_checkPending = false;
+  /** It has answered a health check since the last backoff. */
+  bool m_checkAnswered = false;
   /** Time of the last answer; before the first one, time of discovery. */
   TimePoint m_lastAnswerAt;
   bool m_hasAnswered = false;
+
+  /** Whether it has failed and not answered since. */
+  bool IsProbed() const
+  {
+    return (m_unresponsive || m_backoffs > 0) && !m_checkAnswered;
+  }
 };
 
 /** A sub-request that waits for a replica with capacity. */
@@ -145,6 +161,8 @@
   TimePoint m_servedAt = TimePoint::min();
   /** Moving average of the response time over all replicas, in microseconds. */
   double m_latency = 0;
+  /** As RoutedService::m_warmupTime; replicas start slowly if it is set. */
+  Duration m_warmupTime{ 0 };
   /** No other host is asked for this service before this time. */
   TimePoint m_noFallbackUntil;
   /** Rate of gathered requests that were answered without this shard although
@@ -173,7 +191,7 @@
 public:
   BackendPool(const ForwarderOptions& aOptions, RandomSource& aRandom);
 
-  void SetTable(const RoutingTable& aTable);
+  void SetTable(TimePoint aNow, const RoutingTable& aTable);
   void SetLiveHosts(std::uint32_t aHosts);
   /** Sets the entry hosts. Hosts in the data centre of a replica get most of
    *  its connections. */
@@ -224,6 +242,33 @@
   static ReplicaTier TierWithoutRest(TimePoint aNow,
                                      const PooledReplica& aReplica);
 
+  // BackendPacing.cpp: warm-up limits and slow start.
+  /** Receives each change of the pace of a replica. */
+  using PaceObserver = std::function<void(const ReplicaPaceReport&)>;
+  void SetPaceObserver(PaceObserver aObserver)
+  {
+    m_paceObserver = std::move(aObserver);
+  }
+  /** Adapts the pace of aReplica to an answer that took aLatency.
+   *  aHasRecovered: it is the first one after aReplica failed. */
+  void RecordPace(TimePoint aNow,
+                  BackendGroup& aGroup,
+                  PooledReplica& aReplica,
+                  Duration aLatency,
+                  const ReplicaAnswer& aAnswer,
+                  bool aHasRecovered);
+  /** aReplica has answered a health check after it had failed. */
+  void RecordCheck(TimePoint aNow,
+                   BackendGroup& aGroup,
+                   PooledReplica& aReplica,
+                   const ReplicaAnswer& aAnswer);
+  /** aReplica has stated in an answer how long it stays cold. */
+  void RecordWarmup(TimePoint aNow, const std::string& aId, Duration aLeft);
+  /** Whether aGroup has a replica, not in aExclude, that is Paced. */
+  static bool HasPacedReplica(TimePoint aNow,
+                              const BackendGroup& aGroup,
+                              const std::vector<std::string>& aExclude);
+
   /** Selects the best replica of aGroup whose id is not in aExclude and whose
    *  tier is not worse than aWorst; nullptr if there is none. */
   std::shared_ptr<PooledReplica> Choose(
@@ -282,6 +327,31 @@
   /** This host's share of the aConnections that aReplica accepts. */
   std::uint32_t MaxInFlightFor(const PooledReplica& aReplica,
                                std::uint32_t aConnections) const;
+  /** The same of a warm-up limit. */
+  double WarmupShareOf(const PooledReplica& aReplica) const;
+  /** Takes the warm-up of the record of aReplica. aStarted: it has started
+   *  during traffic. */
+  void UpdateWarmup(TimePoint aNow,
+                    const BackendGroup& aGroup,
+                    PooledReplica& aReplica,
+                    bool aStarted);
+  /** Takes until when aReplica is cold. */
+  void SetColdUntil(TimePoint aNow,
+                    const BackendGroup& aGroup,
+                    PooledReplica& aReplica,
+                    TimePoint aUntil,
+                    std::string_view aReason);
+  void BeginSlowStart(TimePoint aNow,
+                      const BackendGroup& aGroup,
+                      PooledReplica& aReplica,
+                      std::string_view aReason);
+  SlowStartPlan SlowStartPlanOf(const BackendGroup& aGroup,
+                                const PooledReplica& aReplica) const;
+  void ReportPace(TimePoint aNow,
+                  const BackendGroup& aGroup,
+                  PooledReplica& aReplica,
+                  ReplicaPace aPace,
+                  std::string_view aReason) const;
   /** Until when a replica that left at aChangedAfter or later may be used. */
   TimePoint UsableUntil(TimePoint aNow,
                         std::optional<TimePoint> aChangedAfter) const;
@@ -295,6 +365,9 @@
   ForwarderOptions m_options;
   RandomSource& m_random;
   std::uint32_t m_liveHosts = 1;
+  /** Number of lists of hosts so far. */
+  std::uint32_t m_hostLists = 0;
+  PaceObserver m_paceObserver;
   bool m_openConnectionsOnly = false;
   std::map<std::string, std::uint32_t> m_hostsPerDataCentre;
   std::set<std::string> m_evacuated;
--- a/packages/forward/src/BackendRegistry.cpp
+++ b/packages/forward/src/BackendRegistry.cpp
@@ -45,6 +45,8 @@
     }
   }
   std::shared_ptr<PooledReplica>& replica = m_byId[aRecord.m_id];
+  BackendGroup& group = Group(aRecord.m_service);
+  bool started = false;
   if (!replica) {
     replica = std::make_shared<PooledReplica>();
     replica->m_lastAnswerAt = aNow;
@@ -53,16 +55,19 @@
     if (former != m_former.end() &&
         former->second.m_startedAt == aRecord.m_startedAt) {
       replica->m_notices = former->second.m_notices;
+    } else {
+      // Not in the first list, and there has been traffic before.
+      started = aChangedAfter && group.m_servedAt != TimePoint::min();
     }
-    Group(aRecord.m_service).m_replicas.push_back(replica);
+    group.m_replicas.push_back(replica);
   }
   const bool wasDraining = replica->m_listed && replica->m_record.m_draining;
   replica->m_record = aRecord;
   replica->m_listed = true;
   replica->m_evacuated = m_evacuated.contains(aRecord.m_dataCentre);
   replica->m_distance = DistanceBetween(m_options, aRecord.m_dataCentre);
-  replica->m_warmupEndsAt = aNow + aRecord.m_warmupLeft;
-  UpdateShares(Group(aRecord.m_service));
+  UpdateShares(group);
+  UpdateWarmup(aNow, group, *replica, started);
   if (!aRecord.m_draining) {
     replica->m_usableUntil.reset();
   } else if (!wasDraining) {
--- a/packages/forward/src/BackendShares.cpp
+++ b/packages/forward/src/BackendShares.cpp
@@ -16,6 +16,11 @@
 constexpr double kSameDataCentreShare = 0.6;
 /** Allowance for hosts that joined since the list was read, as a fraction. */
 constexpr double kJoiningHostsRatio = 0.2;
+/** Hosts that are assumed to share a warm-up limit until they have been counted
+ *  twice: the first count of a host that starts along with the others finds
+ * only a few. This is the largest deployment to design for. */
+constexpr double kUncountedHosts = 800;
+constexpr std::uint32_t kReliableHostLists = 2;
 
 } // namespace
 
@@ -46,6 +51,7 @@
 void
 BackendPool::SetHosts(const std::vector<HostRecord>& aHosts)
 {
+  ++m_hostLists;
   m_hostsPerDataCentre.clear();
   for (const HostRecord& host : aHosts) {
     ++m_hostsPerDataCentre[host.m_dataCentre];
@@ -82,6 +88,13 @@
   return share / hosts;
 }
 
+double
+BackendPool::WarmupShareOf(const PooledReplica& aReplica) const
+{
+  return m_hostLists < kReliableHostLists ? 1 / kUncountedHosts
+                                          : ShareOf(aReplica);
+}
+
 std::uint32_t
 BackendPool::MaxInFlightFor(const PooledReplica& aReplica,
                             std::uint32_t aConnections) const
@@ -98,12 +111,16 @@
 BackendPool::UpdateShares(BackendGroup& aGroup) const
 {
   const auto service = m_services.find(aGroup.m_name);
+  if (service != m_services.end()) {
+    aGroup.m_warmupTime = service->second.m_warmupTime;
+  }
   for (const auto& replica : aGroup.m_replicas) {
     if (service != m_services.end()) {
       replica->m_maxInFlight =
         MaxInFlightFor(*replica, service->second.m_connections);
     }
     replica->m_requestLimit.SetShare(ShareOf(*replica));
+    replica->m_warmup.SetShare(WarmupShareOf(*replica));
   }
   aGroup.m_budget.SetSlack(m_options.m_repeatSlack / m_liveHosts);
 }
@@ -195,13 +212,20 @@
     if (TierOf(aNow, *replica) == ReplicaTier::Unavailable) {
       continue;
     }
-    const Duration time = replica->m_requestLimit.TimeToPermit(aNow);
+    const RequestLimit& limit = replica->m_requestLimit;
+    const WarmupLimit& warmup = replica->m_warmup;
+    const Duration time =
+      std::max(limit.TimeToPermit(aNow), warmup.TimeToPermit(aNow));
     if (time <= Duration(0)) {
       return std::nullopt;
     }
     permits = permits.value_or(NextPermits{ time, 0 });
     permits->m_first = std::min(permits->m_first, time);
-    permits->m_rate += replica->m_requestLimit.Rate();
+    double rate = limit.PerSecond() ? limit.Rate() : warmup.Rate();
+    if (warmup.IsLimited(aNow)) {
+      rate = std::min(rate, warmup.Rate());
+    }
+    permits->m_rate += rate;
   }
   return permits;
 }
--- a/packages/forward/src/ForwardState.h
+++ b/packages/forward/src/ForwardState.h
@@ -26,6 +26,33 @@
  *  quarantined. */
 inline constexpr std::uint32_t kCrashesBeforeQuarantine = 3;
 
+enum class ForwardTimer
+{
+  /** The copy exceeds the late threshold: hedge it, or move it if it was not
+   *  sent. */
+  Late,
+  /** The copy is so late that its replica counts as unresponsive. */
+  Unresponsive,
+  /** Close the abandoned copy. */
+  Abandon,
+  /** Try again to dispatch the waiting sub-requests of the request. */
+  PollWaiting,
+  /** m_targetAt of the request. */
+  Target,
+  /** Deadline of the request. */
+  Deadline,
+  /** ContactMonitor::NextUpdate(). */
+  Contact,
+  /** A crash is attributed to the request that was running, or not. */
+  CrashCheck,
+  /** The replica of a late copy may have crashed. */
+  Silent,
+  /** Crashes of long ago are forgotten. */
+  ForgetCrashes,
+  /** Check the health of a replica that has failed, or end the check. */
+  HealthCheck,
+};
+
 /** Why a copy of a sub-request is sent. */
 enum class CopyReason
 {
@@ -41,6 +68,22 @@
 std::string_view
 NameOf(CopyReason aReason);
 
+/** A health check of a replica that has failed. */
+struct HealthCheck
+{
+  BackendGroup* m_group = nullptr;
+  std::shared_ptr<PooledReplica> m_replica;
+  /** Under way, not only planned. */
+  bool m_sent = false;
+};
+
+/** A probe of contact. */
+struct ContactProbe
+{
+  TimePoint m_sentAt;
+  std::string m_replica;
+};
+
 /** Why another entry host is asked to serve a part of a request. */
 enum class RelayReason
 {
--- a/packages/forward/src/Forwarder.cpp
+++ b/packages/forward/src/Forwarder.cpp
@@ -61,12 +61,15 @@
   , m_relayPool(aOptions)
   , m_crashGuard({ kCrashesBeforeQuarantine, kSameCrashTime })
 {
+  m_pool.SetPaceObserver(
+    [this](const ReplicaPaceReport& aReport) { OnPaceChanged(aReport); });
 }
 
 void
-ForwarderImpl::SetTable(TimePoint, std::shared_ptr<const RoutingTable> aTable)
+ForwarderImpl::SetTable(TimePoint aNow,
+                        std::shared_ptr<const RoutingTable> aTable)
 {
-  m_pool.SetTable(*aTable);
+  m_pool.SetTable(aNow, *aTable);
 }
 
 void
@@ -249,6 +252,9 @@
       case ForwardTimer::Silent:
         OnSilentTimer(aNow, timer.m_id);
         continue;
+      case ForwardTimer::HealthCheck:
+        OnHealthCheckTimer(aNow, timer.m_id);
+        continue;
       case ForwardTimer::ForgetCrashes:
         m_crashGuard.ForgetBefore(aNow - kCrashMemory);
         continue;
--- a/packages/forward/src/ForwarderContact.cpp
+++ b/packages/forward/src/ForwarderContact.cpp
@@ -34,12 +34,19 @@
 }
 
 bool
-ForwarderImpl::EndProbe(TimePoint aNow, CopyId aProbe, bool aAnswered)
+ForwarderImpl::EndProbe(TimePoint aNow,
+                        CopyId aProbe,
+                        const ReplicaAnswer* aAnswer)
 {
-  if (m_probes.erase(aProbe) == 0) {
+  const auto probe = m_probes.extract(aProbe);
+  if (!probe) {
     return false;
   }
-  if (aAnswered) {
+  if (aAnswer) {
+    if (aAnswer->m_warmupLeft) {
+      m_pool.RecordWarmup(
+        aNow, probe.mapped().m_replica, *aAnswer->m_warmupLeft);
+    }
     const ContactReport report = MakeContactReport(aNow);
     m_contact.OnProbeAnswered(aNow);
     OnContactUpdated(aNow, report);
@@ -133,13 +140,14 @@
 void
 ForwarderImpl::ProbeReplicas(TimePoint aNow)
 {
-  while (!m_probes.empty() && aNow - m_probes.begin()->second >= kProbeExpiry) {
+  while (!m_probes.empty() &&
+         aNow - m_probes.begin()->second.m_sentAt >= kProbeExpiry) {
     m_sink.AbortCopy(m_probes.begin()->first);
     m_probes.erase(m_probes.begin());
   }
   for (const ReplicaRecord& replica : m_pool.Sample(aNow, kProbes)) {
     const CopyId id = m_nextCopy++;
-    m_probes.emplace(id, aNow);
+    m_probes.emplace(id, ContactProbe{ aNow, replica.m_id });
     m_sink.ProbeReplica(id, replica, m_pool.HealthPathOf(replica.m_service));
   }
 }
--- a/packages/forward/src/ForwarderCopies.cpp
+++ b/packages/forward/src/ForwarderCopies.cpp
@@ -60,7 +60,8 @@
                             CopyId aCopy,
                             ReplicaAnswer&& aAnswer)
 {
-  if (EndProbe(aNow, aCopy, true) ||
+  if (EndProbe(aNow, aCopy, &aAnswer) ||
+      EndHealthCheck(aNow, aCopy, &aAnswer) ||
       m_crashChecks.EndProbe(
         aCopy, ProbeOutcome::Answered, aAnswer.m_instance)) {
     return;
@@ -77,7 +78,10 @@
   }
   PooledReplica& replica = *copy.m_replica;
   const Duration latency = aNow - copy.m_sentAt.value_or(copy.m_startedAt);
+  const bool hasRecovered = replica.IsProbed();
   BackendPool::RecordAnswer(aNow, *copy.m_group, replica, latency, aAnswer);
+  m_pool.RecordPace(
+    aNow, *copy.m_group, replica, latency, aAnswer, hasRecovered);
   m_contact.OnAnswer(aNow);
   UpdateNotices(aNow, *copy.m_group, replica, aAnswer);
   UpdateRequestLimit(aNow, *copy.m_group, replica, aAnswer);
@@ -123,7 +127,7 @@
 void
 ForwarderImpl::CopyFailed(TimePoint aNow, CopyId aCopy, CopyFailure aFailure)
 {
-  if (EndProbe(aNow, aCopy, false) ||
+  if (EndProbe(aNow, aCopy, nullptr) || EndHealthCheck(aNow, aCopy, nullptr) ||
       m_crashChecks.EndProbe(aCopy, ProbeOutcomeOf(aFailure))) {
     return;
   }
@@ -139,9 +143,10 @@
   }
   PooledReplica& replica = *copy.m_replica;
   if (aFailure == CopyFailure::Refused || aFailure == CopyFailure::NotSent) {
-    BackendPool::BackOff(aNow, replica, kUnreachableBackoff);
+    BackOff(aNow, *copy.m_group, copy.m_replica, kUnreachableBackoff);
   } else {
     replica.m_failureRate.Add(aNow, true);
+    replica.m_slowStart.OnFailed(aNow);
   }
   ReportUnanswered(aNow, copy);
   const auto running = m_running.find(copy.m_request);
--- a/packages/forward/src/ForwarderDispatch.cpp
+++ b/packages/forward/src/ForwarderDispatch.cpp
@@ -56,16 +56,6 @@
   return static_cast<std::uint32_t>(best - aRoute.m_services.data());
 }
 
-std::uint32_t
-ForwarderImpl::AttemptsOf(const RunningForward& aForward)
-{
-  const std::uint32_t attempts = aForward.m_request.m_route->m_attempts;
-  const auto& relayed = aForward.m_request.m_relayedShards;
-  return relayed
-           ? std::min(attempts, relayed->m_attemptsLeft.value_or(attempts))
-           : attempts;
-}
-
 void
 ForwarderImpl::Dispatch(TimePoint aNow,
                         RunningForward& aForward,
@@ -76,7 +66,7 @@
   const auto replica = m_pool.Choose(aNow,
                                      *subRequest.m_group,
                                      subRequest.m_triedReplicas,
-                                     ReplicaTier::Draining);
+                                     WorstTier(aNow, aForward, subRequest));
   if (replica) {
     SendTo(aNow, aForward, aIndex, replica, aReason);
     return;
@@ -124,6 +114,8 @@
   ++aReplica->m_inFlight;
   ++aReplica->m_copiesSinceReport;
   aReplica->m_requestLimit.Use(aNow);
+  aReplica->m_warmup.Use(aNow);
+  aReplica->m_slowStart.OnSent(aNow);
   subRequest.m_state = SubRequest::State::Running;
   subRequest.m_copies.push_back(id);
   subRequest.m_triedReplicas.push_back(aReplica->m_record.m_id);
@@ -161,6 +153,9 @@
     return;
   }
   subRequest.m_state = SubRequest::State::Waiting;
+  if (WorstTier(aNow, aForward, subRequest) == ReplicaTier::Degraded) {
+    ++m_counters.m_pacedWaits;
+  }
   const QueuedSubRequest entry{ aForward.m_request.m_route->m_priority,
                                 aForward.m_request.m_deadline,
                                 aForward.m_request.m_id,
@@ -214,8 +209,10 @@
     }
     RunningForward& forward = *running->second;
     SubRequest& subRequest = forward.m_subRequests[entry->m_subRequest];
-    const auto replica = m_pool.Choose(
-      aNow, aGroup, subRequest.m_triedReplicas, ReplicaTier::Draining);
+    const auto replica = m_pool.Choose(aNow,
+                                       aGroup,
+                                       subRequest.m_triedReplicas,
+                                       WorstTier(aNow, forward, subRequest));
     if (!replica) {
       // Later entries may have tried fewer replicas.
       if (subRequest.m_triedReplicas.empty()) {
@@ -340,7 +337,7 @@
                                    ReplicaTier::Degraded);
   if (!copy.m_sentAt) {
     if (other) {
-      BackendPool::BackOff(aNow, *copy.m_replica, kUnreachableBackoff);
+      BackOff(aNow, *copy.m_group, copy.m_replica, kUnreachableBackoff);
       EndCopy(aCopy);
       m_sink.AbortCopy(aCopy);
       SendTo(aNow, forward, index, other, CopyReason::Move);
@@ -387,7 +384,10 @@
     }
   }
   replica.m_unresponsive = true;
-  BackendPool::BackOff(aNow, replica, kUnresponsiveBackoff);
+  BackOff(aNow,
+          *found->second.m_group,
+          found->second.m_replica,
+          kUnresponsiveBackoff);
 }
 
 } // namespace goldcrestkeel
--- a/packages/forward/src/ForwarderFinish.cpp
+++ b/packages/forward/src/ForwarderFinish.cpp
@@ -50,6 +50,16 @@
     1U, static_cast<std::uint32_t>(std::ceil(needed - kRatioTolerance)));
 }
 
+std::uint32_t
+ForwarderImpl::AttemptsOf(const RunningForward& aForward)
+{
+  const std::uint32_t attempts = aForward.m_request.m_route->m_attempts;
+  const auto& relayed = aForward.m_request.m_relayedShards;
+  return relayed
+           ? std::min(attempts, relayed->m_attemptsLeft.value_or(attempts))
+           : attempts;
+}
+
 bool
 ForwarderImpl::RefuseIfUnserved(TimePoint aNow, RunningForward& aForward)
 {
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -20,31 +20,6 @@
 
 namespace goldcrestkeel {
 
-enum class ForwardTimer
-{
-  /** The copy exceeds the late threshold: hedge it, or move it if it was not
-   *  sent. */
-  Late,
-  /** The copy is so late that its replica counts as unresponsive. */
-  Unresponsive,
-  /** Close the abandoned copy. */
-  Abandon,
-  /** Try again to dispatch the waiting sub-requests of the request. */
-  PollWaiting,
-  /** m_targetAt of the request. */
-  Target,
-  /** Deadline of the request. */
-  Deadline,
-  /** ContactMonitor::NextUpdate(). */
-  Contact,
-  /** A crash is attributed to the request that was running, or not. */
-  CrashCheck,
-  /** The replica of a late copy may have crashed. */
-  Silent,
-  /** Crashes of long ago are forgotten. */
-  ForgetCrashes,
-};
-
 class ForwarderImpl
   : public Forwarder
   , private ReplicaActivity
@@ -160,7 +135,7 @@
   void OnContactUpdated(TimePoint aNow, ContactReport aReport);
   void ProbeReplicas(TimePoint aNow);
   /** Ends a probe; returns false if aProbe is none. */
-  bool EndProbe(TimePoint aNow, CopyId aProbe, bool aAnswered);
+  bool EndProbe(TimePoint aNow, CopyId aProbe, const ReplicaAnswer* aAnswer);
   /** Whether other hosts are asked to serve what this one cannot. */
   bool UsesFallback() const;
   /** Whether another host is to be asked for aSubRequest: this one reaches no
@@ -312,6 +287,29 @@
   void AbandonCopies(TimePoint aNow, SubRequest& aSubRequest, Duration aDelay);
   void AbortUnsentCopies(const SubRequest& aSubRequest);
 
+  // ForwarderPacing.cpp: replicas that have failed, and their slow start.
+  /** Backs off from a replica, and plans a health check if it is to start
+   *  slowly afterwards. */
+  void BackOff(TimePoint aNow,
+               BackendGroup& aGroup,
+               const std::shared_ptr<PooledReplica>& aReplica,
+               Duration aFirst);
+  void PlanHealthCheck(TimePoint aNow,
+                       BackendGroup& aGroup,
+                       const std::shared_ptr<PooledReplica>& aReplica);
+  void OnHealthCheckTimer(TimePoint aNow, CopyId aCheck);
+  /** Ends a health check that was answered, or failed if aAnswer is nullptr;
+   *  returns false if aCheck is none. */
+  bool EndHealthCheck(TimePoint aNow,
+                      CopyId aCheck,
+                      const ReplicaAnswer* aAnswer);
+  /** The worst tier for a copy: while a replica is paced and there is time,
+   *  better than that. */
+  static ReplicaTier WorstTier(TimePoint aNow,
+                               const RunningForward& aForward,
+                               const SubRequest& aSubRequest);
+  void OnPaceChanged(const ReplicaPaceReport& aReport);
+
   // ForwarderLimits.cpp: request limits of replicas, and overloaded shards.
   /** Sheds load of overloaded shards: skips them in some of the requests whose
    *  answer may lack them, and in all of these if request limits leave no time.
@@ -375,8 +373,9 @@
   RelayPool m_relayPool;
   ContactMonitor m_contact;
   std::optional<TimePoint> m_contactTimerAt;
-  /** When each probe that has not ended was sent, in this order. */
-  std::map<CopyId, TimePoint> m_probes;
+  /** Probes that have not ended, in the order in which they were sent. */
+  std::map<CopyId, ContactProbe> m_probes;
+  std::map<CopyId, HealthCheck> m_healthChecks;
   CrashGuard m_crashGuard;
   AnsweredFingerprints m_answered;
   CrashChecks m_crashChecks;
--- a/packages/forward/tests/BackendPoolTest.cpp
+++ b/packages/forward/tests/BackendPoolTest.cpp
@@ -29,7 +29,7 @@
   BackendPool pool(ForwarderFixture::Options(), *random);
   RoutingTable table;
   table.m_services["s"] = { "s", 60 };
-  pool.SetTable(table);
+  pool.SetTable(TimePoint(), table);
   ReplicaRecord local;
   local.m_id = "near";
   local.m_service = "s";
--- a/packages/forward/tests/ForwardFleet.cpp
+++ b/packages/forward/tests/ForwardFleet.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <iterator>
+#include <list>
 #include <numeric>
 #include <set>
 #include <utility>
@@ -16,6 +18,11 @@
 /** How long before its request a host must have learned a limit to be held to
  *  it. */
 constexpr Duration kLearningTime{ 500000 };
+/** When a host that has started counts the hosts for the second time. */
+constexpr Duration kSecondCountDelay{ 2000000 };
+/** Time until a host learns of a change of a replica, and a random part. */
+constexpr Duration kDiscoveryTime{ 300000 };
+constexpr Duration kDiscoveryJitter{ 1000000 };
 /** Largest share of the callers of a host, relative to the smallest one. */
 constexpr double kUnevenShares = 3;
 
@@ -29,7 +36,9 @@
   {
     TimePoint m_at;
     bool m_knewLimit = false;
+    bool m_cold = false;
   };
+  using Reply = std::function<void(ReplicaAnswer&&)>;
 
   Replica(ForwardFleet& aFleet, ReplicaRecord aRecord, std::size_t aNumber)
     : m_fleet(aFleet)
@@ -38,48 +47,113 @@
   {
   }
 
-  void Arrive(bool aKnewLimit, std::function<void(ReplicaAnswer&&)> aReply)
+  /** A request for the instance that started at aInstance. */
+  void Arrive(bool aKnewLimit, WallTime aInstance, Reply aReply)
   {
-    m_arrivals.push_back({ m_fleet.Now(), aKnewLimit });
+    ReplicaAnswer refusal;
+    refusal.m_status = m_up ? 421 : 0;
+    refusal.m_notRun = m_up;
+    refusal.m_wrongInstance = m_up;
+    if (!m_up || aInstance != m_record.m_startedAt) {
+      aReply(std::move(refusal));
+      return;
+    }
+    m_arrivals.push_back({ m_fleet.Now(), aKnewLimit, IsCold() });
+    if (IsCold() && CrashesNow()) {
+      Crash();
+      aReply({});
+      const std::size_t service = m_number / m_fleet.m_options.m_dataCentres;
+      const std::size_t dataCentre = m_number % m_fleet.m_options.m_dataCentres;
+      m_fleet.m_events.After(m_fleet.m_options.m_restartTime,
+                             [this, service, dataCentre] {
+                               m_fleet.Return(service, dataCentre, true);
+                             });
+      return;
+    }
+    if (m_queue.size() >= m_fleet.m_options.m_queue) {
+      refusal.m_status = 503;
+      refusal.m_wrongInstance = false;
+      aReply(std::move(refusal));
+      return;
+    }
     m_queue.push_back(std::move(aReply));
+    m_mostQueued = std::max(m_mostQueued, m_queue.size() + m_running.size());
     StartNext();
   }
 
+  void Crash()
+  {
+    ++m_fleet.m_crashes;
+    m_up = false;
+    ++m_generation;
+    for (const Reply& reply : std::exchange(m_running, {})) {
+      reply({});
+    }
+    for (const Reply& reply : std::exchange(m_queue, {})) {
+      reply({});
+    }
+  }
+
+  bool IsCold() const { return m_fleet.Now() < m_coldUntil; }
+  bool IsUp() const { return m_up; }
+
   ForwardFleet& m_fleet;
   ReplicaRecord m_record;
   /** Place in the list of the fleet. */
   std::size_t m_number;
   std::optional<double> m_limit;
   std::vector<Arrival> m_arrivals;
+  TimePoint m_coldUntil;
+  std::size_t m_mostQueued = 0;
+  bool m_up = true;
 
 private:
+  bool CrashesNow() const
+  {
+    const std::size_t most = m_fleet.m_options.m_crashRequests;
+    return most > 0 && m_arrivals.size() > most &&
+           m_arrivals[m_arrivals.size() - 1 - most].m_at >
+             m_fleet.Now() - std::chrono::seconds(1) &&
+           m_arrivals[m_arrivals.size() - 1 - most].m_cold;
+  }
+
   void StartNext()
   {
-    if (m_running >= m_record.m_slots || m_queue.empty()) {
+    if (m_running.size() >= m_record.m_slots || m_queue.empty()) {
       return;
     }
-    ++m_running;
-    auto reply = std::move(m_queue.front());
+    m_running.push_back(std::move(m_queue.front()));
+    const auto job = std::prev(m_running.end());
     m_queue.pop_front();
     const double work = static_cast<double>(m_fleet.m_options.m_work.count()) *
-                        (0.5 + m_fleet.m_random->Unit());
-    m_fleet.m_events.After(
-      Duration(static_cast<Duration::rep>(work)), [this, reply] {
-        --m_running;
-        ReplicaAnswer answer;
-        answer.m_status = 200;
-        answer.m_stamp = "stamp";
-        answer.m_load = { m_running,
-                          static_cast<std::uint32_t>(m_queue.size()),
-                          m_record.m_slots };
-        answer.m_requestLimit = m_limit;
-        reply(std::move(answer));
-        StartNext();
-      });
+                        (0.5 + m_fleet.m_random->Unit()) *
+                        (IsCold() ? m_fleet.m_options.m_coldFactor : 1);
+    m_fleet.m_events.After(Duration(static_cast<Duration::rep>(work)),
+                           [this, job, generation = m_generation] {
+                             if (generation == m_generation) {
+                               End(job);
+                             }
+                           });
+  }
+
+  void End(std::list<Reply>::iterator aJob)
+  {
+    const Reply reply = std::move(*aJob);
+    m_running.erase(aJob);
+    ReplicaAnswer answer;
+    answer.m_status = 200;
+    answer.m_stamp = "stamp";
+    answer.m_load = { static_cast<std::uint32_t>(m_running.size()),
+                      static_cast<std::uint32_t>(m_queue.size()),
+                      m_record.m_slots };
+    answer.m_requestLimit = m_limit;
+    reply(std::move(answer));
+    StartNext();
   }
 
-  std::uint32_t m_running = 0;
-  std::deque<std::function<void(ReplicaAnswer&&)>> m_queue;
+  unsigned m_generation = 0;
+  std::list<Reply> m_running;
+  std::deque<Reply> m_queue;
 };
 
 /** A host with its forwarder; events that come too late for it are dropped. */
@@ -104,6 +178,10 @@
     m_forwarder->SetTable(now, aFleet.m_table);
     m_forwarder->SetLiveHosts(aFleet.m_records.size());
     m_forwarder->SetHosts(now, aFleet.m_records);
+    m_forwarder->SetEvacuated(now, aFleet.m_evacuated);
+    // The second count of the hosts.
+    Later(kSecondCountDelay,
+          [this] { m_forwarder->SetHosts(m_fleet.Now(), m_fleet.m_records); });
     for (const auto& replica : aFleet.m_replicas) {
       m_forwarder->UpdateReplica(now, replica->m_record, now);
       m_forwarder->ConnectionProven(replica->m_record.m_id);
@@ -165,6 +243,20 @@
     }
   }
 
+  void UpdateReplica(const ReplicaRecord& aRecord)
+  {
+    const TimePoint now = m_fleet.Now();
+    m_forwarder->UpdateReplica(
+      now, aRecord, now - kDiscoveryTime - kDiscoveryJitter);
+    ArmTimer();
+  }
+
+  void SetEvacuated()
+  {
+    m_forwarder->SetEvacuated(m_fleet.Now(), m_fleet.m_evacuated);
+    ArmTimer();
+  }
+
   void SendCopy(CopyId aCopy,
                 ForwardId,
                 const ReplicaRecord& aReplica,
@@ -173,7 +265,7 @@
     Replica& replica = *m_fleet.m_replicaById.at(aReplica.m_id);
     const Duration delay = DelayTo(aReplica.m_dataCentre);
     const bool refused =
-      m_link == Link::Reset ||
+      !replica.IsUp() || m_link == Link::Reset ||
       (m_link == Link::NoNewConnections && m_busy[aReplica.m_id] > 0);
     if (refused) {
       Later(delay, [this, aCopy] {
@@ -196,26 +288,30 @@
     const bool knew = learned != m_learnedAt.end() &&
                       learned->second + kLearningTime <= m_fleet.Now();
     const std::weak_ptr<bool> alive = m_alive;
-    m_fleet.m_events.After(delay, [this, alive, &replica, knew, delay, aCopy] {
-      replica.Arrive(
-        knew,
-        [this, &fleet = replica.m_fleet, alive, &replica, delay, aCopy](
-          ReplicaAnswer&& aAnswer) {
-          // The host may be gone by now.
-          fleet.m_events.After(delay, [this, alive, &replica, aCopy, aAnswer] {
-            if (!alive.lock()) {
-              return;
-            }
-            --m_busy[replica.m_record.m_id];
-            if (m_link == Link::Silent || m_open.erase(aCopy) == 0) {
-              return;
-            }
-            WhenAwake([this, &replica, aCopy, aAnswer] {
-              OnAnswer(replica, aCopy, aAnswer);
-            });
+    const WallTime instance = aReplica.m_startedAt;
+    m_fleet.m_events.After(
+      delay, [this, alive, &replica, knew, delay, aCopy, instance] {
+        replica.Arrive(
+          knew,
+          instance,
+          [this, &fleet = replica.m_fleet, alive, &replica, delay, aCopy](
+            ReplicaAnswer&& aAnswer) {
+            // The host may be gone by now.
+            fleet.m_events.After(
+              delay, [this, alive, &replica, aCopy, aAnswer] {
+                if (!alive.lock()) {
+                  return;
+                }
+                --m_busy[replica.m_record.m_id];
+                if (m_link == Link::Silent || m_open.erase(aCopy) == 0) {
+                  return;
+                }
+                WhenAwake([this, &replica, aCopy, aAnswer] {
+                  OnAnswer(replica, aCopy, aAnswer);
+                });
+              });
           });
-        });
-    });
+      });
   }
   void SendRelay(CopyId aCopy,
                  ForwardId,
@@ -252,9 +348,21 @@
     }
     if (m_link == Link::Up) {
       // Connecting takes a round trip, too.
-      Later(4 * DelayTo(aReplica.m_dataCentre), [this, aProbe] {
-        m_forwarder->CopyAnswered(m_fleet.Now(), aProbe, ReplicaAnswer());
-      });
+      Later(
+        4 * DelayTo(aReplica.m_dataCentre),
+        [this, aProbe, &aReplica = *m_fleet.m_replicaById.at(aReplica.m_id)] {
+          if (!aReplica.IsUp()) {
+            m_forwarder->CopyFailed(
+              m_fleet.Now(), aProbe, CopyFailure::Refused);
+            return;
+          }
+          ReplicaAnswer answer;
+          answer.m_status = 200;
+          answer.m_instance = aReplica.m_record.m_id;
+          answer.m_warmupLeft =
+            std::max(Duration(0), aReplica.m_coldUntil - m_fleet.Now());
+          m_forwarder->CopyAnswered(m_fleet.Now(), aProbe, std::move(answer));
+        });
     }
   }
   void AbortCopy(CopyId aCopy) override { m_open.erase(aCopy); }
@@ -262,6 +370,7 @@
   void LogRequestLimit(const RequestLimitReport&) override {}
   void LogContact(const ContactReport&) override {}
   void LogReplicaNotice(const ReplicaNoticeReport&) override {}
+  void LogReplicaPace(const ReplicaPaceReport&) override {}
   void LogCrash(const CrashDecision&) override {}
   std::string SummaryOf(ForwardId) const override { return {}; }
   void ReportCrash(const CrashReport&) override {}
@@ -367,6 +476,11 @@
   void OnAnswer(const Replica& aReplica, CopyId aCopy, ReplicaAnswer aAnswer)
   {
     const std::string& id = aReplica.m_record.m_id;
+    if (aAnswer.m_status == 0) {
+      m_forwarder->CopyFailed(m_fleet.Now(), aCopy, CopyFailure::Broken);
+      ArmTimer();
+      return;
+    }
     if (aAnswer.m_requestLimit) {
       m_learnedAt.emplace(id, m_fleet.Now());
     } else {
@@ -430,7 +544,11 @@
   for (std::size_t i = 0; i < std::max<std::size_t>(1, aOptions.m_shards);
        ++i) {
     services.push_back("shard" + std::to_string(i));
-    m_table->m_services[services.back()] = { services.back(), 600 };
+    RoutedService& service = m_table->m_services[services.back()];
+    service.m_name = services.back();
+    service.m_connections = aOptions.m_connections;
+    service.m_warmupTime = aOptions.m_warmupTime;
+    service.m_warmupPerSecond = aOptions.m_warmupPerSecond;
   }
   if (aOptions.m_shards > 0) {
     route.m_gather = GatherRule{ services, 5, aOptions.m_minShardRatio };
@@ -442,7 +560,9 @@
   m_table->Index();
   AddReplicas(services);
 
-  const std::size_t hosts = aOptions.m_dataCentres * aOptions.m_hostsEach;
+  const std::size_t hosts = aOptions.m_hosts > 0
+                              ? aOptions.m_hosts
+                              : aOptions.m_dataCentres * aOptions.m_hostsEach;
   double sum = 0;
   for (std::size_t i = 0; i < hosts; ++i) {
     m_records.push_back({ "host" + std::to_string(i),
@@ -523,6 +643,82 @@
   ReplicaOf(aService, aDataCentre).m_limit = aLimit;
 }
 
+void
+ForwardFleet::ListReplica(const Replica& aReplica)
+{
+  for (const auto& host : m_hosts) {
+    const std::string id = host->m_record.m_id;
+    const Duration delay =
+      kDiscoveryTime + Duration(m_random->Below(kDiscoveryJitter.count()));
+    m_events.After(delay, [this, id, record = aReplica.m_record] {
+      if (Host* const known = HostWithId(id)) {
+        known->UpdateReplica(record);
+      }
+    });
+  }
+}
+
+void
+ForwardFleet::Crash(std::size_t aService, std::size_t aDataCentre)
+{
+  ReplicaOf(aService, aDataCentre).Crash();
+}
+
+void
+ForwardFleet::Return(std::size_t aService, std::size_t aDataCentre, bool aIsNew)
+{
+  Replica& replica = ReplicaOf(aService, aDataCentre);
+  replica.m_up = true;
+  if (aIsNew) {
+    ++replica.m_record.m_startedAt;
+    TurnCold(aService, aDataCentre);
+  }
+}
+
+void
+ForwardFleet::TurnCold(std::size_t aService, std::size_t aDataCentre)
+{
+  Replica& replica = ReplicaOf(aService, aDataCentre);
+  replica.m_coldUntil = Now() + m_options.m_coldTime;
+  replica.m_record.m_warmupLeft = m_options.m_coldTime;
+  ListReplica(replica);
+}
+
+void
+ForwardFleet::Evacuate(const std::set<std::string>& aDataCentres)
+{
+  m_evacuated = aDataCentres;
+  for (const auto& host : m_hosts) {
+    host->SetEvacuated();
+  }
+}
+
+std::size_t
+ForwardFleet::MostColdRequests(std::size_t aService,
+                               std::size_t aDataCentre,
+                               TimePoint aFrom) const
+{
+  std::deque<TimePoint> window;
+  std::size_t most = 0;
+  for (const auto& arrival : ReplicaOf(aService, aDataCentre).m_arrivals) {
+    if (arrival.m_at < aFrom || !arrival.m_cold) {
+      continue;
+    }
+    window.push_back(arrival.m_at);
+    while (arrival.m_at - window.front() >= std::chrono::seconds(1)) {
+      window.pop_front();
+    }
+    most = std::max(most, window.size());
+  }
+  return most;
+}
+
+std::size_t
+ForwardFleet::MostQueued(std::size_t aService, std::size_t aDataCentre) const
+{
+  return ReplicaOf(aService, aDataCentre).m_mostQueued;
+}
+
 ForwardFleet::Outcomes&
 ForwardFleet::Outcomes::operator+=(const Outcomes& aOther)
 {
@@ -563,6 +759,9 @@
 ForwardFleet::ResetOutcomes()
 {
   m_outcomes = Outcomes();
+  for (const auto& replica : m_replicas) {
+    replica->m_mostQueued = 0;
+  }
   for (const auto& host : m_hosts) {
     host->m_outcomes = Outcomes();
   }
--- a/packages/forward/tests/ForwardFleet.h
+++ b/packages/forward/tests/ForwardFleet.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,22 @@
   Duration m_target{ 250000 };
   Duration m_timeout{ 1000000 };
   unsigned m_seed = 1;
+  /** Hosts in all data centres together; 0: m_hostsEach in each. */
+  std::size_t m_hosts = 0;
+  std::uint32_t m_connections = 600;
+  /** Warm-up of the service, as the routing table has it. */
+  Duration m_warmupTime{ 0 };
+  double m_warmupPerSecond = 0;
+  /** How long a replica is cold after its start, and its service time then,
+   *  relative to the usual one. */
+  Duration m_coldTime{ 0 };
+  double m_coldFactor = 1;
+  /** A cold replica that gets more requests than this within one second
+   *  crashes, and is back after m_restartTime; 0: it does not. */
+  std::size_t m_crashRequests = 0;
+  Duration m_restartTime{ 2000000 };
+  /** Requests that a replica queues; it refuses others. */
+  std::size_t m_queue = 1000000;
 };
 
 /** Hosts that forward the requests of many callers to the same replicas, in
@@ -86,6 +103,25 @@
   /** The host does nothing for a while, and what arrives waits. */
   void Pause(std::size_t aHost, Duration aTime);
 
+  /** The replica ends at once. Its entry is still listed. */
+  void Crash(std::size_t aService, std::size_t aDataCentre);
+  /** It is back: as another, cold instance that the hosts learn of some time
+   *  later, or as the same one. */
+  void Return(std::size_t aService, std::size_t aDataCentre, bool aIsNew);
+  /** It turns cold, and the hosts learn of it some time later. */
+  void TurnCold(std::size_t aService, std::size_t aDataCentre);
+  /** Sets the evacuated data centres on all hosts, also on those that restart
+   *  later. */
+  void Evacuate(const std::set<std::string>& aDataCentres);
+  std::size_t Crashes() const { return m_crashes; }
+  /** Largest number of requests that it got while it was cold within one
+   *  second since aFrom, without those answered with 421. */
+  std::size_t MostColdRequests(std::size_t aService,
+                               std::size_t aDataCentre,
+                               TimePoint aFrom) const;
+  /** Largest number of requests that it had at a time since the last reset. */
+  std::size_t MostQueued(std::size_t aService, std::size_t aDataCentre) const;
+
   /** Largest number of requests that the replica got within aWindow, from hosts
    *  that had learned its limit 0.5 s before. Counts windows that begin at
    *  aFrom or later. */
@@ -117,6 +153,8 @@
   void ScheduleCaller();
   std::unique_ptr<Host> MakeHost(std::size_t aIndex);
   Replica& ReplicaOf(std::size_t aService, std::size_t aDataCentre) const;
+  /** Tells all hosts of the record of a replica, some time later. */
+  void ListReplica(const Replica& aReplica);
   Host* HostWithId(const std::string& aId) const;
 
   ForwardFleetOptions m_options;
@@ -127,6 +165,8 @@
   /** By service, then by data centre. */
   std::vector<std::unique_ptr<Replica>> m_replicas;
   std::map<std::string, Replica*> m_replicaById;
+  std::set<std::string> m_evacuated;
+  std::size_t m_crashes = 0;
   std::vector<std::unique_ptr<Host>> m_hosts;
   /** Cumulative shares of the callers, by host. */
   std::vector<double> m_callerShares;
--- a/packages/forward/tests/ForwarderFixture.h
+++ b/packages/forward/tests/ForwarderFixture.h
@@ -81,6 +81,10 @@
   {
     m_notices.push_back(aReport.m_notice);
   }
+  void LogReplicaPace(const ReplicaPaceReport& aReport) override
+  {
+    m_paces.push_back(aReport.m_pace);
+  }
   void LogCrash(const CrashDecision&) override {}
   std::string SummaryOf(ForwardId) const override { return "GET /"; }
   void ReportCrash(const CrashReport& aReport) override
@@ -120,6 +124,7 @@
   std::vector<CopyId> m_probes;
   std::vector<ContactState> m_contactStates;
   std::vector<ReplicaNotice> m_notices;
+  std::vector<ReplicaPace> m_paces;
   std::vector<CopyId> m_aborted;
   std::vector<CrashReport> m_crashReports;
   std::vector<SuspectReport> m_suspects;
--- a/packages/forward/src/RequestLimit.h
+++ b/packages/pacing/include/goldcrestkeel/pacing/RequestLimit.h
@@ -14,6 +14,15 @@
 class RequestLimit
 {
 public:
+  /** How long a permit can be used. After a quiet time, the hosts together may
+   *  send what the limit allows in this time on top of it. */
+  static constexpr Duration kPermitValid{ 1000000 };
+
+  explicit RequestLimit(Duration aPermitValid = kPermitValid)
+    : m_permitValid(aPermitValid)
+  {
+  }
+
   /** Sets the limit, in requests a second of all hosts together; std::nullopt
    *  ends it. The first permit is issued at a random time within an interval,
    *  so that the hosts are not in step. */
@@ -42,6 +51,7 @@
   /** Issue time of the oldest permit that is neither used nor expired. */
   TimePoint NextPermit(TimePoint aNow) const;
 
+  Duration m_permitValid;
   std::optional<double> m_perSecond;
   double m_share = 1;
   /** Issue time of the last permit that was used. */
--- a/packages/forward/src/RequestLimit.cpp
+++ b/packages/pacing/src/RequestLimit.cpp
@@ -1,4 +1,4 @@
-#include "RequestLimit.h"
+#include <goldcrestkeel/pacing/RequestLimit.h>
 
 #include <algorithm>
 #include <cmath>
@@ -7,9 +7,6 @@
 
 namespace {
 
-/** How long a permit can be used. After a quiet time, the hosts together may
- *  send what the limit allows in this time on top of it. */
-constexpr Duration kPermitValid{ 1000000 };
 /** Lower bound of a limit, in requests a second of all hosts together: without
  *  any request, hosts would not learn that a limit of 0 has ended. */
 constexpr double kMinPerSecond = 0.5;
@@ -47,7 +44,7 @@
 {
   const Duration interval = Interval();
   const TimePoint next = m_lastUsed + interval;
-  const Duration expired = aNow - kPermitValid - next;
+  const Duration expired = aNow - m_permitValid - next;
   if (expired <= Duration(0)) {
     return next;
   }
