--- a/packages/pacing/include/goldcrestkeel/pacing/WarmupLimit.h
+++ b/packages/pacing/include/goldcrestkeel/pacing/WarmupLimit.h
@@ -42,7 +42,7 @@
   /** How long a permit can be used: all hosts together may send the limit for
    *  one second plus this time within one second, and the bound is one and a
    *  half times the limit. */
-  static constexpr Duration kPermitValid{ 250000 };
+  static constexpr Duration kPermitValid{ 500000 };
 
   void Apply(TimePoint aNow, RandomSource& aRandom);
 
--- a/packages/pacing/src/SlowStart.cpp
+++ b/packages/pacing/src/SlowStart.cpp
@@ -17,8 +17,13 @@
 /** The same from one on, in requests. */
 constexpr double kGrowthStep = 0.5;
 constexpr double kShrinkFactor = 0.5;
-/** Lower bound of the limit, relative to the first one. */
-constexpr double kMinRatio = 0.125;
+/** Lower bound of the limit, relative to the first one. With less, replicas
+ * that are late because all have much to do would leave the work to the first
+ * one that was not. */
+constexpr double kMinRatio = 0.5;
+/** The same where a slow start begins after others without an answer in time.
+ */
+constexpr double kMinFirstRatio = 0.125;
 /** Latency that is assumed before the first answer. */
 constexpr Duration kAssumedLatency{ 20000 };
 /** Longest gap between two requests, doubled with each slow start in a row that
@@ -26,6 +31,9 @@
  *  requests again is not left idle for longer. */
 constexpr Duration kMaxGap{ 1000000 };
 constexpr std::uint32_t kMaxGapDoublings = 3;
+/** A slow start does not end sooner: of several replicas that start at a time,
+ *  the first one at its usual share would get what the others do not take. */
+constexpr Duration kMinTime{ 2000000 };
 /** A slow start ends after this time: a replica that is permanently slower than
  *  before is used by the ordinary rules. */
 constexpr Duration kMaxTime{ 30000000 };
@@ -55,7 +63,8 @@
   phase.m_plan = aPlan;
   phase.m_fruitless = aFruitless;
   phase.m_limit =
-    std::max(kMinRatio, std::pow(kShrinkFactor, aFruitless)) * aPlan.m_first;
+    std::max(kMinFirstRatio, std::pow(kShrinkFactor, aFruitless)) *
+    aPlan.m_first;
   phase.m_nextAt =
     aAt +
     Duration(aRandom.Below(std::max<Duration::rep>(1, GapOf(phase).count())));
@@ -149,8 +158,11 @@
   phase->m_limit = phase->m_limit < 1 ? phase->m_limit * kGrowthFactor
                                       : phase->m_limit + kGrowthStep;
   if (phase->m_limit >= plan.m_last) {
-    m_phase.reset();
-    return;
+    if (aNow >= phase->m_beginsAt + kMinTime) {
+      m_phase.reset();
+      return;
+    }
+    phase->m_limit = plan.m_last;
   }
   phase->m_nextAt = std::min(phase->m_nextAt, phase->m_sentAt + GapOf(*phase));
 }
@@ -164,8 +176,9 @@
     return;
   }
   phase->m_reducedAt = aNow;
-  phase->m_limit =
-    std::max(kMinRatio * phase->m_plan.m_first, kShrinkFactor * phase->m_limit);
+  phase->m_limit = std::min(phase->m_limit,
+                            std::max(kMinRatio * phase->m_plan.m_first,
+                                     kShrinkFactor * phase->m_limit));
   phase->m_nextAt = std::max(phase->m_nextAt, aNow + GapOf(*phase));
 }
 
