--- a/packages/forward/src/BackendPacing.cpp
+++ b/packages/forward/src/BackendPacing.cpp
@@ -174,13 +174,15 @@
 bool
 BackendPool::HasPacedReplica(TimePoint aNow,
                              const BackendGroup& aGroup,
-                             const std::vector<std::string>& aExclude)
+                             const std::vector<std::string>& aExclude,
+                             const RegionFilter& aRegions)
 {
   return aGroup.m_warmupTime > Duration(0) &&
          std::any_of(aGroup.m_replicas.begin(),
                      aGroup.m_replicas.end(),
                      [&](const std::shared_ptr<PooledReplica>& aReplica) {
                        return TierOf(aNow, *aReplica) == ReplicaTier::Paced &&
+                              aRegions.Allows(aReplica->m_region) &&
                               std::find(aExclude.begin(),
                                         aExclude.end(),
                                         aReplica->m_record.m_id) ==
--- a/packages/forward/src/BackendRegistry.cpp
+++ b/packages/forward/src/BackendRegistry.cpp
@@ -66,6 +66,7 @@
   replica->m_listed = true;
   replica->m_evacuated = m_evacuated.contains(aRecord.m_dataCentre);
   replica->m_distance = DistanceBetween(m_options, aRecord.m_dataCentre);
+  replica->m_region = RegionOf(m_options, aRecord.m_dataCentre);
   UpdateShares(group);
   UpdateWarmup(aNow, group, *replica, started);
   if (!aRecord.m_draining) {
--- a/packages/forward/src/ForwarderDispatch.cpp
+++ b/packages/forward/src/ForwarderDispatch.cpp
@@ -63,10 +63,8 @@
                         CopyReason aReason)
 {
   SubRequest& subRequest = aForward.m_subRequests[aIndex];
-  const auto replica = m_pool.Choose(aNow,
-                                     *subRequest.m_group,
-                                     subRequest.m_triedReplicas,
-                                     WorstTier(aNow, aForward, subRequest));
+  const auto replica = ChooseReplica(
+    aNow, aForward, subRequest, WorstTier(aNow, aForward, subRequest));
   if (replica) {
     SendTo(aNow, aForward, aIndex, replica, aReason);
     return;
@@ -77,8 +75,10 @@
     SendFallback(aNow, aForward, { aIndex });
     return;
   }
-  if (BackendPool::HasUsableReplica(
-        aNow, *subRequest.m_group, subRequest.m_triedReplicas)) {
+  if (BackendPool::HasUsableReplica(aNow,
+                                    *subRequest.m_group,
+                                    subRequest.m_triedReplicas,
+                                    aForward.m_regions)) {
     Enqueue(aNow, aForward, aIndex);
     return;
   }
@@ -156,7 +156,7 @@
   if (WorstTier(aNow, aForward, subRequest) == ReplicaTier::Degraded) {
     ++m_counters.m_pacedWaits;
   }
-  const QueuedSubRequest entry{ aForward.m_request.m_route->m_priority,
+  const QueuedSubRequest entry{ aForward.m_request.Priority(),
                                 aForward.m_request.m_deadline,
                                 aForward.m_request.m_id,
                                 aIndex };
@@ -209,13 +209,12 @@
     }
     RunningForward& forward = *running->second;
     SubRequest& subRequest = forward.m_subRequests[entry->m_subRequest];
-    const auto replica = m_pool.Choose(aNow,
-                                       aGroup,
-                                       subRequest.m_triedReplicas,
-                                       WorstTier(aNow, forward, subRequest));
+    const auto replica = ChooseReplica(
+      aNow, forward, subRequest, WorstTier(aNow, forward, subRequest));
     if (!replica) {
-      // Later entries may have tried fewer replicas.
-      if (subRequest.m_triedReplicas.empty()) {
+      // Later entries may have tried fewer replicas, or may use other regions.
+      if (subRequest.m_triedReplicas.empty() &&
+          !forward.m_regions.IsRestricted()) {
         return;
       }
       ++entry;
@@ -331,10 +330,8 @@
   if (subRequest.m_state != SubRequest::State::Running) {
     return;
   }
-  const auto other = m_pool.Choose(aNow,
-                                   *subRequest.m_group,
-                                   subRequest.m_triedReplicas,
-                                   ReplicaTier::Degraded);
+  const auto other =
+    ChooseReplica(aNow, forward, subRequest, ReplicaTier::Degraded);
   if (!copy.m_sentAt) {
     if (other) {
       BackOff(aNow, *copy.m_group, copy.m_replica, kUnreachableBackoff);
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -137,7 +137,7 @@
   /** Ends a probe; returns false if aProbe is none. */
   bool EndProbe(TimePoint aNow, CopyId aProbe, const ReplicaAnswer* aAnswer);
   /** Whether other hosts are asked to serve what this one cannot. */
-  bool UsesFallback() const;
+  bool UsesFallback(const RegionFilter& aRegions) const;
   /** Whether another host is to be asked for aSubRequest: this one reaches no
    *  replica, or all that it reaches want no request from it. */
   bool NeedsFallback(TimePoint aNow,
@@ -310,7 +310,8 @@
                                const SubRequest& aSubRequest);
   void OnPaceChanged(const ReplicaPaceReport& aReport);
 
-  // ForwarderLimits.cpp: request limits of replicas, and overloaded shards.
+  // ForwarderLimits.cpp: request limits of replicas, allowed regions, and
+  // overloaded shards.
   /** Sheds load of overloaded shards: skips them in some of the requests whose
    *  answer may lack them, and in all of these if request limits leave no time.
    */
@@ -334,6 +335,12 @@
   /** Fails the queued sub-requests of aForward that no replica can take any
    *  more, or has another host serve them. */
   void FailUnservedWaiting(TimePoint aNow, RunningForward& aForward);
+  /** Selects a replica that the request may use and has not tried; nullptr if
+   *  there is none. */
+  std::shared_ptr<PooledReplica> ChooseReplica(TimePoint aNow,
+                                               const RunningForward& aForward,
+                                               const SubRequest& aSubRequest,
+                                               ReplicaTier aWorst);
   /** Number of queued sub-requests that come before a new one. */
   std::size_t QueuedAhead(const BackendGroup& aGroup,
                           std::uint32_t aPriority) const;
--- a/packages/forward/src/ForwarderPacing.cpp
+++ b/packages/forward/src/ForwarderPacing.cpp
@@ -129,8 +129,10 @@
   const Duration target = aForward.m_request.m_route->m_target;
   const bool mayWait =
     aNow < aForward.m_startedAt + target * kMaxPaceWaitPercent / 100;
-  return mayWait && BackendPool::HasPacedReplica(
-                      aNow, *aSubRequest.m_group, aSubRequest.m_triedReplicas)
+  return mayWait && BackendPool::HasPacedReplica(aNow,
+                                                 *aSubRequest.m_group,
+                                                 aSubRequest.m_triedReplicas,
+                                                 aForward.m_regions)
            ? ReplicaTier::Degraded
            : ReplicaTier::Draining;
 }
