--- a/packages/forward/src/BackendPool.h
+++ b/packages/forward/src/BackendPool.h
@@ -1,10 +1,9 @@
 #pragma once
 
 #include "DecayingRate.h"
+#include "PooledReplica.h"
 #include "RegionFilter.h"
 #include "RepeatBudget.h"
-#include "ReplicaNotices.h"
-#include "RequestLimit.h"
 
 #include <goldcrestkeel/core/Random.h>
 #include <goldcrestkeel/forward/Forwarder.h>
@@ -18,117 +17,17 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 namespace goldcrestkeel {
 
-/** Weight of one copy in the failure rate of a replica, and the time constant
- *  of its decay, in microseconds; a failed replica is then tried again. */
-inline constexpr double kFailureWeight = 0.15;
-inline constexpr double kFailureTimeConstantUs = 3e6;
-/** The same for the rate of gathered requests that miss a shard. */
+/** Weight of one request in the rate of those that miss a shard, and the time
+ *  constant of its decay, in microseconds. */
 inline constexpr double kMissedWeight = 0.06;
 inline constexpr double kMissedTimeConstantUs = 2e6;
 
-/** Availability of a replica; lower values are preferred. */
-enum class ReplicaTier
-{
-  Healthy,
-  /** It has a late copy, is being probed or has failed recently. */
-  Degraded,
-  /** It drains or is no longer listed; used only if there is no other. */
-  Draining,
-  /** This host has reached its in-flight limit or its share of the request
-   *  limit, or the replica reports or signalled overload. */
-  Full,
-  /** It was replaced, is unreachable or unresponsive, wants no request for a
-   *  time, or its drain grace period has ended. */
-  Unavailable,
-};
-
-/** Network distance of a replica from this host. */
-enum class Distance
-{
-  SameDataCentre,
-  SameRegion,
-  OtherRegion,
-};
-
-/** Distance of aDataCentre from the host with aOptions. */
-Distance
-DistanceBetween(const ForwarderOptions& aOptions,
-                const std::string& aDataCentre);
-
-/** Region of aDataCentre; empty if it belongs to none. */
-std::string
-RegionOf(const ForwarderOptions& aOptions, const std::string& aDataCentre);
-
-/** State of a replica, or of an entry host in RelayPool. */
-struct PooledReplica
-{
-  ReplicaRecord m_record;
-  Distance m_distance = Distance::OtherRegion;
-  /** Empty if its data centre belongs to none. */
-  std::string m_region;
-
-  /** Copies sent or waiting for a connection, including abandoned ones. */
-  std::uint32_t m_inFlight = 0;
-  /** Limit of m_inFlight: this host's share of the connections that the replica
-   *  accepts. */
-  std::uint32_t m_maxInFlight = 1;
-  /** Open connections of this host that have brought an answer. */
-  std::uint32_t m_openConnections = 0;
-  /** New connections bring no answer; see ContactState::Limited. */
-  bool m_openConnectionsOnly = false;
-  /** Copies in flight that have exceeded the late threshold. */
-  std::uint32_t m_lateCopies = 0;
-
-  /** Set if the replica drains or is no longer listed: until when it may be
-   *  used if there is no other. */
-  std::optional<TimePoint> m_usableUntil;
-  bool m_listed = true;
-  /** Another replica, or another instance of this one, has its address. */
-  bool m_replaced = false;
-  /** Its data centre is evacuated. */
-  bool m_evacuated = false;
-
-  /** Moving average of the response time without queueing at the replica,
-   *  including the network, in microseconds; 0 before the first sample. */
-  double m_latency = 0;
-  TimePoint m_latencyAt;
-  /** Failure rate of copies. */
-  DecayingRate m_failureRate{ kFailureWeight, kFailureTimeConstantUs };
-
-  LoadReport m_load;
-  /** m_inFlight when m_load was received; m_load includes these copies. */
-  std::uint32_t m_inFlightAtReport = 0;
-  TimePoint m_loadReportedAt;
-
-  ReplicaNotices m_notices;
-
-  /** As the last answer of the replica named it. */
-  RequestLimit m_requestLimit;
-  /** Copies sent since m_limitReportedAt, when the limit was last logged. */
-  std::uint32_t m_copiesSinceReport = 0;
-  TimePoint m_limitReportedAt;
-
-  /** Until when the replica counts as full after it refused a request. */
-  TimePoint m_fullUntil;
-
-  TimePoint m_warmupEndsAt;
-
-  /** Copies to the replica got no answer in time. It gets one copy at a time,
-   *  as a probe, until it answers. */
-  bool m_unresponsive = false;
-  TimePoint m_backoffUntil;
-  /** Consecutive backoffs; 0 after an answer. */
-  std::uint32_t m_backoffs = 0;
-  /** Time of the last answer; before the first one, time of discovery. */
-  TimePoint m_lastAnswerAt;
-  bool m_hasAnswered = false;
-};
-
 /** A sub-request that waits for a replica with capacity. */
 struct QueuedSubRequest
 {
@@ -151,6 +50,8 @@
   TimePoint m_servedAt = TimePoint::min();
   /** Moving average of the response time over all replicas, in microseconds. */
   double m_latency = 0;
+  /** As RoutedService::m_warmupTime; replicas start slowly if it is set. */
+  Duration m_warmupTime{ 0 };
   /** No other host is asked for this service before this time. */
   TimePoint m_noFallbackUntil;
   /** The same for requests that are bound to regions. */
@@ -181,7 +82,7 @@
 public:
   BackendPool(const ForwarderOptions& aOptions, RandomSource& aRandom);
 
-  void SetTable(const RoutingTable& aTable);
+  void SetTable(TimePoint aNow, const RoutingTable& aTable);
   void SetLiveHosts(std::uint32_t aHosts);
   /** Sets the entry hosts. Hosts in the data centre of a replica get most of
    *  its connections. */
@@ -196,8 +97,8 @@
     const std::function<bool(const ReplicaRecord&)>& aMatches) const;
   std::size_t ReplicaCount() const { return m_byId.size(); }
   bool IsKnown(const std::string& aId) const { return m_byId.contains(aId); }
-  /** Up to aCount random replicas that are listed, do not drain and do not want
-   *  rest, from as many data centres as possible. */
+  /** Up to aCount random replicas that are listed, do not drain, do not want
+   *  rest and are not evacuated, from as many data centres as possible. */
   std::vector<ReplicaRecord> Sample(TimePoint aNow, std::size_t aCount);
   std::string HealthPathOf(const std::string& aService) const;
   /** Counts a connection to a replica that has brought an answer, or the end of
@@ -232,6 +133,35 @@
   static ReplicaTier TierWithoutRest(TimePoint aNow,
                                      const PooledReplica& aReplica);
 
+  // BackendPacing.cpp: warm-up limits and slow start.
+  /** Receives each change of the pace of a replica. */
+  using PaceObserver = std::function<void(const ReplicaPaceReport&)>;
+  void SetPaceObserver(PaceObserver aObserver)
+  {
+    m_paceObserver = std::move(aObserver);
+  }
+  /** Adapts the pace of aReplica to an answer that took aLatency.
+   *  aHasRecovered: it is the first one after aReplica failed. */
+  void RecordPace(TimePoint aNow,
+                  BackendGroup& aGroup,
+                  PooledReplica& aReplica,
+                  Duration aLatency,
+                  const ReplicaAnswer& aAnswer,
+                  bool aHasRecovered);
+  /** aReplica has answered a health check after it had failed. */
+  void RecordCheck(TimePoint aNow,
+                   BackendGroup& aGroup,
+                   PooledReplica& aReplica,
+                   const ReplicaAnswer& aAnswer);
+  /** aReplica has stated in an answer how long it stays cold. */
+  void RecordWarmup(TimePoint aNow, const std::string& aId, Duration aLeft);
+  /** Whether aGroup has a replica that aRegions allows, not in aExclude, that
+   *  is Paced. */
+  static bool HasPacedReplica(TimePoint aNow,
+                              const BackendGroup& aGroup,
+                              const std::vector<std::string>& aExclude,
+                              const RegionFilter& aRegions);
+
   /** Selects the best replica of aGroup that aRegions allows, whose id is not
    * in aExclude and whose tier is not worse than aWorst; nullptr if there is
    * none.
@@ -297,6 +227,31 @@
   /** This host's share of the aConnections that aReplica accepts. */
   std::uint32_t MaxInFlightFor(const PooledReplica& aReplica,
                                std::uint32_t aConnections) const;
+  /** The same of a warm-up limit. */
+  double WarmupShareOf(const PooledReplica& aReplica) const;
+  /** Takes the warm-up of the record of aReplica. aStarted: it has started
+   *  during traffic. */
+  void UpdateWarmup(TimePoint aNow,
+                    const BackendGroup& aGroup,
+                    PooledReplica& aReplica,
+                    bool aStarted);
+  /** Takes until when aReplica is cold. */
+  void SetColdUntil(TimePoint aNow,
+                    const BackendGroup& aGroup,
+                    PooledReplica& aReplica,
+                    TimePoint aUntil,
+                    std::string_view aReason);
+  void BeginSlowStart(TimePoint aNow,
+                      const BackendGroup& aGroup,
+                      PooledReplica& aReplica,
+                      std::string_view aReason);
+  SlowStartPlan SlowStartPlanOf(const BackendGroup& aGroup,
+                                const PooledReplica& aReplica) const;
+  void ReportPace(TimePoint aNow,
+                  const BackendGroup& aGroup,
+                  PooledReplica& aReplica,
+                  ReplicaPace aPace,
+                  std::string_view aReason) const;
   /** Until when a replica that left at aChangedAfter or later may be used. */
   TimePoint UsableUntil(TimePoint aNow,
                         std::optional<TimePoint> aChangedAfter) const;
@@ -310,6 +265,9 @@
   ForwarderOptions m_options;
   RandomSource& m_random;
   std::uint32_t m_liveHosts = 1;
+  /** Number of lists of hosts so far. */
+  std::uint32_t m_hostLists = 0;
+  PaceObserver m_paceObserver;
   bool m_openConnectionsOnly = false;
   std::map<std::string, std::uint32_t> m_hostsPerDataCentre;
   std::set<std::string> m_evacuated;
--- a/packages/forward/src/BackendShares.cpp
+++ b/packages/forward/src/BackendShares.cpp
@@ -16,6 +16,11 @@
 constexpr double kSameDataCentreShare = 0.6;
 /** Allowance for hosts that joined since the list was read, as a fraction. */
 constexpr double kJoiningHostsRatio = 0.2;
+/** Hosts that are assumed to share a warm-up limit until they have been counted
+ *  twice: the first count of a host that starts along with the others finds
+ * only a few. This is the largest deployment to design for. */
+constexpr double kUncountedHosts = 800;
+constexpr std::uint32_t kReliableHostLists = 2;
 
 } // namespace
 
@@ -53,6 +58,7 @@
 void
 BackendPool::SetHosts(const std::vector<HostRecord>& aHosts)
 {
+  ++m_hostLists;
   m_hostsPerDataCentre.clear();
   for (const HostRecord& host : aHosts) {
     ++m_hostsPerDataCentre[host.m_dataCentre];
@@ -89,6 +95,13 @@
   return share / hosts;
 }
 
+double
+BackendPool::WarmupShareOf(const PooledReplica& aReplica) const
+{
+  return m_hostLists < kReliableHostLists ? 1 / kUncountedHosts
+                                          : ShareOf(aReplica);
+}
+
 std::uint32_t
 BackendPool::MaxInFlightFor(const PooledReplica& aReplica,
                             std::uint32_t aConnections) const
@@ -105,12 +118,16 @@
 BackendPool::UpdateShares(BackendGroup& aGroup) const
 {
   const auto service = m_services.find(aGroup.m_name);
+  if (service != m_services.end()) {
+    aGroup.m_warmupTime = service->second.m_warmupTime;
+  }
   for (const auto& replica : aGroup.m_replicas) {
     if (service != m_services.end()) {
       replica->m_maxInFlight =
         MaxInFlightFor(*replica, service->second.m_connections);
     }
     replica->m_requestLimit.SetShare(ShareOf(*replica));
+    replica->m_warmup.SetShare(WarmupShareOf(*replica));
   }
   aGroup.m_budget.SetSlack(m_options.m_repeatSlack / m_liveHosts);
 }
@@ -121,7 +138,7 @@
   std::vector<const ReplicaRecord*> listed;
   for (const auto& [id, replica] : m_byId) {
     if (!replica->m_usableUntil && !replica->m_replaced &&
-        !replica->m_notices.IsResting(aNow)) {
+        !replica->m_evacuated && !replica->m_notices.IsResting(aNow)) {
       listed.push_back(&replica->m_record);
     }
   }
@@ -205,13 +222,20 @@
         !aRegions.Allows(replica->m_region)) {
       continue;
     }
-    const Duration time = replica->m_requestLimit.TimeToPermit(aNow);
+    const RequestLimit& limit = replica->m_requestLimit;
+    const WarmupLimit& warmup = replica->m_warmup;
+    const Duration time =
+      std::max(limit.TimeToPermit(aNow), warmup.TimeToPermit(aNow));
     if (time <= Duration(0)) {
       return std::nullopt;
     }
     permits = permits.value_or(NextPermits{ time, 0 });
     permits->m_first = std::min(permits->m_first, time);
-    permits->m_rate += replica->m_requestLimit.Rate();
+    double rate = limit.PerSecond() ? limit.Rate() : warmup.Rate();
+    if (warmup.IsLimited(aNow)) {
+      rate = std::min(rate, warmup.Rate());
+    }
+    permits->m_rate += rate;
   }
   return permits;
 }
--- a/packages/forward/src/Forwarder.cpp
+++ b/packages/forward/src/Forwarder.cpp
@@ -69,12 +69,15 @@
   , m_relayPool(aOptions)
   , m_crashGuard({ kCrashesBeforeQuarantine, kSameCrashTime })
 {
+  m_pool.SetPaceObserver(
+    [this](const ReplicaPaceReport& aReport) { OnPaceChanged(aReport); });
 }
 
 void
-ForwarderImpl::SetTable(TimePoint, std::shared_ptr<const RoutingTable> aTable)
+ForwarderImpl::SetTable(TimePoint aNow,
+                        std::shared_ptr<const RoutingTable> aTable)
 {
-  m_pool.SetTable(*aTable);
+  m_pool.SetTable(aNow, *aTable);
 }
 
 void
@@ -90,13 +93,6 @@
   m_relayPool.SetHosts(aNow, aHosts);
 }
 
-void
-ForwarderImpl::SetEvacuated(TimePoint,
-                            const std::set<std::string>& aDataCentres)
-{
-  m_pool.SetEvacuated(aDataCentres);
-}
-
 void
 ForwarderImpl::UpdateReplica(TimePoint aNow,
                              const ReplicaRecord& aRecord,
@@ -265,6 +261,9 @@
       case ForwardTimer::Silent:
         OnSilentTimer(aNow, timer.m_id);
         continue;
+      case ForwardTimer::HealthCheck:
+        OnHealthCheckTimer(aNow, timer.m_id);
+        continue;
       case ForwardTimer::ForgetCrashes:
         m_crashGuard.ForgetBefore(aNow - kCrashMemory);
         continue;
--- a/packages/forward/src/RelayPool.cpp
+++ b/packages/forward/src/RelayPool.cpp
@@ -136,7 +136,7 @@
     std::set<std::string_view> dataCentres;
     for (const auto& replica : aPool.Group(aShards[shard]).m_replicas) {
       if (!replica->m_usableUntil && !replica->m_replaced &&
-          aRegions.Allows(replica->m_region)) {
+          !replica->m_evacuated && aRegions.Allows(replica->m_region)) {
         dataCentres.insert(replica->m_record.m_dataCentre);
       }
     }
