--- a/packages/edge/tests/CrashMessagesTest.cpp
+++ b/packages/edge/tests/CrashMessagesTest.cpp
@@ -40,6 +40,14 @@
     REQUIRE(FingerprintOf(again) == first);
   }
 
+  // Guards against a request that crashes more replicas under another key.
+  SECTION("is the same with the key of another tenant")
+  {
+    RequestMessage again = Request("GET", "/a", "h", "b");
+    again.m_fields.emplace_back("Authorization", "Token other");
+    REQUIRE(FingerprintOf(again) == first);
+  }
+
   SECTION("differs if any part of what it asks for differs")
   {
     REQUIRE(FingerprintOf(Request("PUT", "/a", "h", "b")) != first);
