--- a/packages/edge/tests/EdgeTenantsTest.cpp
+++ b/packages/edge/tests/EdgeTenantsTest.cpp
@@ -20,10 +20,12 @@
 class TenantsFixture : public ServerFixture
 {
 public:
-  TenantsFixture()
-    : ServerFixture(true)
+  explicit TenantsFixture(bool aHasTable = true)
+    : ServerFixture(true, aHasTable)
   {
-    m_source.Apply(Table(2));
+    if (aHasTable) {
+      m_source.Apply(Table(2));
+    }
   }
 
   std::shared_ptr<RoutingTable> Table(RoutingVersion aVersion) const
@@ -141,6 +143,19 @@
   }
 }
 
+// Guards against callers that give up for good because a host has just started.
+TEST_CASE("A host without a configuration refuses all keys for a while",
+          "[tenant]")
+{
+  TenantsFixture fixture(false);
+  Caller caller(fixture.m_settings.m_callerAddress);
+  const std::string fields =
+    GENERATE(as<std::string>(), "", "Key: Token a-key\r\n");
+  const std::string refusal = fixture.Exchange(caller, kHead + fields);
+  REQUIRE(refusal.starts_with("HTTP/1.1 503"));
+  REQUIRE(Contains(refusal, "Retry-After"));
+}
+
 // Guards against a connection that stays trusted, and against a table from a
 // copy of the store.
 TEST_CASE("A new version of the table removes a key", "[tenant]")
--- a/packages/edge/tests/ServerFixture.cpp
+++ b/packages/edge/tests/ServerFixture.cpp
@@ -47,7 +47,9 @@
 OneReplica::Start(TopologyListener& aListener)
 {
   m_listener = &aListener;
-  Apply(MakeTable(1));
+  if (m_hasTable) {
+    Apply(MakeTable(1));
+  }
   ReplicaRecord replica;
   replica.m_id = "r";
   replica.m_service = "single";
@@ -99,8 +101,8 @@
   close(m_descriptor);
 }
 
-ServerFixture::ServerFixture(bool aIdempotent)
-  : m_source(m_replica.Address(), aIdempotent)
+ServerFixture::ServerFixture(bool aIdempotent, bool aHasTable)
+  : m_source(m_replica.Address(), aIdempotent, aHasTable)
 {
   m_settings.m_hostId = "h1";
   m_settings.m_callerAddress = FreeAddress();
--- a/packages/edge/tests/ServerFixture.h
+++ b/packages/edge/tests/ServerFixture.h
@@ -20,9 +20,10 @@
 class OneReplica : public TopologySource
 {
 public:
-  OneReplica(std::string aAddress, bool aIdempotent)
+  OneReplica(std::string aAddress, bool aIdempotent, bool aHasTable)
     : m_address(std::move(aAddress))
     , m_idempotent(aIdempotent)
+    , m_hasTable(aHasTable)
   {
   }
 
@@ -39,6 +40,7 @@
 private:
   std::string m_address;
   bool m_idempotent;
+  bool m_hasTable;
   TopologyListener* m_listener = nullptr;
 };
 
@@ -80,7 +82,7 @@
 class ServerFixture
 {
 public:
-  explicit ServerFixture(bool aIdempotent);
+  explicit ServerFixture(bool aIdempotent, bool aHasTable = true);
 
   void RunUntil(const std::function<bool()>& aDone, Duration aLimit);
   void RunFor(Duration aTime)
