Check failed replicas less often with hundreds of hosts

800 hosts would have sent a dead replica 1,300 health checks a second; now it is about a hundred up to 250 hosts.

--- a/packages/forward/src/BackendPool.h
+++ b/packages/forward/src/BackendPool.h
@@ -82,6 +82,7 @@
 
   void SetTable(TimePoint aNow, const RoutingTable& aTable);
   void SetLiveHosts(std::uint32_t aHosts);
+  std::uint32_t LiveHosts() const { return m_liveHosts; }
   /** Sets the entry hosts. Hosts in the data centre of a replica get most of
    *  its connections. */
   void SetHosts(const std::vector<HostRecord>& aHosts);
--- a/packages/forward/src/ForwarderPacing.cpp
+++ b/packages/forward/src/ForwarderPacing.cpp
@@ -7,9 +7,11 @@
 namespace {
 
 /** Longest time until a replica that has failed is checked again, before a
- *  random part of up to kCheckJitter of it: with one host in 60 that checks at
- *  a time, a replica gets about a hundred health checks a second. */
-constexpr Duration kMaxCheckInterval{ 500000 };
+ *  random part of up to kCheckJitter of it: from 62 hosts on, kCheckTimePerHost
+ *  for each, so that a replica gets about a hundred health checks a second. */
+constexpr Duration kMinCheckInterval{ 500000 };
+constexpr Duration kCheckTimePerHost{ 8000 };
+constexpr Duration kMaxCheckInterval{ 2000000 };
 constexpr double kCheckJitter = 0.5;
 /** A health check without an answer is ended after this time; replicas pause
  * for 250 ms. */
@@ -49,10 +51,12 @@
     return;
   }
   aReplica->m_checkPending = true;
+  const Duration longest = std::clamp(kCheckTimePerHost * m_pool.LiveHosts(),
+                                      kMinCheckInterval,
+                                      kMaxCheckInterval);
   const Duration left = aReplica->m_backoffUntil - aNow;
-  const double interval = static_cast<double>(
-    (left > Duration(0) ? std::min(left, kMaxCheckInterval) : kMaxCheckInterval)
-      .count());
+  const auto interval = static_cast<double>(
+    (left > Duration(0) ? std::min(left, longest) : longest).count());
   const CopyId id = m_nextCopy++;
   m_healthChecks.emplace(id, HealthCheck{ &aGroup, aReplica, false });
   AddTimer(aNow + Duration(static_cast<Duration::rep>(
--- a/packages/forward/tests/ReplicaPaceTest.cpp
+++ b/packages/forward/tests/ReplicaPaceTest.cpp
@@ -251,6 +251,26 @@
   }
 }
 
+// Guards against requests that wait for a replica which they may not use.
+TEST_CASE("A replica of another region holds no request back", "[slow-start]")
+{
+  PaceFixture fixture(1);
+  fixture.m_table->m_routes.front().m_allowedRegions = { "south" };
+  ReplicaRecord leaving = fixture.Replica("single", 1);
+  leaving.m_dataCentre = "c";
+  fixture.m_forwarder->UpdateReplica(fixture.m_now, leaving, fixture.m_now);
+  fixture.Send(4);
+  fixture.List(0, 0s, 7);
+  leaving.m_draining = true;
+  fixture.m_forwarder->UpdateReplica(fixture.m_now, leaving, fixture.m_now);
+  // As long as the first one is paced.
+  const std::size_t sent = fixture.m_sent.size();
+  for (int i = 0; i < 3; ++i) {
+    fixture.Start();
+  }
+  REQUIRE(fixture.m_sent.size() == sent + 3);
+}
+
 // Services without a warm-up time are used as before.
 TEST_CASE("A replica of a service without a warm-up gets no health check",
           "[slow-start]")
