Do not refuse a request while the only replica is checked

A health check counted as in flight, so that a service whose other replicas were all gone refused requests during it. It no longer counts.

--- a/packages/forward/src/ForwarderPacing.cpp
+++ b/packages/forward/src/ForwarderPacing.cpp
@@ -76,21 +76,21 @@
   PooledReplica& replica = *check.m_replica;
   replica.m_checkPending = false;
   if (check.m_sent) {
-    --replica.m_inFlight;
     m_sink.AbortCopy(aCheck);
   }
   if (!replica.m_listed || replica.m_replaced || !replica.IsProbed()) {
     return;
   }
-  // It takes one of the connections that this host may have to the replica. If
-  // this host reaches no replica, its probes of contact do.
+  // A check opens a connection, so none is sent while the host has one in use
+  // there. It does not count as in flight: if there is no other replica, a
+  // request must not be refused for it. While this host reaches no replica, its
+  // probes of contact are enough.
   if (check.m_sent || replica.m_inFlight > 0 ||
       m_contact.State() >= ContactState::Limited) {
     PlanHealthCheck(aNow, *check.m_group, check.m_replica);
     return;
   }
   const CopyId id = m_nextCopy++;
-  ++replica.m_inFlight;
   replica.m_checkPending = true;
   check.m_sent = true;
   m_healthChecks.emplace(id, check);
@@ -111,7 +111,6 @@
   }
   const HealthCheck& check = node.mapped();
   PooledReplica& replica = *check.m_replica;
-  --replica.m_inFlight;
   replica.m_checkPending = false;
   if (!replica.IsProbed()) {
     return true;
