--- a/packages/forward/src/ForwarderPacing.cpp
+++ b/packages/forward/src/ForwarderPacing.cpp
@@ -7,9 +7,11 @@
 namespace {
 
 /** Longest time until a replica that has failed is checked again, before a
- *  random part of up to kCheckJitter of it: with one host in 60 that checks at
- *  a time, a replica gets about a hundred health checks a second. */
-constexpr Duration kMaxCheckInterval{ 500000 };
+ *  random part of up to kCheckJitter of it: from 62 hosts on, kCheckTimePerHost
+ *  for each, so that a replica gets about a hundred health checks a second. */
+constexpr Duration kMinCheckInterval{ 500000 };
+constexpr Duration kCheckTimePerHost{ 8000 };
+constexpr Duration kMaxCheckInterval{ 2000000 };
 constexpr double kCheckJitter = 0.5;
 /** A health check without an answer is ended after this time; replicas pause
  * for 250 ms. */
@@ -49,10 +51,12 @@
     return;
   }
   aReplica->m_checkPending = true;
+  const Duration longest = std::clamp(kCheckTimePerHost * m_pool.LiveHosts(),
+                                      kMinCheckInterval,
+                                      kMaxCheckInterval);
   const Duration left = aReplica->m_backoffUntil - aNow;
-  const double interval = static_cast<double>(
-    (left > Duration(0) ? std::min(left, kMaxCheckInterval) : kMaxCheckInterval)
-      .count());
+  const auto interval = static_cast<double>(
+    (left > Duration(0) ? std::min(left, longest) : longest).count());
   const CopyId id = m_nextCopy++;
   m_healthChecks.emplace(id, HealthCheck{ &aGroup, aReplica, false });
   AddTimer(aNow + Duration(static_cast<Duration::rep>(
@@ -72,21 +76,21 @@
   PooledReplica& replica = *check.m_replica;
   replica.m_checkPending = false;
   if (check.m_sent) {
-    --replica.m_inFlight;
     m_sink.AbortCopy(aCheck);
   }
   if (!replica.m_listed || replica.m_replaced || !replica.IsProbed()) {
     return;
   }
-  // It takes one of the connections that this host may have to the replica. If
-  // this host reaches no replica, its probes of contact do.
+  // A check opens a connection, so none is sent while the host has one in use
+  // there. It does not count as in flight: if there is no other replica, a
+  // request must not be refused for it. While this host reaches no replica, its
+  // probes of contact are enough.
   if (check.m_sent || replica.m_inFlight > 0 ||
       m_contact.State() >= ContactState::Limited) {
     PlanHealthCheck(aNow, *check.m_group, check.m_replica);
     return;
   }
   const CopyId id = m_nextCopy++;
-  ++replica.m_inFlight;
   replica.m_checkPending = true;
   check.m_sent = true;
   m_healthChecks.emplace(id, check);
@@ -107,7 +111,6 @@
   }
   const HealthCheck& check = node.mapped();
   PooledReplica& replica = *check.m_replica;
-  --replica.m_inFlight;
   replica.m_checkPending = false;
   if (!replica.IsProbed()) {
     return true;
