Queue waiting requests fairly among tenants and reject hopeless ones early

A tenant that sent more got more: the queue of a service knew only priority and deadline, and its entries outlived their requests. LoadShedder estimates from the queue, the served rate, the slots and the host count when a request could be answered. Both act only if the configuration has tenants; without, the order is unchanged (test with random runs).

--- a/packages/forward/include/goldcrestkeel/forward/Forwarder.h
+++ b/packages/forward/include/goldcrestkeel/forward/Forwarder.h
@@ -9,6 +9,7 @@
 #include <goldcrestkeel/forward/ReplicaRecord.h>
 #include <goldcrestkeel/forward/RoutingTable.h>
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -332,6 +333,13 @@
   /** Crashes of replicas that were attributed to requests, also those that
    *  other hosts reported. */
   std::uint64_t m_crashes = 0;
+  /** Sub-requests that waited for a replica until one had capacity, and the sum
+   *  of the times that they waited. */
+  std::uint64_t m_queued = 0;
+  Duration m_queueTime{ 0 };
+  /** Requests that could not be answered by their deadlines and were rejected
+   *  before, by RejectReason. Also counted in m_refused. */
+  std::array<std::uint64_t, 2> m_rejected{};
   /** Requests that were refused because they are in quarantine. */
   std::uint64_t m_quarantined = 0;
 };
--- a/packages/forward/src/BackendPool.cpp
+++ b/packages/forward/src/BackendPool.cpp
@@ -100,6 +100,10 @@
     m_services[name] = service;
     UpdateShares(Group(name));
   }
+  m_hasTenants = aTable.m_hasTenants;
+  for (const auto& [name, group] : m_groups) {
+    group->m_waiting.SetSharing(m_hasTenants);
+  }
 }
 
 BackendGroup&
@@ -109,6 +113,7 @@
   if (!group) {
     group = std::make_unique<BackendGroup>(aService, m_options);
     UpdateShares(*group);
+    group->m_waiting.SetSharing(m_hasTenants);
   }
   return *group;
 }
--- a/packages/forward/src/BackendPool.h
+++ b/packages/forward/src/BackendPool.h
@@ -5,13 +5,13 @@
 #include "ReplicaNotices.h"
 #include "RequestLimit.h"
 
+#include <goldcrestkeel/Admission.h>
 #include <goldcrestkeel/core/Random.h>
 #include <goldcrestkeel/forward/Forwarder.h>
 #include <goldcrestkeel/forward/HostRecord.h>
 
 #include <cstdint>
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -122,23 +122,14 @@
   bool m_hasAnswered = false;
 };
 
-/** A sub-request that waits for a replica with capacity. */
-struct QueuedSubRequest
-{
-  std::uint32_t m_priority = 0;
-  TimePoint m_deadline;
-  ForwardId m_request = 0;
-  /** Index of the sub-request in the request. */
-  std::uint32_t m_subRequest = 0;
-};
-
 /** The replicas of one service. */
 struct BackendGroup
 {
   std::string m_name;
   std::vector<std::shared_ptr<PooledReplica>> m_replicas;
-  /** Ordered by priority, then by deadline. */
-  std::list<QueuedSubRequest> m_waiting;
+  /** Sub-requests that wait for a replica with capacity. */
+  FairQueue m_waiting;
+  LoadShedder m_shedder;
   RepeatBudget m_budget;
   /** When a replica has last answered a request that it had run. */
   TimePoint m_servedAt = TimePoint::min();
@@ -231,6 +222,11 @@
     const std::vector<std::string>& aExclude,
     ReplicaTier aWorst);
 
+  /** Whether the table has tenants. */
+  bool HasTenants() const { return m_hasTenants; }
+  /** What the usable replicas of aGroup can do for this host. */
+  ServiceCapacity CapacityOf(TimePoint aNow, const BackendGroup& aGroup) const;
+
   /** Estimates the response time of a copy that is sent to aReplica now. */
   Duration ExpectedLatency(TimePoint aNow,
                            const BackendGroup& aGroup,
@@ -295,6 +291,7 @@
   RandomSource& m_random;
   std::uint32_t m_liveHosts = 1;
   bool m_openConnectionsOnly = false;
+  bool m_hasTenants = false;
   std::map<std::string, std::uint32_t> m_hostsPerDataCentre;
   std::set<std::string> m_evacuated;
   /** By name. */
--- a/packages/forward/src/BackendShares.cpp
+++ b/packages/forward/src/BackendShares.cpp
@@ -16,6 +16,10 @@
 constexpr double kSameDataCentreShare = 0.6;
 /** Allowance for hosts that joined since the list was read, as a fraction. */
 constexpr double kJoiningHostsRatio = 0.2;
+/** A replica that has answered within this time tells the latency of its
+ *  service. */
+constexpr Duration kRecentAnswer{ 2000000 };
+constexpr double kMicrosecondsPerSecond = 1e6;
 
 } // namespace
 
@@ -187,6 +191,26 @@
   }
 }
 
+ServiceCapacity
+BackendPool::CapacityOf(TimePoint aNow, const BackendGroup& aGroup) const
+{
+  ServiceCapacity capacity;
+  capacity.m_hosts = m_liveHosts;
+  for (const auto& replica : aGroup.m_replicas) {
+    if (replica->m_latency <= 0 ||
+        aNow - replica->m_lastAnswerAt > kRecentAnswer ||
+        TierOf(aNow, *replica) == ReplicaTier::Unavailable) {
+      continue;
+    }
+    capacity.m_perSecond +=
+      replica->m_record.m_slots * kMicrosecondsPerSecond / replica->m_latency;
+    const Duration completion = ExpectedLatency(aNow, aGroup, *replica);
+    capacity.m_completion =
+      std::min(capacity.m_completion.value_or(completion), completion);
+  }
+  return capacity;
+}
+
 std::optional<NextPermits>
 BackendPool::PermitsOf(TimePoint aNow, const BackendGroup& aGroup)
 {
--- a/packages/forward/src/ForwardState.h
+++ b/packages/forward/src/ForwardState.h
@@ -173,6 +173,8 @@
   std::vector<BrokenCopy> m_brokenCopies;
   /** A replica has run a copy and answered. */
   bool m_replicaAnswered = false;
+  /** Since when the request counts as one that cannot be answered in time. */
+  std::optional<TimePoint> m_hopelessSince;
   /** No host is left to be asked. */
   bool m_fallbackFailed = false;
 };
--- a/packages/forward/src/Forwarder.cpp
+++ b/packages/forward/src/Forwarder.cpp
@@ -124,6 +124,7 @@
   const Route& route = *aRequest.m_route;
   forward.m_routeState = &m_routes[route.m_name];
   MakeSubRequests(forward);
+  CountDemand(aNow, forward);
   const std::vector<RelayPool::Assignment> assignments =
     AssignRelays(aNow, forward);
   const std::vector<std::uint32_t> handedOver = PrepareFallback(aNow, forward);
@@ -166,6 +167,12 @@
       return;
     }
   }
+  if (m_pool.HasTenants()) {
+    // A replica may have capacity although others wait; see MustQueue().
+    for (BackendGroup* group : GroupsWaitedFor(forward)) {
+      DispatchWaiting(aNow, *group);
+    }
+  }
 }
 
 void
@@ -210,6 +217,7 @@
   }
   SuspectBroken(aNow, *found->second);
   AbandonRelays(*found->second);
+  LeaveQueues(aNow, *found->second);
   m_running.erase(found);
 }
 
--- a/packages/forward/src/ForwarderContact.cpp
+++ b/packages/forward/src/ForwarderContact.cpp
@@ -173,6 +173,7 @@
     }
     AbortUnsentCopies(subRequest);
     if (MayRepeat(aNow, aForward, subRequest, CopyReason::Hedge)) {
+      LeaveQueue(aNow, aForward, i);
       MarkRelayed(aNow, subRequest);
       indexes.push_back(i);
     }
--- a/packages/forward/src/ForwarderCopies.cpp
+++ b/packages/forward/src/ForwarderCopies.cpp
@@ -87,6 +87,7 @@
   }
   if (!aAnswer.m_stamp.empty()) {
     copy.m_group->m_servedAt = aNow;
+    copy.m_group->m_shedder.OnServed(aNow);
   }
   if (success) {
     copy.m_profile->Add(latency);
@@ -108,6 +109,7 @@
     } else {
       if (aAnswer.m_notRun || aAnswer.m_wrongInstance) {
         ++subRequest.m_notRun;
+        copy.m_group->m_waiting.CountNotRun(aNow, TenantOf(forward));
         // The replica may have capacity again before others do.
         std::erase(subRequest.m_triedReplicas, replica.m_record.m_id);
       } else {
--- a/packages/forward/src/ForwarderDispatch.cpp
+++ b/packages/forward/src/ForwarderDispatch.cpp
@@ -27,8 +27,6 @@
 /** Additional copies beyond the attempts of the route, in place of copies that
  *  replicas confirmed not to have run. */
 constexpr std::uint32_t kMaxNotRunRetries = 2;
-/** Waiting sub-requests are dispatched at each answer, and at this interval. */
-constexpr Duration kWaitPollInterval{ 20000 };
 /** First backoff after a replica became unresponsive. */
 constexpr Duration kUnresponsiveBackoff{ 250000 };
 
@@ -77,7 +75,12 @@
                                      *subRequest.m_group,
                                      subRequest.m_triedReplicas,
                                      ReplicaTier::Draining);
+  if (replica && MustQueue(*subRequest.m_group, aReason)) {
+    Enqueue(aNow, aForward, aIndex);
+    return;
+  }
   if (replica) {
+    subRequest.m_group->m_waiting.CountServed(aNow, TenantOf(aForward));
     SendTo(aNow, aForward, aIndex, replica, aReason);
     return;
   }
@@ -120,6 +123,7 @@
     copy.m_deadline = std::min(copy.m_deadline, aForward.m_targetAt);
   }
   const TimePoint deadline = copy.m_deadline;
+  LeaveQueue(aNow, aForward, aIndex);
   m_copies.emplace(id, copy);
   ++aReplica->m_inFlight;
   ++aReplica->m_copiesSinceReport;
@@ -151,94 +155,6 @@
   m_sink.SendCopy(id, aForward.m_request.m_id, aReplica->m_record, deadline);
 }
 
-void
-ForwarderImpl::Enqueue(TimePoint aNow,
-                       RunningForward& aForward,
-                       std::uint32_t aIndex)
-{
-  SubRequest& subRequest = aForward.m_subRequests[aIndex];
-  if (subRequest.m_state == SubRequest::State::Waiting) {
-    return;
-  }
-  subRequest.m_state = SubRequest::State::Waiting;
-  const QueuedSubRequest entry{ aForward.m_request.m_route->m_priority,
-                                aForward.m_request.m_deadline,
-                                aForward.m_request.m_id,
-                                aIndex };
-  auto& waiting = subRequest.m_group->m_waiting;
-  const auto after = std::find_if(
-    waiting.begin(), waiting.end(), [&](const QueuedSubRequest& aOther) {
-      return std::pair(aOther.m_priority, aOther.m_deadline) >
-             std::pair(entry.m_priority, entry.m_deadline);
-    });
-  waiting.insert(after, entry);
-  AddTimer(aNow + kWaitPollInterval,
-           ForwardTimer::PollWaiting,
-           aForward.m_request.m_id);
-}
-
-void
-ForwarderImpl::OnWaitTimer(TimePoint aNow, ForwardId aRequest)
-{
-  const auto running = m_running.find(aRequest);
-  if (running == m_running.end()) {
-    return;
-  }
-  std::vector<BackendGroup*> groups;
-  for (const SubRequest& subRequest : running->second->m_subRequests) {
-    if (subRequest.m_state == SubRequest::State::Waiting) {
-      groups.push_back(subRequest.m_group);
-    }
-  }
-  if (groups.empty()) {
-    return;
-  }
-  AddTimer(aNow + kWaitPollInterval, ForwardTimer::PollWaiting, aRequest);
-  for (BackendGroup* group : groups) {
-    // This may end the request and invalidate `running`.
-    DispatchWaiting(aNow, *group);
-  }
-}
-
-void
-ForwarderImpl::DispatchWaiting(TimePoint aNow, BackendGroup& aGroup)
-{
-  auto entry = aGroup.m_waiting.begin();
-  while (entry != aGroup.m_waiting.end()) {
-    const auto running = m_running.find(entry->m_request);
-    if (running == m_running.end() ||
-        running->second->m_subRequests[entry->m_subRequest].m_state !=
-          SubRequest::State::Waiting) {
-      entry = aGroup.m_waiting.erase(entry);
-      continue;
-    }
-    RunningForward& forward = *running->second;
-    SubRequest& subRequest = forward.m_subRequests[entry->m_subRequest];
-    const auto replica = m_pool.Choose(
-      aNow, aGroup, subRequest.m_triedReplicas, ReplicaTier::Draining);
-    if (!replica) {
-      // Later entries may have tried fewer replicas.
-      if (subRequest.m_triedReplicas.empty()) {
-        return;
-      }
-      ++entry;
-      continue;
-    }
-    const std::uint32_t index = entry->m_subRequest;
-    entry = aGroup.m_waiting.erase(entry);
-    // Other requests may have used the budget in the meantime.
-    if (!MayRepeat(aNow, forward, subRequest, CopyReason::Retry)) {
-      OnSubRequestFailed(aNow, forward, index);
-      continue;
-    }
-    SendTo(aNow,
-           forward,
-           index,
-           replica,
-           subRequest.m_sent > 0 ? CopyReason::Retry : CopyReason::First);
-  }
-}
-
 Duration
 ForwarderImpl::LateThreshold(const RunningForward& aForward,
                              const ForwardCopy& aCopy)
--- a/packages/forward/src/ForwarderFinish.cpp
+++ b/packages/forward/src/ForwarderFinish.cpp
@@ -13,10 +13,6 @@
 /** How long a copy whose result is not needed may keep running so that its
  *  connection can be reused; pauses of replicas last 250 ms. */
 constexpr Duration kSurplusCopyGrace{ 1000000 };
-/** Minimum and random part of the Retry-After of a request that no replica ran.
- *  Crashed replicas return after some seconds, most other faults end sooner. */
-constexpr Duration kRetryAfterMin{ 150000 };
-constexpr Duration kRetryAfterJitter{ 250000 };
 /** Tolerance for rounding errors of ratio times number of shards. */
 constexpr double kRatioTolerance = 1e-9;
 
@@ -55,9 +51,14 @@
 {
   std::uint32_t served = 0;
   bool unlisted = false;
-  for (const SubRequest& subRequest : aForward.m_subRequests) {
+  std::optional<RejectReason> reason;
+  for (std::uint32_t i = 0; i < aForward.m_subRequests.size(); ++i) {
+    const SubRequest& subRequest = aForward.m_subRequests[i];
     if (IsServedInTime(aNow, aForward, *subRequest.m_group)) {
-      ++served;
+      const bool relayed = subRequest.m_state == SubRequest::State::Relayed;
+      const auto why = relayed ? std::nullopt : WhyHopeless(aNow, aForward, i);
+      served += why ? 0 : 1;
+      reason = why ? why : reason;
     }
     unlisted = unlisted || !BackendPool::HasListedReplica(*subRequest.m_group);
   }
@@ -67,7 +68,11 @@
   if (served >= RequiredShards(aForward)) {
     return false;
   }
-  FinishFailed(aNow, aForward, false);
+  if (reason) {
+    Reject(aNow, aForward, *reason);
+  } else {
+    FinishFailed(aNow, aForward, false);
+  }
   return true;
 }
 
@@ -91,6 +96,7 @@
     Retry(aNow, aForward, aIndex);
     return;
   }
+  LeaveQueue(aNow, aForward, aIndex);
   subRequest.m_state = SubRequest::State::Answered;
   subRequest.m_answer = std::move(aAnswer);
   AbandonCopies(aNow, subRequest, kSurplusCopyGrace);
@@ -103,6 +109,7 @@
                                   RunningForward& aForward,
                                   std::uint32_t aIndex)
 {
+  LeaveQueue(aNow, aForward, aIndex);
   SubRequest& subRequest = aForward.m_subRequests[aIndex];
   subRequest.m_state = SubRequest::State::Failed;
   ++aForward.m_failed;
@@ -184,8 +191,7 @@
     ++m_counters.m_refused;
     result.m_error = ErrorKind::NoReplica;
     result.m_detail = "no replica of the service can take the request";
-    result.m_retryAfter =
-      kRetryAfterMin + Duration(m_random.Below(kRetryAfterJitter.count()));
+    result.m_retryAfter = RetryAfterOf(aNow, aForward);
   } else if (aTimedOut) {
     result.m_error = ErrorKind::DeadlineExceeded;
     result.m_detail = "no answer before the deadline";
@@ -256,6 +262,7 @@
     AbandonCopies(aNow, subRequest, kSurplusCopyGrace);
   }
   AbandonRelays(aForward);
+  LeaveQueues(aNow, aForward);
   const ForwardId id = aForward.m_request.m_id;
   // The request must not be in m_running when the sink is called.
   const auto node = m_running.extract(id);
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -262,10 +262,6 @@
               std::uint32_t aIndex,
               const std::shared_ptr<PooledReplica>& aReplica,
               CopyReason aReason);
-  /** Queues the sub-request until a replica has capacity. */
-  void Enqueue(TimePoint aNow, RunningForward& aForward, std::uint32_t aIndex);
-  /** Dispatches queued sub-requests to replicas with capacity. */
-  void DispatchWaiting(TimePoint aNow, BackendGroup& aGroup);
   /** Whether the route, its attempts and the budget allow another copy. */
   bool MayRepeat(TimePoint aNow,
                  const RunningForward& aForward,
@@ -274,7 +270,6 @@
   /** Time after which aCopy counts as late. */
   static Duration LateThreshold(const RunningForward& aForward,
                                 const ForwardCopy& aCopy);
-  void OnWaitTimer(TimePoint aNow, ForwardId aRequest);
   void OnCopyLate(TimePoint aNow, CopyId aCopy);
   void OnUnresponsiveTimer(TimePoint aNow, CopyId aCopy);
   /** Maximum number of replicas of one service that may run the request. */
@@ -282,6 +277,45 @@
   /** Returns the index of the service in the list of the route. */
   std::uint32_t ChooseService(const Route& aRoute);
 
+  // ForwarderQueue.cpp: sub-requests that wait, and early rejection.
+  /** Name of the tenant; empty without one. */
+  static const std::string& TenantOf(const RunningForward& aForward);
+  /** Whether a request has to queue although a replica has capacity: with
+   *  tenants, one that arrives must not overtake those that wait. */
+  bool MustQueue(const BackendGroup& aGroup, CopyReason aReason) const;
+  static void CountDemand(TimePoint aNow, const RunningForward& aForward);
+  static WaitingRequest MakeWaiting(TimePoint aNow,
+                                    const RunningForward& aForward,
+                                    std::uint32_t aIndex);
+  /** Queues the sub-request until a replica has capacity. */
+  void Enqueue(TimePoint aNow, RunningForward& aForward, std::uint32_t aIndex);
+  /** Removes the sub-request from the queue if it waits. */
+  static void LeaveQueue(TimePoint aNow,
+                         const RunningForward& aForward,
+                         std::uint32_t aIndex);
+  static void LeaveQueues(TimePoint aNow, const RunningForward& aForward);
+  static std::vector<BackendGroup*> GroupsWaitedFor(
+    const RunningForward& aForward);
+  /** Dispatches queued sub-requests to replicas with capacity. */
+  void DispatchWaiting(TimePoint aNow, BackendGroup& aGroup);
+  void OnWaitTimer(TimePoint aNow, ForwardId aRequest);
+  /** When the sub-request could be answered; nothing without tenants, a backlog
+   *  or recent answers. */
+  std::optional<AnswerEstimate> EstimateAnswer(TimePoint aNow,
+                                               const RunningForward& aForward,
+                                               std::uint32_t aIndex) const;
+  /** Why the sub-request cannot be answered by the deadline; nothing if it may
+   *  be. */
+  std::optional<RejectReason> WhyHopeless(TimePoint aNow,
+                                          const RunningForward& aForward,
+                                          std::uint32_t aIndex) const;
+  /** Finishes a waiting request that no replica may have run and that has not
+   *  been answerable in time for a while; returns whether it did. */
+  bool RejectIfHopeless(TimePoint aNow, RunningForward& aForward);
+  void Reject(TimePoint aNow, RunningForward& aForward, RejectReason aReason);
+  /** Retry-After of a request that no replica has run. */
+  Duration RetryAfterOf(TimePoint aNow, const RunningForward& aForward);
+
   // ForwarderFinish.cpp: answers and errors for the caller.
   /** Finishes the request with an error and returns true if too few of its
    *  services have a usable replica. */
@@ -329,9 +363,6 @@
                      const ReplicaAnswer& aAnswer);
   /** Sends the copies that wait for a connection to aReplica elsewhere. */
   void MoveUnsentCopies(TimePoint aNow, const PooledReplica& aReplica);
-  /** Number of queued sub-requests that come before a new one. */
-  std::size_t QueuedAhead(const BackendGroup& aGroup,
-                          std::uint32_t aPriority) const;
   /** Whether aGroup has a usable replica and, if request limits hold a new
    *  sub-request back, it can still be answered by the target of the route. */
   bool IsServedInTime(TimePoint aNow,
--- a/packages/forward/src/ForwarderLimits.cpp
+++ b/packages/forward/src/ForwarderLimits.cpp
@@ -87,21 +87,6 @@
   }
 }
 
-std::size_t
-ForwarderImpl::QueuedAhead(const BackendGroup& aGroup,
-                           std::uint32_t aPriority) const
-{
-  return std::count_if(
-    aGroup.m_waiting.begin(),
-    aGroup.m_waiting.end(),
-    [&](const QueuedSubRequest& aEntry) {
-      const auto running = m_running.find(aEntry.m_request);
-      return aEntry.m_priority <= aPriority && running != m_running.end() &&
-             running->second->m_subRequests[aEntry.m_subRequest].m_state ==
-               SubRequest::State::Waiting;
-    });
-}
-
 bool
 ForwarderImpl::IsServedInTime(TimePoint aNow,
                               const RunningForward& aForward,
@@ -115,9 +100,9 @@
     return true;
   }
   const Route& route = *aForward.m_request.m_route;
-  const double queueTimeUs =
-    static_cast<double>(QueuedAhead(aGroup, route.m_priority)) /
-    permits->m_rate * kMicrosecondsPerSecond;
+  const double queueTimeUs = static_cast<double>(aGroup.m_waiting.AtLeast(
+                               aForward.m_request.Priority())) /
+                             permits->m_rate * kMicrosecondsPerSecond;
   const Duration wait =
     permits->m_first + Duration(static_cast<Duration::rep>(queueTimeUs));
   const auto& relayed = aForward.m_request.m_relayedShards;
