--- a/packages/admission/include/goldcrestkeel/admission/LoadShedder.h
+++ b/packages/admission/include/goldcrestkeel/admission/LoadShedder.h
@@ -3,6 +3,7 @@
 #include <goldcrestkeel/core/Random.h>
 #include <goldcrestkeel/core/Time.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -16,8 +17,13 @@
   QueueTooLong,
   /** Less time is left than a backend server takes. */
   TooLittleTime,
+  /** Its turn in the queue comes after its latency target. Only for new
+   *  requests: they would hold up those behind them, so that all are late. */
+  QueuePastTarget,
 };
 
+inline constexpr std::size_t kRejectReasons = 3;
+
 std::string_view
 NameOf(RejectReason aReason);
 
@@ -34,7 +40,9 @@
   std::optional<Duration> m_completion;
 };
 
-/** When a request could be answered, counted from now. */
+/** When a request could be answered, counted from now. Its margins are in
+ * Judge().
+ */
 struct AnswerEstimate
 {
   Duration m_wait{ 0 };
@@ -66,6 +74,13 @@
     const std::optional<AnswerEstimate>& aEstimate,
     Duration aLeft);
 
+  /** The same for a request that arrives, with aTargetLeft until its latency
+   *  target. */
+  static std::optional<RejectReason> JudgeNew(
+    const std::optional<AnswerEstimate>& aEstimate,
+    Duration aTargetLeft,
+    Duration aLeft);
+
   /** When a rejected caller may return: when room is expected, and over the
    * time in which the queue is served, so that callers do not return together.
    *  aLeft is the time that the request had left. */
--- a/packages/admission/src/LoadShedder.cpp
+++ b/packages/admission/src/LoadShedder.cpp
@@ -8,8 +8,11 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 2> kReasons{ "queue_too_long",
-                                                    "too_little_time" };
+constexpr std::array<std::string_view, kRejectReasons> kReasons{
+  "queue_too_long",
+  "too_little_time",
+  "queue_past_target"
+};
 
 constexpr double kMicrosecondsPerSecond = 1e6;
 /** Time constant of the rate of served requests. A host may have a few a
@@ -88,10 +91,10 @@
   // A host that carries more than an equal share shows it by its rate; one that
   // carried little until now can have at least an equal share.
   const double share = aCapacity.m_perSecond / std::max(1U, aCapacity.m_hosts);
-  const double best = kRateMargin * std::max(rate, share);
+  const double best = std::max(rate, share);
   return AnswerEstimate{ Duration(static_cast<Duration::rep>(
                            aAhead / best * kMicrosecondsPerSecond)),
-                         Scaled(*aCapacity.m_completion, kCompletionMargin) };
+                         *aCapacity.m_completion };
 }
 
 std::optional<RejectReason>
@@ -101,15 +104,32 @@
   if (!aEstimate) {
     return std::nullopt;
   }
-  if (aEstimate->m_completion > aLeft) {
+  const Duration completion =
+    Scaled(aEstimate->m_completion, kCompletionMargin);
+  if (completion > aLeft) {
     return RejectReason::TooLittleTime;
   }
-  if (aEstimate->m_wait + aEstimate->m_completion > aLeft) {
+  if (Scaled(aEstimate->m_wait, 1 / kRateMargin) + completion > aLeft) {
     return RejectReason::QueueTooLong;
   }
   return std::nullopt;
 }
 
+std::optional<RejectReason>
+LoadShedder::JudgeNew(const std::optional<AnswerEstimate>& aEstimate,
+                      Duration aTargetLeft,
+                      Duration aLeft)
+{
+  const auto reason = Judge(aEstimate, aLeft);
+  if (reason || !aEstimate || aEstimate->m_completion >= aTargetLeft) {
+    // A service that is slower than the target is late without a queue, too.
+    return reason;
+  }
+  return aEstimate->m_wait + aEstimate->m_completion > aTargetLeft
+           ? std::optional(RejectReason::QueuePastTarget)
+           : std::nullopt;
+}
+
 Duration
 LoadShedder::RetryAfter(const AnswerEstimate& aEstimate,
                         Duration aLeft,
--- a/packages/forward/include/goldcrestkeel/forward/Forwarder.h
+++ b/packages/forward/include/goldcrestkeel/forward/Forwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <goldcrestkeel/admission/LoadShedder.h>
 #include <goldcrestkeel/core/CrashGuard.h>
 #include <goldcrestkeel/core/Errors.h>
 #include <goldcrestkeel/core/Random.h>
@@ -339,7 +340,7 @@
   Duration m_queueTime{ 0 };
   /** Requests that could not be answered by their deadlines and were rejected
    *  before, by RejectReason. Also counted in m_refused. */
-  std::array<std::uint64_t, 2> m_rejected{};
+  std::array<std::uint64_t, kRejectReasons> m_rejected{};
   /** Requests that were refused because they are in quarantine. */
   std::uint64_t m_quarantined = 0;
 };
--- a/packages/forward/src/BackendPool.h
+++ b/packages/forward/src/BackendPool.h
@@ -130,6 +130,8 @@
   /** Sub-requests that wait for a replica with capacity. */
   FairQueue m_waiting;
   LoadShedder m_shedder;
+  /** Used only if the table has tenants. */
+  DispatchPacer m_pacer;
   RepeatBudget m_budget;
   /** When a replica has last answered a request that it had run. */
   TimePoint m_servedAt = TimePoint::min();
--- a/packages/forward/src/ForwarderCopies.cpp
+++ b/packages/forward/src/ForwarderCopies.cpp
@@ -81,13 +81,13 @@
   m_contact.OnAnswer(aNow);
   UpdateNotices(aNow, *copy.m_group, replica, aAnswer);
   UpdateRequestLimit(aNow, *copy.m_group, replica, aAnswer);
+  RecordLoad(aNow, *copy.m_group, aAnswer);
   const bool success = IsSuccess(aAnswer);
   if (aNow < copy.m_deadline) {
     replica.m_failureRate.Add(aNow, !success);
   }
   if (!aAnswer.m_stamp.empty()) {
     copy.m_group->m_servedAt = aNow;
-    copy.m_group->m_shedder.OnServed(aNow);
   }
   if (success) {
     copy.m_profile->Add(latency);
--- a/packages/forward/src/ForwarderDispatch.cpp
+++ b/packages/forward/src/ForwarderDispatch.cpp
@@ -75,7 +75,7 @@
                                      *subRequest.m_group,
                                      subRequest.m_triedReplicas,
                                      ReplicaTier::Draining);
-  if (replica && MustQueue(*subRequest.m_group, aReason)) {
+  if (replica && MustQueue(aNow, *subRequest.m_group, aReason)) {
     Enqueue(aNow, aForward, aIndex);
     return;
   }
@@ -125,6 +125,7 @@
   const TimePoint deadline = copy.m_deadline;
   LeaveQueue(aNow, aForward, aIndex);
   m_copies.emplace(id, copy);
+  subRequest.m_group->m_pacer.OnDispatched(aNow);
   ++aReplica->m_inFlight;
   ++aReplica->m_copiesSinceReport;
   aReplica->m_requestLimit.Use(aNow);
@@ -267,6 +268,15 @@
       !forward.m_request.m_route->m_idempotent) {
     return;
   }
+  if (m_pool.HasTenants() && !copy.m_group->m_pacer.Allows(aNow)) {
+    LogDecision("no_hedge",
+                forward,
+                copy.m_group->m_name,
+                copy.m_replica->m_record.m_id,
+                "the service is overloaded",
+                age);
+    return;
+  }
   if (!MayRepeat(aNow, forward, subRequest, CopyReason::Hedge)) {
     ++m_counters.m_hedgesWithoutBudget;
     LogDecision("no_hedge",
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -281,9 +281,16 @@
   /** Name of the tenant; empty without one. */
   static const std::string& TenantOf(const RunningForward& aForward);
   /** Whether a request has to queue although a replica has capacity: with
-   *  tenants, one that arrives must not overtake those that wait. */
-  bool MustQueue(const BackendGroup& aGroup, CopyReason aReason) const;
+   *  tenants, one that arrives must not overtake those that wait, and requests
+   *  to overloaded replicas wait here. */
+  bool MustQueue(TimePoint aNow,
+                 const BackendGroup& aGroup,
+                 CopyReason aReason) const;
   static void CountDemand(TimePoint aNow, const RunningForward& aForward);
+  /** Takes what an answer tells of the load of the service. */
+  void RecordLoad(TimePoint aNow,
+                  BackendGroup& aGroup,
+                  const ReplicaAnswer& aAnswer) const;
   static WaitingRequest MakeWaiting(TimePoint aNow,
                                     const RunningForward& aForward,
                                     std::uint32_t aIndex);
@@ -309,6 +316,11 @@
   std::optional<RejectReason> WhyHopeless(TimePoint aNow,
                                           const RunningForward& aForward,
                                           std::uint32_t aIndex) const;
+  /** The same for a new request, which is also rejected if the queue ahead of
+   *  it lasts beyond its target. */
+  std::optional<RejectReason> WhyLate(TimePoint aNow,
+                                      const RunningForward& aForward,
+                                      std::uint32_t aIndex) const;
   /** Finishes a waiting request that no replica may have run and that has not
    *  been answerable in time for a while; returns whether it did. */
   bool RejectIfHopeless(TimePoint aNow, RunningForward& aForward);
--- a/packages/forward/src/ForwarderQueue.cpp
+++ b/packages/forward/src/ForwarderQueue.cpp
@@ -28,10 +28,13 @@
 }
 
 bool
-ForwarderImpl::MustQueue(const BackendGroup& aGroup, CopyReason aReason) const
+ForwarderImpl::MustQueue(TimePoint aNow,
+                         const BackendGroup& aGroup,
+                         CopyReason aReason) const
 {
-  return m_pool.HasTenants() && aReason == CopyReason::First &&
-         !aGroup.m_waiting.empty();
+  return m_pool.HasTenants() &&
+         (!aGroup.m_pacer.Allows(aNow) ||
+          (aReason == CopyReason::First && !aGroup.m_waiting.empty()));
 }
 
 void
@@ -44,6 +47,28 @@
   }
 }
 
+void
+ForwarderImpl::RecordLoad(TimePoint aNow,
+                          BackendGroup& aGroup,
+                          const ReplicaAnswer& aAnswer) const
+{
+  if (!m_pool.HasTenants()) {
+    return;
+  }
+  if (!aAnswer.m_notRun && !aAnswer.m_stamp.empty()) {
+    aGroup.m_shedder.OnServed(aNow);
+  }
+  if (aAnswer.m_notRun || aAnswer.m_load) {
+    const LoadReport load = aAnswer.m_load.value_or(LoadReport());
+    const ServiceCapacity capacity = m_pool.CapacityOf(aNow, aGroup);
+    aGroup.m_pacer.OnAnswer(
+      aNow,
+      { static_cast<double>(load.m_waiting) / std::max(1U, load.m_slots),
+        aAnswer.m_notRun,
+        capacity.m_perSecond / std::max(1U, capacity.m_hosts) });
+  }
+}
+
 WaitingRequest
 ForwarderImpl::MakeWaiting(TimePoint aNow,
                            const RunningForward& aForward,
@@ -133,6 +158,9 @@
       queue.Remove(waiting.m_request, waiting.m_part);
       continue;
     }
+    if (m_pool.HasTenants() && !aGroup.m_pacer.Allows(aNow)) {
+      return;
+    }
     RunningForward& forward = *running->second;
     SubRequest& subRequest = forward.m_subRequests[waiting.m_part];
     const auto replica = m_pool.Choose(
@@ -185,6 +213,20 @@
                             aForward.m_request.m_deadline - aNow);
 }
 
+std::optional<RejectReason>
+ForwarderImpl::WhyLate(TimePoint aNow,
+                       const RunningForward& aForward,
+                       std::uint32_t aIndex) const
+{
+  const auto& relayed = aForward.m_request.m_relayedShards;
+  const TimePoint target =
+    relayed ? relayed->m_targetAt
+            : aForward.m_startedAt + aForward.m_request.m_route->m_target;
+  return LoadShedder::JudgeNew(EstimateAnswer(aNow, aForward, aIndex),
+                               target - aNow,
+                               aForward.m_request.m_deadline - aNow);
+}
+
 bool
 ForwarderImpl::RejectIfHopeless(TimePoint aNow, RunningForward& aForward)
 {
--- a/packages/forward/tests/ForwardFleet.cpp
+++ b/packages/forward/tests/ForwardFleet.cpp
@@ -41,6 +41,15 @@
   void Arrive(bool aKnewLimit, std::function<void(ReplicaAnswer&&)> aReply)
   {
     m_arrivals.push_back({ m_fleet.Now(), aKnewLimit });
+    if (m_running >= m_record.m_slots &&
+        m_queue.size() >= m_fleet.m_options.m_queueLimit) {
+      ReplicaAnswer refusal;
+      refusal.m_status = 503;
+      refusal.m_notRun = true;
+      refusal.m_load = Load();
+      aReply(std::move(refusal));
+      return;
+    }
     m_queue.push_back(std::move(aReply));
     StartNext();
   }
@@ -53,6 +62,13 @@
   std::vector<Arrival> m_arrivals;
 
 private:
+  LoadReport Load() const
+  {
+    return {
+      m_running, static_cast<std::uint32_t>(m_queue.size()), m_record.m_slots, 0
+    };
+  }
+
   void StartNext()
   {
     if (m_running >= m_record.m_slots || m_queue.empty()) {
@@ -63,19 +79,17 @@
     m_queue.pop_front();
     const double work = static_cast<double>(m_fleet.m_options.m_work.count()) *
                         (0.5 + m_fleet.m_random->Unit());
-    m_fleet.m_events.After(
-      Duration(static_cast<Duration::rep>(work)), [this, reply] {
-        --m_running;
-        ReplicaAnswer answer;
-        answer.m_status = 200;
-        answer.m_stamp = "stamp";
-        answer.m_load = { m_running,
-                          static_cast<std::uint32_t>(m_queue.size()),
-                          m_record.m_slots };
-        answer.m_requestLimit = m_limit;
-        reply(std::move(answer));
-        StartNext();
-      });
+    m_fleet.m_events.After(Duration(static_cast<Duration::rep>(work)),
+                           [this, reply] {
+                             --m_running;
+                             ReplicaAnswer answer;
+                             answer.m_status = 200;
+                             answer.m_stamp = "stamp";
+                             answer.m_load = Load();
+                             answer.m_requestLimit = m_limit;
+                             reply(std::move(answer));
+                             StartNext();
+                           });
   }
 
   std::uint32_t m_running = 0;
@@ -110,7 +124,8 @@
     }
   }
 
-  void Start()
+  ForwardId Start(const Tenant* aTenant = nullptr,
+                  std::function<void(const ForwardResult&)> aDone = {})
   {
     const TimePoint now = m_fleet.Now();
     ForwardRequest request;
@@ -118,11 +133,22 @@
     request.m_table = m_fleet.m_table;
     request.m_route = &m_fleet.m_table->m_routes.front();
     request.m_deadline = now + m_fleet.m_options.m_timeout;
+    request.m_tenant = aTenant;
     m_startedAt[request.m_id] = now;
+    m_done[request.m_id] = std::move(aDone);
     ++m_fleet.m_outcomes.m_requests;
     ++m_outcomes.m_requests;
     m_forwarder->Start(now, request);
     ArmTimer();
+    return request.m_id;
+  }
+
+  void Cancel(ForwardId aRequest)
+  {
+    m_startedAt.erase(aRequest);
+    m_done.erase(aRequest);
+    m_forwarder->Cancel(m_fleet.Now(), aRequest);
+    ArmTimer();
   }
 
   /** Serves a part of a request of another host. */
@@ -292,6 +318,10 @@
     }
     m_outcomes += outcomes;
     m_fleet.m_outcomes += outcomes;
+    const auto done = m_done.extract(aRequest);
+    if (done.mapped()) {
+      done.mapped()(aResult);
+    }
   }
 
   /** Runs aAction now, or when the pause of the host ends. */
@@ -409,6 +439,7 @@
   std::optional<TimePoint> m_timerAt;
   ForwardId m_next = 1;
   std::map<ForwardId, TimePoint> m_startedAt;
+  std::map<ForwardId, std::function<void(const ForwardResult&)>> m_done;
   /** When the host first got an answer that names the limit, by replica. */
   std::map<std::string, TimePoint> m_learnedAt;
 };
@@ -422,7 +453,7 @@
   route.m_name = "route";
   route.m_host = "shop.example";
   route.m_pathPrefix = "/";
-  route.m_idempotent = true;
+  route.m_idempotent = aOptions.m_idempotent;
   route.m_timeout = aOptions.m_timeout;
   route.m_target = aOptions.m_target;
   route.m_attempts = 2;
@@ -430,7 +461,8 @@
   for (std::size_t i = 0; i < std::max<std::size_t>(1, aOptions.m_shards);
        ++i) {
     services.push_back("shard" + std::to_string(i));
-    m_table->m_services[services.back()] = { services.back(), 600 };
+    m_table->m_services[services.back()] = { services.back(),
+                                             aOptions.m_connections };
   }
   if (aOptions.m_shards > 0) {
     route.m_gather = GatherRule{ services, 5, aOptions.m_minShardRatio };
@@ -438,6 +470,8 @@
     route.m_services = { { services.front(), 1 } };
   }
   m_table->m_version = 1;
+  m_table->m_tenants = aOptions.m_tenants;
+  m_table->m_hasTenants = !aOptions.m_tenants.empty();
   m_table->m_routes = { route };
   m_table->Index();
   AddReplicas(services);
@@ -455,7 +489,9 @@
   for (std::size_t i = 0; i < hosts; ++i) {
     m_hosts.push_back(MakeHost(i));
   }
-  ScheduleCaller();
+  if (aOptions.m_requestRate > 0) {
+    ScheduleCaller();
+  }
 }
 
 ForwardFleet::~ForwardFleet() = default;
@@ -470,12 +506,14 @@
 ForwardFleet::AddReplicas(const std::vector<std::string>& aServices)
 {
   for (const std::string& service : aServices) {
-    for (std::size_t i = 0; i < m_options.m_dataCentres; ++i) {
+    const std::size_t replicas =
+      m_options.m_replicas > 0 ? m_options.m_replicas : m_options.m_dataCentres;
+    for (std::size_t i = 0; i < replicas; ++i) {
       ReplicaRecord record;
       record.m_id = service + "-" + std::to_string(i);
       record.m_service = service;
       record.m_address = "10.0.0.1:" + std::to_string(1000 + m_replicas.size());
-      record.m_dataCentre = "dc" + std::to_string(i);
+      record.m_dataCentre = "dc" + std::to_string(i % m_options.m_dataCentres);
       record.m_slots = m_options.m_slots;
       m_replicas.push_back(
         std::make_unique<Replica>(*this, record, m_replicas.size()));
@@ -503,6 +541,20 @@
   });
 }
 
+ForwardId
+ForwardFleet::Start(std::size_t aHost,
+                    const Tenant* aTenant,
+                    std::function<void(const ForwardResult&)> aDone)
+{
+  return m_hosts.at(aHost)->Start(aTenant, std::move(aDone));
+}
+
+void
+ForwardFleet::Cancel(std::size_t aHost, ForwardId aRequest)
+{
+  m_hosts.at(aHost)->Cancel(aRequest);
+}
+
 void
 ForwardFleet::Run(Duration aTime)
 {
--- a/packages/forward/tests/ForwardFleet.h
+++ b/packages/forward/tests/ForwardFleet.h
@@ -4,6 +4,7 @@
 #include <goldcrestkeel/testing/EventQueue.h>
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -20,11 +21,19 @@
   /** Shards of the only route; 0: the route has a single service. Each service
    *  has one replica in each data centre. */
   std::size_t m_shards = 0;
+  /** Replicas of each service; 0: one in each data centre. */
+  std::size_t m_replicas = 0;
   double m_minShardRatio = 1;
-  /** Callers' requests a second over all hosts. */
+  /** Callers' requests a second over all hosts; 0: only those of Start(). */
   double m_requestRate = 180;
   Duration m_work{ 20000 };
   std::uint32_t m_slots = 3;
+  /** Requests that wait at a replica; it refuses more. */
+  std::size_t m_queueLimit = 1000000;
+  /** Connections of a replica. */
+  std::uint32_t m_connections = 600;
+  bool m_idempotent = true;
+  std::vector<Tenant> m_tenants{};
   Duration m_target{ 250000 };
   Duration m_timeout{ 1000000 };
   unsigned m_seed = 1;
@@ -75,6 +84,14 @@
   ~ForwardFleet();
 
   void Run(Duration aTime);
+  /** Starts a request of a tenant, nullptr for none; aDone gets its result,
+   *  unless it is cancelled. */
+  ForwardId Start(std::size_t aHost,
+                  const Tenant* aTenant,
+                  std::function<void(const ForwardResult&)> aDone);
+  void Cancel(std::size_t aHost, ForwardId aRequest);
+  const RoutingTable& Table() const { return *m_table; }
+  EventQueue& Events() { return m_events; }
   /** The replica of a service in a data centre names a limit from now on, in
    *  requests a second; std::nullopt: it names none any more. */
   void NameLimit(std::size_t aService,
