--- a/packages/admission/include/goldcrestkeel/admission/LoadShedder.h
+++ b/packages/admission/include/goldcrestkeel/admission/LoadShedder.h
@@ -17,8 +17,7 @@
   QueueTooLong,
   /** Less time is left than a backend server takes. */
   TooLittleTime,
-  /** Its turn in the queue comes after its latency target. Only for new
-   *  requests: they would hold up those behind them, so that all are late. */
+  /** It would be answered after its latency target, and make others late. */
   QueuePastTarget,
 };
 
@@ -40,12 +39,13 @@
   std::optional<Duration> m_completion;
 };
 
-/** When a request could be answered, counted from now. Its margins are in
- * Judge().
- */
+/** When a request could be answered, counted from now. */
 struct AnswerEstimate
 {
+  /** At least, if this host can have an equal share of the servers. */
   Duration m_wait{ 0 };
+  /** At the rate of the last seconds. */
+  Duration m_likelyWait{ 0 };
   Duration m_completion{ 0 };
 };
 
@@ -74,10 +74,12 @@
     const std::optional<AnswerEstimate>& aEstimate,
     Duration aLeft);
 
-  /** The same for a request that arrives, with aTargetLeft until its latency
-   *  target. */
-  static std::optional<RejectReason> JudgeNew(
+  /** The same for a request that others wait behind: it is also rejected if it
+   *  cannot meet its latency target aTarget, of which aTargetLeft is left, as
+   *  serving it late would make the others late, too. */
+  static std::optional<RejectReason> JudgeByTarget(
     const std::optional<AnswerEstimate>& aEstimate,
+    Duration aTarget,
     Duration aTargetLeft,
     Duration aLeft);
 
--- a/packages/admission/src/LoadShedder.cpp
+++ b/packages/admission/src/LoadShedder.cpp
@@ -91,9 +91,12 @@
   // A host that carries more than an equal share shows it by its rate; one that
   // carried little until now can have at least an equal share.
   const double share = aCapacity.m_perSecond / std::max(1U, aCapacity.m_hosts);
-  const double best = std::max(rate, share);
-  return AnswerEstimate{ Duration(static_cast<Duration::rep>(
-                           aAhead / best * kMicrosecondsPerSecond)),
+  const auto timeAt = [&](double aRate) {
+    return Duration(
+      static_cast<Duration::rep>(aAhead / aRate * kMicrosecondsPerSecond));
+  };
+  return AnswerEstimate{ timeAt(std::max(rate, share)),
+                         timeAt(rate),
                          *aCapacity.m_completion };
 }
 
@@ -116,16 +119,17 @@
 }
 
 std::optional<RejectReason>
-LoadShedder::JudgeNew(const std::optional<AnswerEstimate>& aEstimate,
-                      Duration aTargetLeft,
-                      Duration aLeft)
+LoadShedder::JudgeByTarget(const std::optional<AnswerEstimate>& aEstimate,
+                           Duration aTarget,
+                           Duration aTargetLeft,
+                           Duration aLeft)
 {
   const auto reason = Judge(aEstimate, aLeft);
-  if (reason || !aEstimate || aEstimate->m_completion >= aTargetLeft) {
+  if (reason || !aEstimate || aEstimate->m_completion >= aTarget) {
     // A service that is slower than the target is late without a queue, too.
     return reason;
   }
-  return aEstimate->m_wait + aEstimate->m_completion > aTargetLeft
+  return aEstimate->m_likelyWait + aEstimate->m_completion > aTargetLeft
            ? std::optional(RejectReason::QueuePastTarget)
            : std::nullopt;
 }
@@ -135,11 +139,11 @@
                         Duration aLeft,
                         RandomSource& aRandom)
 {
-  const Duration excess =
-    aEstimate.m_wait + aEstimate.m_completion - std::max(aLeft, Duration(0));
+  const Duration excess = aEstimate.m_likelyWait + aEstimate.m_completion -
+                          std::max(aLeft, Duration(0));
   const Duration room = std::clamp(excess, kMinRetryAfter, kMaxRetryAfter);
   const Duration spread =
-    std::clamp(aEstimate.m_wait, kMinSpread, kMaxRetryAfter);
+    std::clamp(aEstimate.m_likelyWait, kMinSpread, kMaxRetryAfter);
   return room + Duration(aRandom.Below(spread.count()));
 }
 
--- a/packages/admission/tests/LoadShedderTest.cpp
+++ b/packages/admission/tests/LoadShedderTest.cpp
@@ -73,7 +73,7 @@
 {
   const unsigned seed = GENERATE(1U, 2U, 3U);
   auto random = MakeSeededRandom(seed);
-  const AnswerEstimate estimate{ 2s, 100ms };
+  const AnswerEstimate estimate{ 1s, 2s, 100ms };
   Duration least = 1h;
   Duration most{ 0 };
   for (int i = 0; i < 200; ++i) {
--- a/packages/forward/src/ForwarderFinish.cpp
+++ b/packages/forward/src/ForwarderFinish.cpp
@@ -56,7 +56,7 @@
     const SubRequest& subRequest = aForward.m_subRequests[i];
     if (IsServedInTime(aNow, aForward, *subRequest.m_group)) {
       const bool relayed = subRequest.m_state == SubRequest::State::Relayed;
-      const auto why = relayed ? std::nullopt : WhyLate(aNow, aForward, i);
+      const auto why = relayed ? std::nullopt : WhyHopeless(aNow, aForward, i);
       served += why ? 0 : 1;
       reason = why ? why : reason;
     }
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -311,16 +311,11 @@
   std::optional<AnswerEstimate> EstimateAnswer(TimePoint aNow,
                                                const RunningForward& aForward,
                                                std::uint32_t aIndex) const;
-  /** Why the sub-request cannot be answered by the deadline; nothing if it may
-   *  be. */
+  /** Why the sub-request is not worth a server: it cannot be answered by the
+   *  deadline or, while others wait, by the target. Nothing if it is. */
   std::optional<RejectReason> WhyHopeless(TimePoint aNow,
                                           const RunningForward& aForward,
                                           std::uint32_t aIndex) const;
-  /** The same for a new request, which is also rejected if the queue ahead of
-   *  it lasts beyond its target. */
-  std::optional<RejectReason> WhyLate(TimePoint aNow,
-                                      const RunningForward& aForward,
-                                      std::uint32_t aIndex) const;
   /** Finishes a waiting request that no replica may have run and that has not
    *  been answerable in time for a while; returns whether it did. */
   bool RejectIfHopeless(TimePoint aNow, RunningForward& aForward);
--- a/packages/forward/src/ForwarderLimits.cpp
+++ b/packages/forward/src/ForwarderLimits.cpp
@@ -130,7 +130,7 @@
     if (!BackendPool::HasUsableReplica(aNow, group, {})) {
       ++withoutReplica;
     } else if (!IsServedInTime(aNow, aForward, group) ||
-               WhyLate(aNow, aForward, index)) {
+               WhyHopeless(aNow, aForward, index)) {
       overloaded.emplace_back(1, index);
     } else if (m_random.Unit() < probability) {
       overloaded.emplace_back(probability, index);
--- a/packages/forward/src/ForwarderQueue.cpp
+++ b/packages/forward/src/ForwarderQueue.cpp
@@ -11,6 +11,9 @@
 /** How long a waiting request must count as one that cannot be answered in time
  *  before it is rejected; single answers change the estimate. */
 constexpr Duration kHopelessTime{ 40000 };
+/** With fewer other requests in the queue, one that misses its target makes no
+ *  other late. */
+constexpr std::size_t kMinOthers = 2;
 /** Minimum and random part of the Retry-After of a request that no replica ran
  *  and for which there is no estimate. Crashed replicas return after some
  *  seconds, most other faults end sooner. */
@@ -209,22 +212,18 @@
                            const RunningForward& aForward,
                            std::uint32_t aIndex) const
 {
-  return LoadShedder::Judge(EstimateAnswer(aNow, aForward, aIndex),
-                            aForward.m_request.m_deadline - aNow);
-}
-
-std::optional<RejectReason>
-ForwarderImpl::WhyLate(TimePoint aNow,
-                       const RunningForward& aForward,
-                       std::uint32_t aIndex) const
-{
+  const FairQueue& queue = aForward.m_subRequests[aIndex].m_group->m_waiting;
+  const auto estimate = EstimateAnswer(aNow, aForward, aIndex);
+  const Duration left = aForward.m_request.m_deadline - aNow;
+  const bool queued = queue.Contains(aForward.m_request.m_id, aIndex);
+  if (queue.size() < kMinOthers + (queued ? 1 : 0)) {
+    return LoadShedder::Judge(estimate, left);
+  }
   const auto& relayed = aForward.m_request.m_relayedShards;
-  const TimePoint target =
-    relayed ? relayed->m_targetAt
-            : aForward.m_startedAt + aForward.m_request.m_route->m_target;
-  return LoadShedder::JudgeNew(EstimateAnswer(aNow, aForward, aIndex),
-                               target - aNow,
-                               aForward.m_request.m_deadline - aNow);
+  const Duration target = aForward.m_request.m_route->m_target;
+  const TimePoint targetAt =
+    relayed ? relayed->m_targetAt : aForward.m_startedAt + target;
+  return LoadShedder::JudgeByTarget(estimate, target, targetAt - aNow, left);
 }
 
 bool
