--- a/packages/forward/src/BackendPool.cpp
+++ b/packages/forward/src/BackendPool.cpp
@@ -43,6 +43,12 @@
 constexpr double kConcurrencyFactor = 0.3;
 /** Random part of a score, so that hosts do not all select the same replica. */
 constexpr double kScoreNoise = 0.1;
+/** Time constant with which a reported work time returns to the usual one; it
+ *  changes many times a second. */
+constexpr double kWorkTimeConstantUs = 150e3;
+/** Bounds of a reported work time, as a multiple of the usual one. */
+constexpr double kMinWorkFactor = 0.2;
+constexpr double kMaxWorkFactor = 10;
 /** Latency that is assumed before the first answer, in microseconds. */
 constexpr double kInitialLatencyUs = 20000;
 /** Additional latency that is assumed for a replica of another data centre
@@ -78,6 +84,17 @@
            kLongQueuePerSlot * std::max(1U, aReplica.m_load.m_slots);
 }
 
+/** Work time of a report as a multiple of the usual one; 1 if it is not stated.
+ */
+double
+WorkFactor(const LoadReport& aLoad)
+{
+  return aLoad.m_workPercent == 0 ? 1
+                                  : std::clamp(aLoad.m_workPercent / 100.0,
+                                               kMinWorkFactor,
+                                               kMaxWorkFactor);
+}
+
 bool
 Contains(const std::vector<std::string>& aIds, const std::string& aId)
 {
@@ -159,14 +176,16 @@
 BackendPool::Choose(TimePoint aNow,
                     const BackendGroup& aGroup,
                     const std::vector<std::string>& aExclude,
-                    ReplicaTier aWorst)
+                    ReplicaTier aWorst,
+                    const RegionFilter& aRegions)
 {
   std::shared_ptr<PooledReplica> best;
   ReplicaTier bestTier = aWorst;
   double bestScore = 0;
   for (const auto& replica : aGroup.m_replicas) {
     const ReplicaTier tier = TierOf(aNow, *replica);
-    if (tier > bestTier || Contains(aExclude, replica->m_record.m_id)) {
+    if (tier > bestTier || Contains(aExclude, replica->m_record.m_id) ||
+        !aRegions.Allows(replica->m_region)) {
       continue;
     }
     const double score = Score(aNow, aGroup, *replica);
@@ -182,25 +201,29 @@
 bool
 BackendPool::HasUsableReplica(TimePoint aNow,
                               const BackendGroup& aGroup,
-                              const std::vector<std::string>& aExclude)
+                              const std::vector<std::string>& aExclude,
+                              const RegionFilter& aRegions)
 {
   return std::any_of(aGroup.m_replicas.begin(),
                      aGroup.m_replicas.end(),
                      [&](const std::shared_ptr<PooledReplica>& aReplica) {
                        return TierOf(aNow, *aReplica) !=
                                 ReplicaTier::Unavailable &&
-                              !Contains(aExclude, aReplica->m_record.m_id);
+                              !Contains(aExclude, aReplica->m_record.m_id) &&
+                              aRegions.Allows(aReplica->m_region);
                      });
 }
 
 bool
 BackendPool::IsHeldByRest(TimePoint aNow,
                           const BackendGroup& aGroup,
-                          const std::vector<std::string>& aExclude)
+                          const std::vector<std::string>& aExclude,
+                          const RegionFilter& aRegions)
 {
   bool held = false;
   for (const auto& replica : aGroup.m_replicas) {
     if (Contains(aExclude, replica->m_record.m_id) ||
+        !aRegions.Allows(replica->m_region) ||
         TierWithoutRest(aNow, *replica) == ReplicaTier::Unavailable) {
       continue;
     }
@@ -243,6 +266,11 @@
   const double otherLoad = Decayed(std::max(0.0, reported),
                                    aNow - aReplica.m_loadReportedAt,
                                    kLoadTimeConstantUs);
+  if (aReplica.m_load.m_workPercent > 0) {
+    latency *= 1 + Decayed(WorkFactor(aReplica.m_load) - 1,
+                           aNow - aReplica.m_loadReportedAt,
+                           kWorkTimeConstantUs);
+  }
   const double slots = std::max(1U, aReplica.m_record.m_slots);
   // A request queues once all slots are busy. Below that, replicas still slow
   // down as their load grows.
@@ -299,6 +327,10 @@
     sample /= 1 + static_cast<double>(aAnswer.m_load->m_waiting) /
                     aAnswer.m_load->m_slots;
   }
+  if (aAnswer.m_load) {
+    // ExpectedLatency() applies the work time of the moment.
+    sample /= WorkFactor(*aAnswer.m_load);
+  }
   if (aReplica.m_latency > 0) {
     sample = std::min(sample, kMaxSampleRatio * aReplica.m_latency);
     aReplica.m_latency += kLatencyWeight * (sample - aReplica.m_latency);
--- a/packages/forward/src/ForwarderDispatch.cpp
+++ b/packages/forward/src/ForwarderDispatch.cpp
@@ -71,10 +71,8 @@
                         CopyReason aReason)
 {
   SubRequest& subRequest = aForward.m_subRequests[aIndex];
-  const auto replica = m_pool.Choose(aNow,
-                                     *subRequest.m_group,
-                                     subRequest.m_triedReplicas,
-                                     ReplicaTier::Draining);
+  const auto replica =
+    ChooseReplica(aNow, aForward, subRequest, ReplicaTier::Draining);
   if (replica && MustQueue(aNow, *subRequest.m_group, aReason)) {
     Enqueue(aNow, aForward, aIndex);
     return;
@@ -90,8 +88,10 @@
     SendFallback(aNow, aForward, { aIndex });
     return;
   }
-  if (BackendPool::HasUsableReplica(
-        aNow, *subRequest.m_group, subRequest.m_triedReplicas)) {
+  if (BackendPool::HasUsableReplica(aNow,
+                                    *subRequest.m_group,
+                                    subRequest.m_triedReplicas,
+                                    aForward.m_regions)) {
     Enqueue(aNow, aForward, aIndex);
     return;
   }
@@ -251,10 +251,8 @@
   if (subRequest.m_state != SubRequest::State::Running) {
     return;
   }
-  const auto other = m_pool.Choose(aNow,
-                                   *subRequest.m_group,
-                                   subRequest.m_triedReplicas,
-                                   ReplicaTier::Degraded);
+  const auto other =
+    ChooseReplica(aNow, forward, subRequest, ReplicaTier::Degraded);
   if (!copy.m_sentAt) {
     if (other) {
       BackendPool::BackOff(aNow, *copy.m_replica, kUnreachableBackoff);
--- a/packages/forward/src/ForwarderLimits.cpp
+++ b/packages/forward/src/ForwarderLimits.cpp
@@ -87,15 +87,29 @@
   }
 }
 
+std::shared_ptr<PooledReplica>
+ForwarderImpl::ChooseReplica(TimePoint aNow,
+                             const RunningForward& aForward,
+                             const SubRequest& aSubRequest,
+                             ReplicaTier aWorst)
+{
+  return m_pool.Choose(aNow,
+                       *aSubRequest.m_group,
+                       aSubRequest.m_triedReplicas,
+                       aWorst,
+                       aForward.m_regions);
+}
+
 bool
 ForwarderImpl::IsServedInTime(TimePoint aNow,
                               const RunningForward& aForward,
                               const BackendGroup& aGroup) const
 {
-  if (!BackendPool::HasUsableReplica(aNow, aGroup, {})) {
+  const RegionFilter& regions = aForward.m_regions;
+  if (!BackendPool::HasUsableReplica(aNow, aGroup, {}, regions)) {
     return false;
   }
-  const auto permits = BackendPool::PermitsOf(aNow, aGroup);
+  const auto permits = BackendPool::PermitsOf(aNow, aGroup, regions);
   if (!permits) {
     return true;
   }
@@ -127,7 +141,7 @@
     if (aForward.m_subRequests[index].m_state == SubRequest::State::Relayed) {
       continue;
     }
-    if (!BackendPool::HasUsableReplica(aNow, group, {})) {
+    if (!BackendPool::HasUsableReplica(aNow, group, {}, aForward.m_regions)) {
       ++withoutReplica;
     } else if (!IsServedInTime(aNow, aForward, group) ||
                WhyHopeless(aNow, aForward, index)) {
--- a/packages/forward/src/ForwarderQueue.cpp
+++ b/packages/forward/src/ForwarderQueue.cpp
@@ -166,11 +166,12 @@
     }
     RunningForward& forward = *running->second;
     SubRequest& subRequest = forward.m_subRequests[waiting.m_part];
-    const auto replica = m_pool.Choose(
-      aNow, aGroup, subRequest.m_triedReplicas, ReplicaTier::Draining);
+    const auto replica =
+      ChooseReplica(aNow, forward, subRequest, ReplicaTier::Draining);
     if (!replica) {
-      // Later entries may have tried fewer replicas.
-      if (subRequest.m_triedReplicas.empty()) {
+      // Later entries may have tried fewer replicas, or may use other regions.
+      if (subRequest.m_triedReplicas.empty() &&
+          !forward.m_regions.IsRestricted()) {
         return;
       }
       queue.Skip(waiting);
--- a/packages/forward/tests/TenantFleetTest.cpp
+++ b/packages/forward/tests/TenantFleetTest.cpp
@@ -53,20 +53,20 @@
           load.ResetOutcomes();
           fleet.Run(12s);
           const auto sum = load.Sum();
-          std::printf("prios %u tenants %d shards %zu x%.1f: req %zu inT %.3f late %.3f "
-                      "ref %.3f (%.0f ms) fail %.3f |",
-                      prios,
-                      tenants,
-                      shards,
-                      overload,
-                      sum.m_requests,
-                      double(sum.m_inTarget) / sum.m_requests,
-                      double(sum.m_late) / sum.m_requests,
-                      double(sum.m_refused) / sum.m_requests,
-                      sum.m_refused
-                        ? sum.m_refusalTime.count() / 1e3 / sum.m_refused
-                        : 0.0,
-                      double(sum.m_failed) / sum.m_requests);
+          std::printf(
+            "prios %u tenants %d shards %zu x%.1f: req %zu inT %.3f late %.3f "
+            "ref %.3f (%.0f ms) fail %.3f |",
+            prios,
+            tenants,
+            shards,
+            overload,
+            sum.m_requests,
+            double(sum.m_inTarget) / sum.m_requests,
+            double(sum.m_late) / sum.m_requests,
+            double(sum.m_refused) / sum.m_requests,
+            sum.m_refused ? sum.m_refusalTime.count() / 1e3 / sum.m_refused
+                          : 0.0,
+            double(sum.m_failed) / sum.m_requests);
           for (std::uint32_t p = 0; p < 3; ++p) {
             std::printf(" p%u %.3f", p, load.SumOf(p).ServedShare());
           }
