--- a/packages/admission/src/LoadShedder.cpp
+++ b/packages/admission/src/LoadShedder.cpp
@@ -28,6 +28,8 @@
  *  served. */
 constexpr double kRateMargin = 1.5;
 constexpr double kCompletionMargin = 0.7;
+/** Fraction of the time to the target that the expected answer may take. */
+constexpr double kTargetRatio = 0.7;
 /** Bounds of Retry-After, and least width of the time over which callers
  *  return. */
 constexpr Duration kMinRetryAfter{ 150000 };
@@ -129,7 +131,8 @@
     // A service that is slower than the target is late without a queue, too.
     return reason;
   }
-  return aEstimate->m_likelyWait + aEstimate->m_completion > aTargetLeft
+  return aEstimate->m_likelyWait + aEstimate->m_completion >
+             Scaled(aTargetLeft, kTargetRatio)
            ? std::optional(RejectReason::QueuePastTarget)
            : std::nullopt;
 }
