--- a/packages/admission/tests/LoadShedderTest.cpp
+++ b/packages/admission/tests/LoadShedderTest.cpp
@@ -54,6 +54,21 @@
     CHECK(reason(0, 30ms) == RejectReason::TooLittleTime);
   }
 
+  // Guards against queues in which all requests become late.
+  SECTION("by the target if it can be met at all")
+  {
+    const auto byTarget = [&](double aAhead, Duration aTarget) {
+      return LoadShedder::JudgeByTarget(
+        shedder.Estimate(now, aAhead, capacity), aTarget, aTarget, 1500ms);
+    };
+    REQUIRE(!byTarget(8, 600ms));
+    shedder.OnQueueChanged(now, true);
+    serve(400ms);
+    CHECK(!byTarget(2, 600ms));
+    CHECK(byTarget(8, 600ms) == RejectReason::QueuePastTarget);
+    CHECK(!byTarget(8, 50ms));
+  }
+
   // Guards against rejections by what a service did long ago, or never.
   SECTION("not without recent answers")
   {
--- a/packages/edge/src/EdgeMetrics.cpp
+++ b/packages/edge/src/EdgeMetrics.cpp
@@ -103,6 +103,17 @@
            aCounters.m_contactLosses);
   impl.Set(
     "refused", "Requests refused without having run", aCounters.m_refused);
+  impl.Set("queued",
+           "Parts of requests that waited for a replica",
+           aCounters.m_queued);
+  impl.Set("queue_wait_us",
+           "Sum of the times that these waited, in microseconds",
+           static_cast<std::uint64_t>(aCounters.m_queueTime.count()));
+  for (std::size_t i = 0; i < kRejectReasons; ++i) {
+    impl.Set("rejected_" + std::string(NameOf(static_cast<RejectReason>(i))),
+             "Requests rejected before their deadline for this reason",
+             aCounters.m_rejected.at(i));
+  }
   impl.Set("crashes_attributed",
            "Crashes of replicas that were attributed to requests",
            aCounters.m_crashes);
