--- a/packages/forward/src/BackendPool.cpp
+++ b/packages/forward/src/BackendPool.cpp
@@ -43,6 +43,12 @@
 constexpr double kConcurrencyFactor = 0.3;
 /** Random part of a score, so that hosts do not all select the same replica. */
 constexpr double kScoreNoise = 0.1;
+/** Time constant with which a reported work time returns to the usual one; it
+ *  changes many times a second. */
+constexpr double kWorkTimeConstantUs = 150e3;
+/** Bounds of a reported work time, as a multiple of the usual one. */
+constexpr double kMinWorkFactor = 0.2;
+constexpr double kMaxWorkFactor = 10;
 /** Latency that is assumed before the first answer, in microseconds. */
 constexpr double kInitialLatencyUs = 20000;
 /** Additional latency that is assumed for a replica of another data centre
@@ -78,6 +84,17 @@
            kLongQueuePerSlot * std::max(1U, aReplica.m_load.m_slots);
 }
 
+/** Work time of a report as a multiple of the usual one; 1 if it is not stated.
+ */
+double
+WorkFactor(const LoadReport& aLoad)
+{
+  return aLoad.m_workPercent == 0 ? 1
+                                  : std::clamp(aLoad.m_workPercent / 100.0,
+                                               kMinWorkFactor,
+                                               kMaxWorkFactor);
+}
+
 bool
 Contains(const std::vector<std::string>& aIds, const std::string& aId)
 {
@@ -104,6 +121,10 @@
       replica->m_warmup.SetRate(aNow, service.m_warmupPerSecond, m_random);
     }
   }
+  m_hasTenants = aTable.m_hasTenants;
+  for (const auto& [name, group] : m_groups) {
+    group->m_waiting.SetSharing(m_hasTenants);
+  }
 }
 
 BackendGroup&
@@ -113,6 +134,7 @@
   if (!group) {
     group = std::make_unique<BackendGroup>(aService, m_options);
     UpdateShares(*group);
+    group->m_waiting.SetSharing(m_hasTenants);
   }
   return *group;
 }
@@ -253,6 +275,11 @@
   const double otherLoad = Decayed(std::max(0.0, reported),
                                    aNow - aReplica.m_loadReportedAt,
                                    kLoadTimeConstantUs);
+  if (aReplica.m_load.m_workPercent > 0) {
+    latency *= 1 + Decayed(WorkFactor(aReplica.m_load) - 1,
+                           aNow - aReplica.m_loadReportedAt,
+                           kWorkTimeConstantUs);
+  }
   const double slots = std::max(1U, aReplica.m_record.m_slots);
   // A request queues once all slots are busy. Below that, replicas still slow
   // down as their load grows.
@@ -309,6 +336,10 @@
     sample /= 1 + static_cast<double>(aAnswer.m_load->m_waiting) /
                     aAnswer.m_load->m_slots;
   }
+  if (aAnswer.m_load) {
+    // ExpectedLatency() applies the work time of the moment.
+    sample /= WorkFactor(*aAnswer.m_load);
+  }
   if (aReplica.m_latency > 0) {
     sample = std::min(sample, kMaxSampleRatio * aReplica.m_latency);
     aReplica.m_latency += kLatencyWeight * (sample - aReplica.m_latency);
--- a/packages/forward/src/BackendPool.h
+++ b/packages/forward/src/BackendPool.h
@@ -5,13 +5,13 @@
 #include "RegionFilter.h"
 #include "RepeatBudget.h"
 
+#include <goldcrestkeel/Admission.h>
 #include <goldcrestkeel/core/Random.h>
 #include <goldcrestkeel/forward/Forwarder.h>
 #include <goldcrestkeel/forward/HostRecord.h>
 
 #include <cstdint>
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -28,23 +28,16 @@
 inline constexpr double kMissedWeight = 0.06;
 inline constexpr double kMissedTimeConstantUs = 2e6;
 
-/** A sub-request that waits for a replica with capacity. */
-struct QueuedSubRequest
-{
-  std::uint32_t m_priority = 0;
-  TimePoint m_deadline;
-  ForwardId m_request = 0;
-  /** Index of the sub-request in the request. */
-  std::uint32_t m_subRequest = 0;
-};
-
 /** The replicas of one service. */
 struct BackendGroup
 {
   std::string m_name;
   std::vector<std::shared_ptr<PooledReplica>> m_replicas;
-  /** Ordered by priority, then by deadline. */
-  std::list<QueuedSubRequest> m_waiting;
+  /** Sub-requests that wait for a replica with capacity. */
+  FairQueue m_waiting;
+  LoadShedder m_shedder;
+  /** Used only if the table has tenants. */
+  DispatchPacer m_pacer;
   RepeatBudget m_budget;
   /** When a replica has last answered a request that it had run. */
   TimePoint m_servedAt = TimePoint::min();
@@ -174,6 +167,11 @@
     ReplicaTier aWorst,
     const RegionFilter& aRegions);
 
+  /** Whether the table has tenants. */
+  bool HasTenants() const { return m_hasTenants; }
+  /** What the usable replicas of aGroup can do for this host. */
+  ServiceCapacity CapacityOf(TimePoint aNow, const BackendGroup& aGroup) const;
+
   /** Estimates the response time of a copy that is sent to aReplica now. */
   Duration ExpectedLatency(TimePoint aNow,
                            const BackendGroup& aGroup,
@@ -270,6 +268,7 @@
   std::uint32_t m_hostLists = 0;
   PaceObserver m_paceObserver;
   bool m_openConnectionsOnly = false;
+  bool m_hasTenants = false;
   std::map<std::string, std::uint32_t> m_hostsPerDataCentre;
   std::set<std::string> m_evacuated;
   /** By name. */
--- a/packages/forward/src/Forwarder.cpp
+++ b/packages/forward/src/Forwarder.cpp
@@ -129,6 +129,7 @@
   forward.m_regions = RegionsOf(aRequest);
   forward.m_routeState = &m_routes[route.m_name];
   MakeSubRequests(forward);
+  CountDemand(aNow, forward);
   const std::vector<RelayPool::Assignment> assignments =
     AssignRelays(aNow, forward);
   const std::vector<std::uint32_t> handedOver = PrepareFallback(aNow, forward);
@@ -171,6 +172,12 @@
       return;
     }
   }
+  if (m_pool.HasTenants()) {
+    // A replica may have capacity although others wait; see MustQueue().
+    for (BackendGroup* group : GroupsWaitedFor(forward)) {
+      DispatchWaiting(aNow, *group);
+    }
+  }
 }
 
 void
@@ -215,6 +222,7 @@
   }
   SuspectBroken(aNow, *found->second);
   AbandonRelays(*found->second);
+  LeaveQueues(aNow, *found->second);
   m_running.erase(found);
 }
 
--- a/packages/forward/src/ForwarderCopies.cpp
+++ b/packages/forward/src/ForwarderCopies.cpp
@@ -85,6 +85,7 @@
   m_contact.OnAnswer(aNow);
   UpdateNotices(aNow, *copy.m_group, replica, aAnswer);
   UpdateRequestLimit(aNow, *copy.m_group, replica, aAnswer);
+  RecordLoad(aNow, *copy.m_group, aAnswer);
   const bool success = IsSuccess(aAnswer);
   if (aNow < copy.m_deadline) {
     replica.m_failureRate.Add(aNow, !success);
@@ -112,6 +113,7 @@
     } else {
       if (aAnswer.m_notRun || aAnswer.m_wrongInstance) {
         ++subRequest.m_notRun;
+        copy.m_group->m_waiting.CountNotRun(aNow, TenantOf(forward));
         // The replica may have capacity again before others do.
         std::erase(subRequest.m_triedReplicas, replica.m_record.m_id);
       } else {
--- a/packages/forward/src/ForwarderDispatch.cpp
+++ b/packages/forward/src/ForwarderDispatch.cpp
@@ -27,8 +27,6 @@
 /** Additional copies beyond the attempts of the route, in place of copies that
  *  replicas confirmed not to have run. */
 constexpr std::uint32_t kMaxNotRunRetries = 2;
-/** Waiting sub-requests are dispatched at each answer, and at this interval. */
-constexpr Duration kWaitPollInterval{ 20000 };
 /** First backoff after a replica became unresponsive. */
 constexpr Duration kUnresponsiveBackoff{ 250000 };
 
@@ -65,7 +63,12 @@
   SubRequest& subRequest = aForward.m_subRequests[aIndex];
   const auto replica = ChooseReplica(
     aNow, aForward, subRequest, WorstTier(aNow, aForward, subRequest));
+  if (replica && MustQueue(aNow, *subRequest.m_group, aReason)) {
+    Enqueue(aNow, aForward, aIndex);
+    return;
+  }
   if (replica) {
+    subRequest.m_group->m_waiting.CountServed(aNow, TenantOf(aForward));
     SendTo(aNow, aForward, aIndex, replica, aReason);
     return;
   }
@@ -110,7 +113,9 @@
     copy.m_deadline = std::min(copy.m_deadline, aForward.m_targetAt);
   }
   const TimePoint deadline = copy.m_deadline;
+  LeaveQueue(aNow, aForward, aIndex);
   m_copies.emplace(id, copy);
+  subRequest.m_group->m_pacer.OnDispatched(aNow);
   ++aReplica->m_inFlight;
   ++aReplica->m_copiesSinceReport;
   aReplica->m_requestLimit.Use(aNow);
@@ -143,98 +148,6 @@
   m_sink.SendCopy(id, aForward.m_request.m_id, aReplica->m_record, deadline);
 }
 
-void
-ForwarderImpl::Enqueue(TimePoint aNow,
-                       RunningForward& aForward,
-                       std::uint32_t aIndex)
-{
-  SubRequest& subRequest = aForward.m_subRequests[aIndex];
-  if (subRequest.m_state == SubRequest::State::Waiting) {
-    return;
-  }
-  subRequest.m_state = SubRequest::State::Waiting;
-  if (WorstTier(aNow, aForward, subRequest) == ReplicaTier::Degraded) {
-    ++m_counters.m_pacedWaits;
-  }
-  const QueuedSubRequest entry{ aForward.m_request.Priority(),
-                                aForward.m_request.m_deadline,
-                                aForward.m_request.m_id,
-                                aIndex };
-  auto& waiting = subRequest.m_group->m_waiting;
-  const auto after = std::find_if(
-    waiting.begin(), waiting.end(), [&](const QueuedSubRequest& aOther) {
-      return std::pair(aOther.m_priority, aOther.m_deadline) >
-             std::pair(entry.m_priority, entry.m_deadline);
-    });
-  waiting.insert(after, entry);
-  AddTimer(aNow + kWaitPollInterval,
-           ForwardTimer::PollWaiting,
-           aForward.m_request.m_id);
-}
-
-void
-ForwarderImpl::OnWaitTimer(TimePoint aNow, ForwardId aRequest)
-{
-  const auto running = m_running.find(aRequest);
-  if (running == m_running.end()) {
-    return;
-  }
-  std::vector<BackendGroup*> groups;
-  for (const SubRequest& subRequest : running->second->m_subRequests) {
-    if (subRequest.m_state == SubRequest::State::Waiting) {
-      groups.push_back(subRequest.m_group);
-    }
-  }
-  if (groups.empty()) {
-    return;
-  }
-  AddTimer(aNow + kWaitPollInterval, ForwardTimer::PollWaiting, aRequest);
-  for (BackendGroup* group : groups) {
-    // This may end the request and invalidate `running`.
-    DispatchWaiting(aNow, *group);
-  }
-}
-
-void
-ForwarderImpl::DispatchWaiting(TimePoint aNow, BackendGroup& aGroup)
-{
-  auto entry = aGroup.m_waiting.begin();
-  while (entry != aGroup.m_waiting.end()) {
-    const auto running = m_running.find(entry->m_request);
-    if (running == m_running.end() ||
-        running->second->m_subRequests[entry->m_subRequest].m_state !=
-          SubRequest::State::Waiting) {
-      entry = aGroup.m_waiting.erase(entry);
-      continue;
-    }
-    RunningForward& forward = *running->second;
-    SubRequest& subRequest = forward.m_subRequests[entry->m_subRequest];
-    const auto replica = ChooseReplica(
-      aNow, forward, subRequest, WorstTier(aNow, forward, subRequest));
-    if (!replica) {
-      // Later entries may have tried fewer replicas, or may use other regions.
-      if (subRequest.m_triedReplicas.empty() &&
-          !forward.m_regions.IsRestricted()) {
-        return;
-      }
-      ++entry;
-      continue;
-    }
-    const std::uint32_t index = entry->m_subRequest;
-    entry = aGroup.m_waiting.erase(entry);
-    // Other requests may have used the budget in the meantime.
-    if (!MayRepeat(aNow, forward, subRequest, CopyReason::Retry)) {
-      OnSubRequestFailed(aNow, forward, index);
-      continue;
-    }
-    SendTo(aNow,
-           forward,
-           index,
-           replica,
-           subRequest.m_sent > 0 ? CopyReason::Retry : CopyReason::First);
-  }
-}
-
 Duration
 ForwarderImpl::LateThreshold(const RunningForward& aForward,
                              const ForwardCopy& aCopy)
@@ -345,6 +258,15 @@
       !forward.m_request.m_route->m_idempotent) {
     return;
   }
+  if (m_pool.HasTenants() && !copy.m_group->m_pacer.Allows(aNow)) {
+    LogDecision("no_hedge",
+                forward,
+                copy.m_group->m_name,
+                copy.m_replica->m_record.m_id,
+                "the service is overloaded",
+                age);
+    return;
+  }
   if (!MayRepeat(aNow, forward, subRequest, CopyReason::Hedge)) {
     ++m_counters.m_hedgesWithoutBudget;
     LogDecision("no_hedge",
--- a/packages/forward/tests/PacingFleetTest.cpp
+++ b/packages/forward/tests/PacingFleetTest.cpp
@@ -27,7 +27,7 @@
   options.m_requestRate = 100;
   options.m_work = 60ms;
   options.m_slots = 2;
-  options.m_queue = 8;
+  options.m_queueLimit = 8;
   options.m_connections = 63;
   options.m_target = 600ms;
   options.m_timeout = 1500ms;
