--- a/packages/admission/src/FairQueue.cpp
+++ b/packages/admission/src/FairQueue.cpp
@@ -23,7 +23,6 @@
 /** Tenants without a request for this time are forgotten. */
 constexpr Duration kIdleTime{ 600000000 };
 constexpr double kMicrosecondsPerSecond = 1e6;
-constexpr Duration kEraseInterval{ 10000000 };
 
 double
 Decay(Duration aAge, double aTimeConstantUs)
