Test misbehaving clients against a real process

Cause: clients with endless trailers, short header lines or unread answers have ended a process for lack of memory, and silent ones use up its descriptors; no test covered this.

--- a/scripts/lib/entry_host.py
+++ b/scripts/lib/entry_host.py
@@ -1,8 +1,10 @@
-"""One `goldcrestkeeld --platform` process of scripts/soak and scripts/crashes."""
+"""One `goldcrestkeeld --platform` process of scripts/soak, scripts/crashes and
+scripts/client-limits."""
 
 import asyncio
 import json
 import os
+import resource
 import signal
 import subprocess
 import time
@@ -28,6 +30,7 @@
         self.zone = zone
         self.caller_address = f"{ip}:8080"
         self.readiness_address = f"{ip}:8081"
+        self.metrics_address = f"{ip}:8082"
         self.relay_address = f"{ip}:8083"
         self.store_proxy = Proxy(f"{ip}:8090", run.store.address)
         self.settings_path = f"{run.directory}/{self.name}.json"
@@ -37,6 +40,8 @@
         self.disturbed_until = 0.0
         self.first_start = True
         self.started_at = []
+        self.extra_limits = {}  # further members of "limits" in the settings
+        self.max_descriptors = None  # limit of the open descriptors of the process
 
     def start(self):
         with open(self.settings_path, "w", encoding="utf-8") as file:
@@ -46,22 +51,30 @@
                 "regions": ZONES,
                 "listen": {"callers": self.caller_address,
                            "readiness": self.readiness_address,
+                           "metrics": self.metrics_address,
                            "hosts": self.relay_address},
                 "store": {"address": self.store_proxy.address},
                 "feeds": {"min_shared_hosts": self.run.min_shared_hosts},
                 "repeats": {"ratio": RETRY_RATIO, "slack": RETRY_SLACK,
                             "window_s": RETRY_WINDOW_S},
-                "limits": {"drain_ms": DRAIN_S * 1e3, "apply_ms": APPLY_S * 1e3},
+                "limits": {"drain_ms": DRAIN_S * 1e3, "apply_ms": APPLY_S * 1e3,
+                           **self.extra_limits},
                 "shutdown": {"grace_s": GRACE_S}}, file)
         self.first_start = False
         with open(f"{self.run.directory}/{self.name}.log", "ab") as log:
             self.process = subprocess.Popen(
                 [f"{self.run.options.bin}/goldcrestkeeld", "--platform",
                  "--settings", self.settings_path],
-                stdout=log, stderr=log, stdin=subprocess.DEVNULL, start_new_session=True)
+                stdout=log, stderr=log, stdin=subprocess.DEVNULL, start_new_session=True,
+                preexec_fn=self._limit_descriptors)
         self.stopping_since = None
         self.started_at.append(time.monotonic())
 
+    def _limit_descriptors(self):
+        if self.max_descriptors:
+            resource.setrlimit(resource.RLIMIT_NOFILE,
+                               (self.max_descriptors, self.max_descriptors))
+
     def signal(self, number):
         if self.process.poll() is None:
             os.kill(self.process.pid, number)
