Limit the chunk framing and trailers of requests

Cause: the parser leaves a chunk line or trailer section unread until its end has arrived, and nothing limited the bytes that were kept meanwhile. It also added trailer fields to the header fields.

Change: a chunk line and the trailer section may be as long as the header, and all framing as many bytes and eight for each byte of the body; beyond that the request is refused with 413. Trailer fields are discarded.

--- a/packages/edge/include/goldcrestkeel/edge/HttpMessage.h
+++ b/packages/edge/include/goldcrestkeel/edge/HttpMessage.h
@@ -67,11 +67,14 @@
   Malformed,
 };
 
-/** Incremental parser for one request. */
+/** Incremental parser for one request. Trailer fields are discarded. */
 class RequestParser
 {
 public:
-  /** Limits of the header and the body, in bytes. */
+  /** Limits of the header and the body, in bytes. The limit of the header also
+   *  holds for a line of the chunk framing and for the trailer section, and
+   *  all framing together has at most as many bytes and 8 for each byte of the
+   *  body; beyond that, Read() returns BodyTooLarge. */
   RequestParser(std::size_t aHeaderLimit, std::size_t aBodyLimit);
   ~RequestParser();
 
--- a/packages/edge/src/HttpMessage.cpp
+++ b/packages/edge/src/HttpMessage.cpp
@@ -22,6 +22,9 @@
 /** Limit of the bytes that the parser leaves unread because they end in the
  *  middle of an element, such as the line before a chunk. */
 constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
+/** Bytes of the chunk framing of a request that are accepted for each byte of
+ *  its body, beside a constant. A chunk of one byte has five. */
+constexpr std::size_t kFramingBytesPerBodyByte = 8;
 
 constexpr std::array<std::string_view, 10> kHopByHopFields{
   "connection",     "keep-alive",        "proxy-connection", "te",
@@ -47,6 +50,8 @@
 CopyFields(const Fields& aFields)
 {
   std::vector<HeaderField> fields;
+  fields.reserve(
+    static_cast<std::size_t>(std::distance(aFields.begin(), aFields.end())));
   for (const auto& field : aFields) {
     fields.emplace_back(View(field.name_string()), View(field.value()));
   }
@@ -89,10 +94,16 @@
            : ParseState::Partial;
 }
 
-// Parses aBytes and removes the parsed bytes from its front.
-template<typename Parser>
+// Parses aBytes and removes the parsed bytes from its front. aAfterHeader is
+// increased by the parsed bytes that follow the header; aOnHeader is called
+// once the header is accepted.
+template<typename Parser, typename OnHeader>
 ParseState
-ParseInput(Parser& aParser, std::string& aBytes, std::uint64_t aBodyLimit)
+ParseInput(Parser& aParser,
+           std::string& aBytes,
+           std::uint64_t aBodyLimit,
+           std::uint64_t& aAfterHeader,
+           const OnHeader& aOnHeader)
 {
   std::size_t parsed = 0;
   ParseState state = ParseState::Partial;
@@ -104,6 +115,7 @@
       boost::asio::buffer(aBytes.data() + parsed, aBytes.size() - parsed),
       error);
     parsed += count;
+    aAfterHeader += hadHeader ? count : 0;
     if (error) {
       state = ToParseState(error);
       break;
@@ -114,6 +126,7 @@
         aBytes.erase(0, parsed);
         return checked;
       }
+      aOnHeader();
     }
     if (count == 0) {
       break;
@@ -193,8 +206,34 @@
 class RequestParser::Impl
 {
 public:
+  // Takes the fields from the parser, which would add those of the trailer
+  // section to them. Trailer fields are discarded (RFC 9110, section 6.5.1).
+  void TakeFields()
+  {
+    auto& message = m_parser.get();
+    m_fields = CopyFields(message);
+    message.clear();
+  }
+
+  // aUnparsed: bytes received that end in the middle of an element of the
+  // framing, which the parser leaves unread however long the element becomes.
+  bool ExceedsFramingLimit(std::size_t aUnparsed) const
+  {
+    if (!m_parser.is_header_done() || !m_parser.chunked()) {
+      return false;
+    }
+    const std::uint64_t body = m_parser.get().body().size();
+    return aUnparsed > m_headerLimit ||
+           m_afterHeader - body >
+             m_headerLimit + kFramingBytesPerBodyByte * body;
+  }
+
   http::request_parser<http::string_body> m_parser;
+  std::vector<HeaderField> m_fields;
+  std::uint64_t m_headerLimit = 0;
   std::uint64_t m_bodyLimit = 0;
+  /** Bytes parsed after the header: the body and its framing. */
+  std::uint64_t m_afterHeader = 0;
   bool m_started = false;
   bool m_continueConsumed = false;
 };
@@ -204,6 +243,7 @@
 {
   m_impl->m_parser.header_limit(static_cast<std::uint32_t>(aHeaderLimit));
   m_impl->m_parser.body_limit(aBodyLimit);
+  m_impl->m_headerLimit = aHeaderLimit;
   m_impl->m_bodyLimit = aBodyLimit;
 }
 
@@ -215,7 +255,19 @@
   if (!aBytes.empty()) {
     m_impl->m_started = true;
   }
-  return ParseInput(m_impl->m_parser, aBytes, m_impl->m_bodyLimit);
+  const bool wasDone = m_impl->m_parser.is_done();
+  const ParseState state = ParseInput(m_impl->m_parser,
+                                      aBytes,
+                                      m_impl->m_bodyLimit,
+                                      m_impl->m_afterHeader,
+                                      [this] { m_impl->TakeFields(); });
+  const bool accepted =
+    state == ParseState::Partial || state == ParseState::Complete;
+  // Bytes behind a complete request belong to the next one.
+  const std::size_t unparsed = m_impl->m_parser.is_done() ? 0 : aBytes.size();
+  return accepted && !wasDone && m_impl->ExceedsFramingLimit(unparsed)
+           ? ParseState::BodyTooLarge
+           : state;
 }
 
 bool
@@ -225,8 +277,8 @@
     return false;
   }
   m_impl->m_continueConsumed = true;
-  return beast::iequals(m_impl->m_parser.get()[http::field::expect],
-                        "100-continue");
+  return EqualsIgnoreCase(FieldValue(m_impl->m_fields, "expect"),
+                          "100-continue");
 }
 
 bool
@@ -251,7 +303,7 @@
   auto message = parser.release();
   request.m_method = std::string(View(message.method_string()));
   request.m_target = std::string(View(message.target()));
-  request.m_fields = CopyFields(message);
+  request.m_fields = std::move(m_impl->m_fields);
   request.m_body = std::move(message.body());
   return request;
 }
@@ -278,6 +330,7 @@
 
   bool m_head;
   std::uint64_t m_bodyLimit;
+  std::uint64_t m_afterHeader = 0;
   bool m_started = false;
   std::unique_ptr<Parser> m_parser;
 };
@@ -296,8 +349,11 @@
     if (!aBytes.empty()) {
       m_impl->m_started = true;
     }
-    const ParseState state =
-      ParseInput(*m_impl->m_parser, aBytes, m_impl->m_bodyLimit);
+    const ParseState state = ParseInput(*m_impl->m_parser,
+                                        aBytes,
+                                        m_impl->m_bodyLimit,
+                                        m_impl->m_afterHeader,
+                                        [] {});
     if (state == ParseState::Partial && aBytes.size() > kMaxUnparsedBytes) {
       return ParseState::Malformed;
     }
--- a/packages/edge/tests/HttpMessageTest.cpp
+++ b/packages/edge/tests/HttpMessageTest.cpp
@@ -90,6 +90,64 @@
   }
 }
 
+// Guards against clients that let the process run out of memory with framing
+// that the parser collects without a limit.
+TEST_CASE("The chunk framing of a request is limited", "[http]")
+{
+  RequestParser reader(1024, 1024 * 1024);
+  const std::string head =
+    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+  SECTION("at elements without an end")
+  {
+    const std::string begin = GENERATE("0\r\n", "0\r\na: ", "1;a=", "0;a=");
+    const std::string more = GENERATE("a: b\r\n", "bbbbbb");
+    INFO(begin << more);
+    std::string bytes = head + begin;
+    ParseState state = reader.Read(bytes);
+    for (int i = 0; state == ParseState::Partial && i < 1024; ++i) {
+      bytes += more;
+      state = reader.Read(bytes);
+    }
+    REQUIRE(
+      (state == ParseState::BodyTooLarge || state == ParseState::Malformed));
+    REQUIRE(bytes.size() <= 1024 + more.size());
+  }
+  SECTION("at long extensions of many chunks")
+  {
+    ParseState state = ParseState::Partial;
+    std::string bytes = head;
+    int chunks = 0;
+    while (state == ParseState::Partial && chunks < 1000) {
+      bytes += "1;a=" + std::string(100, 'b') + "\r\nx\r\n";
+      state = reader.Read(bytes);
+      ++chunks;
+    }
+    REQUIRE(state == ParseState::BodyTooLarge);
+    REQUIRE(chunks <= 12);
+  }
+  SECTION("while a body of chunks of one byte is read up to its limit")
+  {
+    std::string bytes = head;
+    for (int i = 0; i < 1024 * 1024; ++i) {
+      bytes += "1\r\nx\r\n";
+    }
+    bytes += "0\r\n\r\n";
+    REQUIRE(reader.Read(bytes) == ParseState::Complete);
+    REQUIRE(reader.Take().m_body.size() == 1024 * 1024);
+  }
+  SECTION("and trailer fields do not become header fields")
+  {
+    std::string bytes = head + "1\r\nx\r\n0\r\nX-Late: 1\r\nHost: i\r\n\r\n";
+    REQUIRE(reader.Read(bytes) == ParseState::Complete);
+    const RequestMessage request = reader.Take();
+    REQUIRE(request.m_fields.size() == 2);
+    REQUIRE(FieldValue(request.m_fields, "host") == "h");
+    REQUIRE(request.m_method == "POST");
+    REQUIRE(request.m_target == "/");
+  }
+}
+
 TEST_CASE("Responses with an unknown transfer coding are rejected", "[http]")
 {
   ResponseParser reader(false, kBodyLimit);
