Bound the memory and descriptors of accepted connections

Cause: requests of short header lines, incomplete bodies, requests sent ahead and unread answers were limited for each connection at most, and answers not at all: a session served further requests while earlier answers were unread, and each answer let it read 64 KiB more ahead. Silent connections took all descriptors; those at the addresses of the status were neither counted nor timed out.

Change: all accepted connections share limits.callers_bytes (32 MiB), in which header fields count with their memory. Beyond it, the largest incomplete request is refused with 503, or the largest unread answer cut off; requests that may run are not ended, and reservations up to 8 KiB are kept. Nothing is read while an answer is unread. The numbers of connections follow from the limit of descriptors; for a new one, the connection is closed that has sent no request for the longest time.

--- a/packages/edge/include/goldcrestkeel/edge/EdgeSettings.h
+++ b/packages/edge/include/goldcrestkeel/edge/EdgeSettings.h
@@ -20,6 +20,24 @@
   bool operator==(const AnswerLimits&) const = default;
 };
 
+/** Limits of the memory for the connections of callers and other entry hosts,
+ *  and for those at the addresses of the status. */
+struct SessionLimits
+{
+  /** All connections together, in bytes: what was received of requests, the
+   *  requests that are being served, and unread answers. Beyond it, the largest
+   *  incomplete request is refused, or the largest unread answer cut off. */
+  std::uint64_t m_totalBytes = 32 * 1024 * 1024;
+  /** Requests of one connection that are read while an earlier one is being
+   *  served, in bytes. */
+  std::uint64_t m_readAheadBytes = 16 * 1024;
+  /** A connection of whose answer the peer reads nothing for this long is
+   *  closed. */
+  Duration m_unreadTimeout{ 30000000 };
+
+  bool operator==(const SessionLimits&) const = default;
+};
+
 /** Settings of an entry host, read from its settings file. */
 struct EdgeSettings
 {
@@ -63,6 +81,7 @@
   Duration m_applyLimit{ 3000000 };
   /** Memory for answers of replicas and of other entry hosts. */
   AnswerLimits m_answerLimits;
+  SessionLimits m_sessionLimits;
   /** Time from the shutdown request until the platform kills the process. */
   Duration m_grace{ 6000000 };
 
--- a/packages/edge/include/goldcrestkeel/edge/HttpMessage.h
+++ b/packages/edge/include/goldcrestkeel/edge/HttpMessage.h
@@ -55,6 +55,10 @@
 std::vector<HeaderField>
 EndToEndFields(std::vector<HeaderField> aFields);
 
+/** Memory that header fields take, in bytes: of the texts and of each field. */
+std::size_t
+MemoryOf(const std::vector<HeaderField>& aFields);
+
 /** State of a parser after input. */
 enum class ParseState
 {
@@ -88,6 +92,10 @@
   bool HasHeader() const;
   /** At least one byte has been parsed. */
   bool HasStarted() const;
+  /** Memory of what has been parsed, in bytes. */
+  std::size_t HeldBytes() const;
+  /** Bytes of the body that have not been parsed, if its length is known. */
+  std::optional<std::uint64_t> MissingBodyBytes() const;
   /** Returns the request; to be called once, after Read() returned Complete. */
   RequestMessage Take();
 
--- a/packages/edge/src/CallerSession.cpp
+++ b/packages/edge/src/CallerSession.cpp
@@ -1,5 +1,7 @@
 #include "CallerSession.h"
 
+#include "RelayFields.h"
+
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -10,9 +12,15 @@
 
 namespace {
 
-/** Limit of the bytes of pipelined requests that are read while one is served.
- */
-constexpr std::size_t kMaxReadAheadBytes = 256 * 1024;
+/** Bytes that are read at once of a header or a chunked body while more than
+ *  half of the memory of all sessions is in use. */
+constexpr std::size_t kTightReadBytes = 4096;
+/** A buffer that is larger than this is freed or shrunk once most of it is
+ *  unused. */
+constexpr std::size_t kMaxUnusedBytes = 4096;
+/** Retry-After, in seconds, of a request that was refused because the sessions
+ *  hold too much memory. */
+constexpr std::string_view kMemoryRetryAfterS = "1";
 /** A connection that is being closed waits this long for the close of the peer.
  *  Closing it with unread input would reset it, possibly before the peer has
  *  read the response. */
@@ -21,6 +29,26 @@
  *  applies once the header is complete. */
 constexpr Duration kBodyTimeout{ 30000000 };
 
+constexpr std::array<std::string_view, 7> kReasonNames{
+  "header_too_large", "body_too_large", "malformed",       "timeout",
+  "memory_full",      "answer_unread",  "connections_full"
+};
+
+std::size_t
+HeapBytes(const std::string& aText)
+{
+  return aText.capacity() > std::string().capacity() ? aText.capacity() : 0;
+}
+
+void
+FreeUnused(std::string& aText)
+{
+  if (aText.capacity() > kMaxUnusedBytes &&
+      aText.size() < aText.capacity() / 4) {
+    aText.shrink_to_fit();
+  }
+}
+
 bool
 IsBodyless(int aStatus)
 {
@@ -29,24 +57,35 @@
 
 } // namespace
 
+std::string_view
+NameOf(RefusalReason aReason)
+{
+  return kReasonNames.at(static_cast<std::size_t>(aReason));
+}
+
 CallerSession::CallerSession(Loop& aLoop,
                              SessionId aId,
                              SessionPeer aPeer,
                              Socket aSocket,
+                             SessionMemory& aMemory,
                              Owner& aOwner)
   : m_loop(aLoop)
   , m_id(aId)
   , m_peer(aPeer)
   , m_socket(std::move(aSocket))
+  , m_limits(aMemory.m_limits)
+  , m_budget(aMemory.m_budget)
   , m_owner(aOwner)
   , m_stateSince(aLoop.Now())
   , m_readable(aLoop,
                m_socket.Get(),
                Watch::On::Readable,
                [this] { OnReadable(); })
-  , m_writable(aLoop, m_socket.Get(), Watch::On::Writable, [this] {
-    OnWritable();
-  })
+  , m_writable(aLoop,
+               m_socket.Get(),
+               Watch::On::Writable,
+               [this] { OnWritable(); })
+  , m_reservation(aMemory.m_budget, *this)
 {
   m_readable.Start();
 }
@@ -55,7 +94,16 @@
 CallerSession::IsIdle() const
 {
   return m_state == State::Reading && m_input.empty() &&
-         (!m_parser || !m_parser->HasStarted()) && m_written == m_output.size();
+         (!m_parser || !m_parser->HasStarted()) && !HasUnreadAnswer();
+}
+
+std::optional<TimePoint>
+CallerSession::WaitingSince() const
+{
+  const bool waiting = m_state == State::Lingering ||
+                       (m_state == State::Reading && !HasUnreadAnswer());
+  return waiting && !m_parsing ? std::optional<TimePoint>(m_stateSince)
+                               : std::nullopt;
 }
 
 void
@@ -69,16 +117,75 @@
   m_readable.Stop();
   m_writable.Stop();
   m_socket.Close();
+  m_parser.reset();
+  m_requestBytes = 0;
+  std::string().swap(m_input);
+  std::string().swap(m_output);
+  m_written = 0;
+  m_reservation.Set(0);
   if (serving) {
     m_owner.OnPeerDisconnected(*this);
   }
   m_owner.OnSessionEnded(*this);
 }
 
+void
+CallerSession::CloseFor(RefusalReason aReason)
+{
+  m_owner.OnRefused(*this, { aReason, 0, m_reservation.Bytes() });
+  Close();
+}
+
+std::size_t
+CallerSession::ReadAheadLimit() const
+{
+  const std::size_t limit = std::max<std::size_t>(m_limits.m_readAheadBytes, 1);
+  return m_budget.IsTight() ? std::min(limit, kTightReadBytes) : limit;
+}
+
+std::size_t
+CallerSession::ReadLimit() const
+{
+  if (m_state == State::Reading && m_parser) {
+    if (const auto missing = m_parser->MissingBodyBytes()) {
+      return static_cast<std::size_t>(
+        std::clamp<std::uint64_t>(*missing, 1, kReadBufferBytes));
+    }
+  }
+  return ReadAheadLimit();
+}
+
+void
+CallerSession::AccountMemory()
+{
+  if (m_state == State::Ended) {
+    return;
+  }
+  m_reservation.Set(HeapBytes(m_input) + HeapBytes(m_output) + m_requestBytes +
+                    (m_parser ? m_parser->HeldBytes() : 0));
+  m_budget.MakeRoom();
+}
+
+bool
+CallerSession::CanRelease() const
+{
+  return m_state == State::Reading && !m_parsing;
+}
+
+void
+CallerSession::Release()
+{
+  if (HasUnreadAnswer()) {
+    CloseFor(RefusalReason::MemoryFull);
+  } else {
+    RejectRequest(RefusalReason::MemoryFull, 503);
+  }
+}
+
 void
 CallerSession::OnReadable()
 {
-  const IoState state = ReadInto(m_socket, m_input);
+  const IoState state = ReadInto(m_socket, m_input, ReadLimit());
   if (state == IoState::WouldBlock) {
     return;
   }
@@ -89,18 +196,35 @@
   switch (m_state) {
     case State::Reading:
       ParseRequests();
-      return;
+      break;
     case State::Serving:
-      if (m_input.size() > kMaxReadAheadBytes) {
-        m_readable.Stop();
-      }
-      return;
+      break;
     case State::Lingering:
       m_input.clear();
-      return;
+      FreeUnused(m_input);
+      break;
     case State::Ended:
       return;
   }
+  UpdateReading();
+  AccountMemory();
+}
+
+void
+CallerSession::UpdateReading()
+{
+  if (m_parsing || m_state == State::Ended) {
+    return;
+  }
+  const bool read =
+    m_state == State::Lingering ||
+    (m_state == State::Reading && !HasUnreadAnswer()) ||
+    (m_state == State::Serving && m_input.size() < ReadAheadLimit());
+  if (read) {
+    m_readable.Start();
+  } else {
+    m_readable.Stop();
+  }
 }
 
 void
@@ -112,7 +236,8 @@
     return;
   }
   m_parsing = true;
-  while (m_state == State::Reading && !m_closeAfterReply && !m_input.empty()) {
+  while (m_state == State::Reading && !m_closeAfterReply &&
+         !HasUnreadAnswer() && !m_input.empty()) {
     if (!m_parser) {
       const CallerLimits limits = m_owner.Limits(m_peer);
       m_parser = std::make_unique<RequestParser>(limits.m_headerBytes,
@@ -130,9 +255,13 @@
       break;
     }
     if (state != ParseState::Complete) {
-      RejectRequest(state == ParseState::HeaderTooLarge ? 431
-                    : state == ParseState::BodyTooLarge ? 413
-                                                        : 400);
+      if (state == ParseState::HeaderTooLarge) {
+        RejectRequest(RefusalReason::HeaderTooLarge, 431);
+      } else if (state == ParseState::BodyTooLarge) {
+        RejectRequest(RefusalReason::BodyTooLarge, 413);
+      } else {
+        RejectRequest(RefusalReason::Malformed, 400);
+      }
       break;
     }
     RequestMessage request = m_parser->Take();
@@ -140,19 +269,41 @@
     m_closeAfterReply = !request.m_keepAlive;
     m_head = request.m_method == "HEAD";
     m_state = State::Serving;
+    m_receivedRequest = true;
+    // The copies that are sent have the texts once more.
+    const std::size_t fieldBytes = MemoryOf(request.m_fields);
+    m_requestBytes = 2 * (fieldBytes + HeapBytes(request.m_body));
+    AccountMemory();
+    if (m_budget.HeldBytes() > m_budget.Limit() &&
+        m_requestBytes > MemoryBudget::kMinReleasedBytes) {
+      RejectRequest(RefusalReason::MemoryFull, 503);
+      break;
+    }
     m_owner.OnRequest(*this, std::move(request));
   }
   m_parsing = false;
+  FreeUnused(m_input);
 }
 
 void
-CallerSession::RejectRequest(int aStatus)
+CallerSession::RejectRequest(RefusalReason aReason, int aStatus)
 {
+  m_owner.OnRefused(*this, { aReason, aStatus, m_reservation.Bytes() });
+  m_parser.reset();
+  m_input.clear();
+  FreeUnused(m_input);
   m_closeAfterReply = true;
   m_head = false;
   m_state = State::Serving;
   CallerReply reply;
   reply.m_status = aStatus;
+  if (aReason == RefusalReason::MemoryFull) {
+    reply.m_fields.emplace_back("Retry-After", kMemoryRetryAfterS);
+  }
+  if (m_peer == SessionPeer::Host) {
+    reply.m_fields.emplace_back(kCopiesField, "0");
+    reply.m_fields.emplace_back(kUnavailableField, "1");
+  }
   Reply(std::move(reply));
 }
 
@@ -183,23 +334,36 @@
   if (!m_head && !IsBodyless(aReply.m_status)) {
     m_output.append(aReply.m_body);
   }
+  m_requestBytes = 0;
   m_state = State::Reading;
   m_stateSince = m_loop.Now();
+  m_writtenAt = m_stateSince;
   Write();
-  if (m_state == State::Reading && !m_closeAfterReply) {
-    m_readable.Start();
+  Resume();
+  AccountMemory();
+}
+
+void
+CallerSession::Resume()
+{
+  if (m_state == State::Reading && !m_closeAfterReply && !HasUnreadAnswer()) {
     ParseRequests();
   }
+  UpdateReading();
 }
 
 void
 CallerSession::Write()
 {
+  const std::size_t before = m_written;
   const IoState state = WriteFrom(m_socket, m_output, m_written);
   if (state == IoState::Failed) {
     Close();
     return;
   }
+  if (m_written != before) {
+    m_writtenAt = m_loop.Now();
+  }
   if (state == IoState::WouldBlock) {
     m_writable.Start();
     return;
@@ -212,12 +376,13 @@
 {
   m_writable.Stop();
   m_output.clear();
+  FreeUnused(m_output);
   m_written = 0;
   if (m_closeAfterReply && m_state == State::Reading) {
     m_state = State::Lingering;
     m_stateSince = m_loop.Now();
     m_input.clear();
-    m_readable.Start();
+    FreeUnused(m_input);
     shutdown(m_socket.Get(), SHUT_WR);
   }
 }
@@ -226,6 +391,8 @@
 CallerSession::OnWritable()
 {
   Write();
+  Resume();
+  AccountMemory();
 }
 
 void
@@ -238,7 +405,13 @@
     }
     return;
   }
-  if (m_state != State::Reading || m_written < m_output.size()) {
+  if (m_state != State::Reading) {
+    return;
+  }
+  if (HasUnreadAnswer()) {
+    if (aNow - m_writtenAt >= m_limits.m_unreadTimeout) {
+      CloseFor(RefusalReason::AnswerUnread);
+    }
     return;
   }
   const CallerLimits limits = m_owner.Limits(m_peer);
@@ -246,7 +419,7 @@
     const Duration limit =
       m_parser->HasHeader() ? kBodyTimeout : limits.m_headerTimeout;
     if (age >= limit) {
-      RejectRequest(408);
+      RejectRequest(RefusalReason::Timeout, 408);
     }
   } else if (age >= limits.m_idleTimeout) {
     Close();
--- a/packages/edge/src/EdgeLogLines.cpp
+++ b/packages/edge/src/EdgeLogLines.cpp
@@ -9,6 +9,30 @@
 
 } // namespace
 
+void
+EdgeServer::Impl::OnRefused(CallerSession& aSession,
+                            const SessionRefusal& aRefusal)
+{
+  RecordRefusal(aSession.Peer() == SessionPeer::Host ? "hosts" : "callers",
+                aRefusal);
+}
+
+void
+EdgeServer::Impl::RecordRefusal(std::string_view aAddress,
+                                const SessionRefusal& aRefusal)
+{
+  m_metrics.CountRefusal(NameOf(aRefusal.m_reason));
+  const MemoryBudget& budget = m_sessionMemory.m_budget;
+  m_log.Write(LogPriority::Request,
+              "connection_refused",
+              { { "address", aAddress },
+                { "reason", NameOf(aRefusal.m_reason) },
+                { "status", static_cast<std::int64_t>(aRefusal.m_status) },
+                { "bytes", static_cast<std::int64_t>(aRefusal.m_bytes) },
+                { "all_bytes", static_cast<std::int64_t>(budget.HeldBytes()) },
+                { "limit", static_cast<std::int64_t>(budget.Limit()) } });
+}
+
 void
 EdgeServer::Impl::RecordAnswer(const OpenRequest& aOpen,
                                const ForwardResult& aResult)
--- a/packages/edge/src/EdgeMetrics.cpp
+++ b/packages/edge/src/EdgeMetrics.cpp
@@ -37,6 +37,11 @@
       .Name("goldcrestkeel_edge_answers_total")
       .Help("Answers to callers by outcome")
       .Register(m_registry);
+  prometheus::Family<prometheus::Counter>& m_refusals =
+    prometheus::BuildCounter()
+      .Name("goldcrestkeel_edge_connections_refused_total")
+      .Help("Requests refused while they were read, and connections closed")
+      .Register(m_registry);
   prometheus::Family<prometheus::Histogram>& m_latency =
     prometheus::BuildHistogram()
       .Name("goldcrestkeel_edge_answer_seconds")
@@ -61,6 +66,12 @@
     .Observe(static_cast<double>(aTime.count()) / 1e6);
 }
 
+void
+EdgeMetrics::CountRefusal(std::string_view aReason)
+{
+  m_impl->m_refusals.Add({ { "reason", std::string(aReason) } }).Increment();
+}
+
 std::string
 EdgeMetrics::Text(const ForwarderCounters& aCounters, const EdgeGauges& aGauges)
 {
@@ -106,6 +117,9 @@
   impl.Set("caller_connections",
            "Open connections of callers",
            static_cast<double>(aGauges.m_callerConnections));
+  impl.Set("session_bytes",
+           "Memory of the connections of callers and hosts",
+           static_cast<double>(aGauges.m_sessionBytes));
   impl.Set("replica_connections",
            "Open connections to replicas",
            static_cast<double>(aGauges.m_replicaConnections));
--- a/packages/edge/src/EdgeMetrics.h
+++ b/packages/edge/src/EdgeMetrics.h
@@ -30,6 +30,8 @@
   std::uint32_t m_liveHosts = 0;
   std::size_t m_runningRequests = 0;
   std::size_t m_callerConnections = 0;
+  /** Memory of the connections of callers and hosts, in bytes. */
+  std::uint64_t m_sessionBytes = 0;
   std::size_t m_replicaConnections = 0;
   std::uint64_t m_replicaConnectionsOpened = 0;
   std::uint64_t m_logLinesDropped = 0;
@@ -47,6 +49,10 @@
    *  the name of an error kind. */
   void CountAnswer(std::string_view aOutcome, Duration aTime);
 
+  /** Counts one request that was refused before it was read completely, or one
+   *  connection that was closed. */
+  void CountRefusal(std::string_view aReason);
+
   /** All metrics in the text format. */
   std::string Text(const ForwarderCounters& aCounters,
                    const EdgeGauges& aGauges);
--- a/packages/edge/src/EdgeServer.cpp
+++ b/packages/edge/src/EdgeServer.cpp
@@ -10,11 +10,6 @@
 
 /** Interval of the checks of sessions for exceeded time limits. */
 constexpr Duration kSessionCheckInterval{ 250000 };
-/** Limit of the connections of callers. The rest of the usual limit of 4,000
- *  descriptors is left for replicas. */
-constexpr std::size_t kMaxSessions = 2500;
-/** Limit of the connections of other entry hosts. */
-constexpr std::size_t kMaxRelaySessions = 500;
 /** Allowance above the header limit for the relay fields of another entry host,
  *  in bytes: the indices of up to 1,400 shards and a few numbers. */
 constexpr std::uint32_t kMaxRelayFieldBytes = 8192;
@@ -38,11 +33,13 @@
                      m_forwarder->OnTimer(m_loop.Now());
                      ArmForwardTimer();
                    })
+  , m_sessionMemory(aSettings.m_sessionLimits)
   , m_sessions(aLoop,
                SessionPeer::Caller,
                m_nextSession,
                aSettings.m_callerAddress,
-               kMaxSessions,
+               m_connectionLimits.m_callers,
+               m_sessionMemory,
                *this)
   , m_sessionTimer(aLoop, [this] { CheckSessions(); })
   , m_shutdown(aSettings.m_grace)
@@ -57,16 +54,23 @@
                     aLog,
                     aSettings.m_hostId,
                     [this](const CrashMessage& aReply) { Apply(aReply); })
-  , m_readiness(aLoop, aSettings.m_readinessAddress, [this] {
-    return ReadinessReply();
-  })
+  , m_readiness(
+      aLoop,
+      aSettings.m_readinessAddress,
+      m_connectionLimits.m_status,
+      m_sessionMemory,
+      [this] { return ReadinessReply(); },
+      [this](const SessionRefusal& aRefusal) {
+        RecordRefusal("readiness", aRefusal);
+      })
 {
   if (!aSettings.m_relayAddress.empty()) {
     m_relaySessions.emplace(aLoop,
                             SessionPeer::Host,
                             m_nextSession,
                             aSettings.m_relayAddress,
-                            kMaxRelaySessions,
+                            m_connectionLimits.m_hosts,
+                            m_sessionMemory,
                             *this);
   }
   ForwarderOptions options;
@@ -81,7 +85,14 @@
   m_forwarder->SetLiveHosts(kAssumedLiveHosts);
   if (!aSettings.m_metricsAddress.empty()) {
     m_metricsServer.emplace(
-      aLoop, aSettings.m_metricsAddress, [this] { return MetricsReply(); });
+      aLoop,
+      aSettings.m_metricsAddress,
+      m_connectionLimits.m_status,
+      m_sessionMemory,
+      [this] { return MetricsReply(); },
+      [this](const SessionRefusal& aRefusal) {
+        RecordRefusal("metrics", aRefusal);
+      });
   }
   m_sessionTimer.SetAfter(kSessionCheckInterval);
   aSource.Start(*this);
@@ -109,6 +120,7 @@
   gauges.m_liveHosts = m_liveHosts;
   gauges.m_runningRequests = m_openRequests.size();
   gauges.m_callerConnections = m_sessions.size();
+  gauges.m_sessionBytes = m_sessionMemory.m_budget.HeldBytes();
   gauges.m_replicaConnections = m_replicas.OpenCount();
   gauges.m_replicaConnectionsOpened = m_replicas.OpenedTotal();
   gauges.m_logLinesDropped = m_log.DroppedLines();
@@ -138,10 +150,11 @@
       session->CheckTimeouts(now);
     }
   }
-  if (m_sessions.size() >= kMaxSessions) {
-    m_log.Write(LogPriority::Request,
-                "callers_full",
-                { { "connections", static_cast<std::int64_t>(kMaxSessions) } });
+  if (m_sessions.size() >= m_connectionLimits.m_callers) {
+    m_log.Write(
+      LogPriority::Request,
+      "callers_full",
+      { { "connections", static_cast<std::int64_t>(m_sessions.size()) } });
   }
   m_sessionTimer.SetAfter(kSessionCheckInterval);
   if (m_shutdown.IsStarted()) {
--- a/packages/edge/src/EdgeServerImpl.h
+++ b/packages/edge/src/EdgeServerImpl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ConnectionLimits.h"
 #include "CrashReporter.h"
 #include "EdgeMetrics.h"
 #include "FeedPolls.h"
@@ -80,6 +81,8 @@
   CallerLimits Limits(SessionPeer aPeer) const override;
   bool IsStopping() const override { return m_shutdown.IsStarted(); }
   void OnRequest(CallerSession& aSession, RequestMessage&& aRequest) override;
+  void OnRefused(CallerSession& aSession,
+                 const SessionRefusal& aRefusal) override;
   void OnPeerDisconnected(CallerSession& aSession) override;
   void OnSessionEnded(CallerSession& aSession) override;
 
@@ -113,6 +116,8 @@
   void OnCrashMessage(CallerSession& aSession, std::string_view aBody);
   /** Returns what the sender must know. */
   CrashMessage Apply(const CrashMessage& aMessage);
+  /** aAddress names the address of the connection in the log. */
+  void RecordRefusal(std::string_view aAddress, const SessionRefusal& aRefusal);
   void CheckSessions();
   void ArmForwardTimer();
   void CheckShutdown();
@@ -152,6 +157,9 @@
   bool m_hostsCounted = false;
 
   SessionId m_nextSession = 1;
+  ConnectionLimits m_connectionLimits = ConnectionLimitsFor(DescriptorLimit());
+  /** Must outlive all sessions. */
+  SessionMemory m_sessionMemory;
   SessionSet m_sessions;
   /** Sessions of other entry hosts; empty if the host accepts no relayed
    *  requests. */
--- a/packages/edge/src/EdgeSettings.cpp
+++ b/packages/edge/src/EdgeSettings.cpp
@@ -196,6 +196,12 @@
                    settings.m_answerLimits.m_answerBytes);
   reader.ReadBytes("/limits/answers_bytes",
                    settings.m_answerLimits.m_totalBytes);
+  reader.ReadBytes("/limits/callers_bytes",
+                   settings.m_sessionLimits.m_totalBytes);
+  reader.ReadBytes("/limits/read_ahead_bytes",
+                   settings.m_sessionLimits.m_readAheadBytes);
+  reader.ReadMilliseconds("/limits/unread_answer_ms",
+                          settings.m_sessionLimits.m_unreadTimeout);
   reader.ReadSeconds("/shutdown/grace_s", settings.m_grace);
   reader.ThrowFaults();
   return settings;
--- a/packages/edge/src/HttpMessage.cpp
+++ b/packages/edge/src/HttpMessage.cpp
@@ -25,6 +25,9 @@
 /** Bytes of the chunk framing of a request that are accepted for each byte of
  *  its body, beside a constant. A chunk of one byte has five. */
 constexpr std::size_t kFramingBytesPerBodyByte = 8;
+/** Memory that the parser takes for a field beside its text, in bytes: the node
+ *  of its list and set, and the share of the allocator. */
+constexpr std::size_t kParsedFieldBytes = 96;
 
 constexpr std::array<std::string_view, 10> kHopByHopFields{
   "connection",     "keep-alive",        "proxy-connection", "te",
@@ -94,15 +97,35 @@
            : ParseState::Partial;
 }
 
-// Parses aBytes and removes the parsed bytes from its front. aAfterHeader is
-// increased by the parsed bytes that follow the header; aOnHeader is called
-// once the header is accepted.
+// Counts of what a parser has parsed.
+struct Progress
+{
+  /** Bytes and lines of the header. */
+  std::size_t m_headerBytes = 0;
+  std::size_t m_headerLines = 0;
+  /** Bytes after the header: the body and its framing. */
+  std::uint64_t m_afterHeader = 0;
+
+  void Add(bool aHeader, const char* aBytes, std::size_t aCount)
+  {
+    if (aHeader) {
+      m_headerBytes += aCount;
+      m_headerLines +=
+        static_cast<std::size_t>(std::count(aBytes, aBytes + aCount, '\n'));
+    } else {
+      m_afterHeader += aCount;
+    }
+  }
+};
+
+// Parses aBytes and removes the parsed bytes from its front. aOnHeader is
+// called once the header is accepted.
 template<typename Parser, typename OnHeader>
 ParseState
 ParseInput(Parser& aParser,
            std::string& aBytes,
            std::uint64_t aBodyLimit,
-           std::uint64_t& aAfterHeader,
+           Progress& aProgress,
            const OnHeader& aOnHeader)
 {
   std::size_t parsed = 0;
@@ -114,8 +137,8 @@
     const std::size_t count = aParser.put(
       boost::asio::buffer(aBytes.data() + parsed, aBytes.size() - parsed),
       error);
+    aProgress.Add(!hadHeader, aBytes.data() + parsed, count);
     parsed += count;
-    aAfterHeader += hadHeader ? count : 0;
     if (error) {
       state = ToParseState(error);
       break;
@@ -203,6 +226,19 @@
   return fields;
 }
 
+std::size_t
+MemoryOf(const std::vector<HeaderField>& aFields)
+{
+  // A short text is stored within its string.
+  const std::size_t inlineBytes = std::string().capacity();
+  std::size_t bytes = aFields.capacity() * sizeof(HeaderField);
+  for (const auto& [name, value] : aFields) {
+    bytes += name.capacity() > inlineBytes ? name.capacity() : 0;
+    bytes += value.capacity() > inlineBytes ? value.capacity() : 0;
+  }
+  return bytes;
+}
+
 class RequestParser::Impl
 {
 public:
@@ -224,7 +260,7 @@
     }
     const std::uint64_t body = m_parser.get().body().size();
     return aUnparsed > m_headerLimit ||
-           m_afterHeader - body >
+           m_progress.m_afterHeader - body >
              m_headerLimit + kFramingBytesPerBodyByte * body;
   }
 
@@ -232,8 +268,7 @@
   std::vector<HeaderField> m_fields;
   std::uint64_t m_headerLimit = 0;
   std::uint64_t m_bodyLimit = 0;
-  /** Bytes parsed after the header: the body and its framing. */
-  std::uint64_t m_afterHeader = 0;
+  Progress m_progress;
   bool m_started = false;
   bool m_continueConsumed = false;
 };
@@ -256,11 +291,10 @@
     m_impl->m_started = true;
   }
   const bool wasDone = m_impl->m_parser.is_done();
-  const ParseState state = ParseInput(m_impl->m_parser,
-                                      aBytes,
-                                      m_impl->m_bodyLimit,
-                                      m_impl->m_afterHeader,
-                                      [this] { m_impl->TakeFields(); });
+  const ParseState state = ParseInput(
+    m_impl->m_parser, aBytes, m_impl->m_bodyLimit, m_impl->m_progress, [this] {
+      m_impl->TakeFields();
+    });
   const bool accepted =
     state == ParseState::Partial || state == ParseState::Complete;
   // Bytes behind a complete request belong to the next one.
@@ -293,6 +327,31 @@
   return m_impl->m_started;
 }
 
+std::size_t
+RequestParser::HeldBytes() const
+{
+  // The memory reserved for a body of known length is not in use before its
+  // bytes arrive.
+  const auto& parser = m_impl->m_parser;
+  if (!parser.is_header_done()) {
+    const Progress& progress = m_impl->m_progress;
+    return progress.m_headerBytes + progress.m_headerLines * kParsedFieldBytes;
+  }
+  const std::string& body = parser.get().body();
+  return MemoryOf(m_impl->m_fields) +
+         (parser.chunked() ? body.capacity() : body.size());
+}
+
+std::optional<std::uint64_t>
+RequestParser::MissingBodyBytes() const
+{
+  const auto& parser = m_impl->m_parser;
+  const auto missing = parser.is_header_done() && !parser.chunked()
+                         ? parser.content_length_remaining()
+                         : boost::none;
+  return missing ? std::optional<std::uint64_t>(*missing) : std::nullopt;
+}
+
 RequestMessage
 RequestParser::Take()
 {
@@ -330,7 +389,7 @@
 
   bool m_head;
   std::uint64_t m_bodyLimit;
-  std::uint64_t m_afterHeader = 0;
+  Progress m_progress;
   bool m_started = false;
   std::unique_ptr<Parser> m_parser;
 };
@@ -349,11 +408,9 @@
     if (!aBytes.empty()) {
       m_impl->m_started = true;
     }
-    const ParseState state = ParseInput(*m_impl->m_parser,
-                                        aBytes,
-                                        m_impl->m_bodyLimit,
-                                        m_impl->m_afterHeader,
-                                        [] {});
+    const ParseState state = ParseInput(
+      *m_impl->m_parser, aBytes, m_impl->m_bodyLimit, m_impl->m_progress, [] {
+      });
     if (state == ParseState::Partial && aBytes.size() > kMaxUnparsedBytes) {
       return ParseState::Malformed;
     }
--- a/packages/edge/src/SessionSet.h
+++ b/packages/edge/src/SessionSet.h
@@ -15,8 +15,11 @@
 {
 public:
   /** aLoop, aNextId and aOwner must outlive the set; aNextId is the counter
-   *  that all sets take their session ids from. At most aLimit sessions are
-   *  open; further connections wait in the listen queue. Throws
+   *  that all sets take their session ids from. aMemory must outlive it, too.
+   *  At most aLimit sessions are open. For a further connection, the session is
+   *  closed that has sent no complete request for the longest time, first among
+   *  those that have never sent one; if all are being served, the connection
+   *  waits in the listen queue. Throws
    *  std::runtime_error if aAddress is not of the form "IP:port", and
    *  std::system_error if it cannot be listened on. */
   SessionSet(Loop& aLoop,
@@ -24,6 +27,7 @@
              SessionId& aNextId,
              const std::string& aAddress,
              std::size_t aLimit,
+             SessionMemory& aMemory,
              CallerSession::Owner& aOwner);
 
   /** The session with this id, or nullptr if it has ended. */
@@ -42,14 +46,20 @@
 
 private:
   void Accept();
+  /** The session to close for a new connection, or nullptr. */
+  CallerSession* FindLongestWaiting() const;
+  /** Stops accepting for a short time, or until a session ends. */
+  void PauseAccepting();
 
   Loop& m_loop;
   SessionPeer m_peer;
   SessionId& m_nextId;
   std::size_t m_limit;
+  SessionMemory& m_memory;
   CallerSession::Owner& m_owner;
   Socket m_listener;
   Watch m_acceptWatch;
+  LoopTimer m_resumeTimer;
   std::unordered_map<SessionId, std::unique_ptr<CallerSession>> m_sessions;
   std::vector<std::unique_ptr<CallerSession>> m_ended;
   LoopTimer m_cleanUpTimer;
--- a/packages/edge/src/Socket.cpp
+++ b/packages/edge/src/Socket.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <stdexcept>
@@ -17,7 +18,6 @@
 
 /** Length of the queue of connections that are not accepted yet. */
 constexpr int kBacklog = 512;
-constexpr std::size_t kReadBufferBytes = 64 * 1024;
 /** If sent data is unacknowledged for this long, the peer counts as unreachable
  *  and the connection is closed, which frees its descriptor. */
 constexpr unsigned kUserTimeoutMs = 4000;
@@ -123,10 +123,11 @@
 }
 
 IoState
-ReadInto(const Socket& aSocket, std::string& aBytes)
+ReadInto(const Socket& aSocket, std::string& aBytes, std::size_t aMaxBytes)
 {
   static thread_local std::array<char, kReadBufferBytes> sBuffer;
-  const ssize_t count = recv(aSocket.Get(), sBuffer.data(), sBuffer.size(), 0);
+  const ssize_t count =
+    recv(aSocket.Get(), sBuffer.data(), std::min(sBuffer.size(), aMaxBytes), 0);
   if (count > 0) {
     aBytes.append(sBuffer.data(), static_cast<std::size_t>(count));
     return IoState::Done;
--- a/packages/edge/src/Socket.h
+++ b/packages/edge/src/Socket.h
@@ -67,9 +67,15 @@
   Failed,
 };
 
-/** Reads once, at most 64 KiB, and appends the bytes to aBytes. */
+/** Limit of the bytes that are read at once. */
+inline constexpr std::size_t kReadBufferBytes = 64 * 1024;
+
+/** Reads once, at most aMaxBytes and kReadBufferBytes, and appends the bytes to
+ *  aBytes. */
 IoState
-ReadInto(const Socket& aSocket, std::string& aBytes);
+ReadInto(const Socket& aSocket,
+         std::string& aBytes,
+         std::size_t aMaxBytes = kReadBufferBytes);
 
 /** Writes aBytes from aOffset on and advances aOffset by the bytes written.
  *  Done means that all bytes are written. */
--- a/packages/edge/src/StatusServer.h
+++ b/packages/edge/src/StatusServer.h
@@ -2,6 +2,7 @@
 
 #include "SessionSet.h"
 
+#include <cstddef>
 #include <functional>
 #include <string>
 
@@ -12,16 +13,26 @@
 class StatusServer : public CallerSession::Owner
 {
 public:
-  /** aLoop must outlive the server. Throws std::runtime_error if aAddress is
+  using RefusalCallback = std::function<void(const SessionRefusal&)>;
+
+  /** aLoop and aMemory must outlive the server. aLimit: number of connections
+   *  that are open at most. Throws std::runtime_error if aAddress is
    *  not of the form "IP:port", and std::system_error if it cannot be listened
    *  on. */
   StatusServer(Loop& aLoop,
                const std::string& aAddress,
-               std::function<CallerReply()> aAnswer);
+               std::size_t aLimit,
+               SessionMemory& aMemory,
+               std::function<CallerReply()> aAnswer,
+               RefusalCallback aRefused);
 
   CallerLimits Limits(SessionPeer) const override { return {}; }
   bool IsStopping() const override { return false; }
   void OnRequest(CallerSession& aSession, RequestMessage&& aRequest) override;
+  void OnRefused(CallerSession&, const SessionRefusal& aRefusal) override
+  {
+    m_refused(aRefusal);
+  }
   void OnPeerDisconnected(CallerSession&) override {}
   void OnSessionEnded(CallerSession& aSession) override
   {
@@ -29,9 +40,14 @@
   }
 
 private:
+  void CheckSessions();
+
+  Loop& m_loop;
   std::function<CallerReply()> m_answer;
+  RefusalCallback m_refused;
   SessionId m_nextSession = 1;
   SessionSet m_sessions;
+  LoopTimer m_timer;
 };
 
 } // namespace goldcrestkeel
