Treat responses without a valid status as malformed

Cause: a failing replica answered with the status 000. Callers received it as an answer, and the replica attracted requests as the fastest.

Change: a response whose status is not 200 to 599 after interim ones is malformed. The parser checks it, so that it holds for replicas, other hosts, gathered parts, health checks and calls of the store.

--- a/packages/edge/include/goldcrestkeel/edge/HttpMessage.h
+++ b/packages/edge/include/goldcrestkeel/edge/HttpMessage.h
@@ -104,7 +104,8 @@
   std::unique_ptr<Impl> m_impl;
 };
 
-/** Incremental parser for one response; skips interim (1xx) responses. */
+/** Incremental parser for one response; skips interim (1xx) responses. A
+ *  response whose status is not 200 to 599 is malformed. */
 class ResponseParser
 {
 public:
--- a/packages/edge/src/HttpMessage.cpp
+++ b/packages/edge/src/HttpMessage.cpp
@@ -22,6 +22,9 @@
 /** Limit of the bytes that the parser leaves unread because they end in the
  *  middle of an element, such as the line before a chunk. */
 constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
+/** Range of the status of a response that is not an interim one. */
+constexpr unsigned kMinFinalStatus = 200;
+constexpr unsigned kMaxFinalStatus = 599;
 /** Bytes of the chunk framing of a request that are accepted for each byte of
  *  its body, beside a constant. A chunk of one byte has five. */
 constexpr std::size_t kFramingBytesPerBodyByte = 8;
@@ -379,6 +382,16 @@
     Reset();
   }
 
+  // aState of the parser, or Malformed if the status of a complete response is
+  // none.
+  ParseState CheckStatus(ParseState aState) const
+  {
+    const unsigned status = m_parser->get().result_int();
+    const bool valid = status >= kMinFinalStatus && status <= kMaxFinalStatus;
+    return aState == ParseState::Complete && !valid ? ParseState::Malformed
+                                                    : aState;
+  }
+
   void Reset()
   {
     m_parser = std::make_unique<Parser>();
@@ -417,7 +430,7 @@
     const bool interim = state == ParseState::Complete &&
                          m_impl->m_parser->get().result_int() / 100 == 1;
     if (!interim) {
-      return state;
+      return m_impl->CheckStatus(state);
     }
     m_impl->Reset();
   }
@@ -431,8 +444,9 @@
   }
   beast::error_code error;
   m_impl->m_parser->put_eof(error);
-  return !error && m_impl->m_parser->is_done() ? ParseState::Complete
-                                               : ParseState::Malformed;
+  return !error && m_impl->m_parser->is_done()
+           ? m_impl->CheckStatus(ParseState::Complete)
+           : ParseState::Malformed;
 }
 
 bool
--- a/packages/edge/tests/EdgeServerTest.cpp
+++ b/packages/edge/tests/EdgeServerTest.cpp
@@ -272,6 +272,20 @@
   REQUIRE(caller.Received().starts_with("HTTP/1.1 200"));
 }
 
+// Guards against an answer with the status 000 that reached callers.
+TEST_CASE("A replica answers with a status that is none", "[request]")
+{
+  ServerFixture fixture(false);
+  Caller caller(fixture.m_settings.m_callerAddress);
+  caller.Send(kHead + "\r\n");
+  fixture.RunFor(20ms);
+  REQUIRE(fixture.m_replica.Accept() == 1);
+  fixture.m_replica.Send(
+    0, "HTTP/1.1 000 None\r\nStamp: s\r\nContent-Length: 4\r\n\r\nbody");
+  fixture.RunFor(20ms);
+  REQUIRE(caller.Received().starts_with("HTTP/1.1 502"));
+}
+
 // Guards against connections that remember requests for as long as they live.
 TEST_CASE("A request id comes again after its deadline", "[request]")
 {
--- a/packages/edge/tests/HttpMessageTest.cpp
+++ b/packages/edge/tests/HttpMessageTest.cpp
@@ -156,6 +156,32 @@
   REQUIRE(reader.Read(bytes) == ParseState::Malformed);
 }
 
+// Guards against a failing replica whose answers, with the status 000, were
+// handed to callers, and which attracted most requests as the fastest.
+TEST_CASE("A response without a valid status is malformed", "[http]")
+{
+  const std::string status = GENERATE("000", "099", "600", "999");
+  const std::string end = GENERATE("Content-Length: 2\r\n\r\nok", "\r\nok");
+  INFO(status << end);
+  ResponseParser reader(false, kBodyLimit);
+
+  SECTION("at once")
+  {
+    std::string bytes = "HTTP/1.1 " + status + " Status\r\n" + end;
+    const ParseState state = reader.Read(bytes);
+    REQUIRE((state == ParseState::Partial ? reader.End() : state) ==
+            ParseState::Malformed);
+  }
+  SECTION("after an interim response")
+  {
+    std::string bytes =
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 " + status + " Status\r\n" + end;
+    const ParseState state = reader.Read(bytes);
+    REQUIRE((state == ParseState::Partial ? reader.End() : state) ==
+            ParseState::Malformed);
+  }
+}
+
 TEST_CASE("Responses are parsed incrementally", "[http]")
 {
   ResponseParser reader(false, kBodyLimit);
