--- a/packages/edge/src/HttpMessage.cpp
+++ b/packages/edge/src/HttpMessage.cpp
@@ -6,7 +6,6 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <algorithm>
-#include <array>
 #include <cstdint>
 #include <iterator>
 
@@ -32,19 +31,6 @@
  *  of its list and set, and the share of the allocator. */
 constexpr std::size_t kParsedFieldBytes = 96;
 
-constexpr std::array<std::string_view, 10> kHopByHopFields{
-  "connection",     "keep-alive",        "proxy-connection", "te",
-  "trailer",        "transfer-encoding", "upgrade",          "expect",
-  "content-length", "proxy-authenticate"
-};
-
-char
-ToLower(char aLetter)
-{
-  return aLetter >= 'A' && aLetter <= 'Z' ? static_cast<char>(aLetter + 32)
-                                          : aLetter;
-}
-
 std::string_view
 View(beast::string_view aText)
 {
@@ -164,84 +150,6 @@
 
 } // namespace
 
-bool
-EqualsIgnoreCase(std::string_view aLeft, std::string_view aRight)
-{
-  return aLeft.size() == aRight.size() &&
-         std::equal(
-           aLeft.begin(),
-           aLeft.end(),
-           aRight.begin(),
-           [](char aOne, char aTwo) { return ToLower(aOne) == ToLower(aTwo); });
-}
-
-std::string_view
-FieldValue(const std::vector<HeaderField>& aFields, std::string_view aName)
-{
-  for (const auto& [name, value] : aFields) {
-    if (EqualsIgnoreCase(name, aName)) {
-      return value;
-    }
-  }
-  return {};
-}
-
-bool
-IsHopByHop(std::string_view aName)
-{
-  return std::any_of(
-    kHopByHopFields.begin(),
-    kHopByHopFields.end(),
-    [&](std::string_view aOther) { return EqualsIgnoreCase(aName, aOther); });
-}
-
-std::vector<HeaderField>
-EndToEndFields(std::vector<HeaderField> aFields)
-{
-  std::vector<std::string> named;
-  for (const auto& [name, value] : aFields) {
-    if (!EqualsIgnoreCase(name, "connection")) {
-      continue;
-    }
-    std::string_view rest = value;
-    while (!rest.empty()) {
-      const std::size_t comma = rest.find(',');
-      std::string_view token = rest.substr(0, comma);
-      rest = comma == std::string_view::npos ? std::string_view()
-                                             : rest.substr(comma + 1);
-      while (!token.empty() && token.front() == ' ') {
-        token.remove_prefix(1);
-      }
-      while (!token.empty() && token.back() == ' ') {
-        token.remove_suffix(1);
-      }
-      named.emplace_back(token);
-    }
-  }
-  std::vector<HeaderField> fields = std::move(aFields);
-  std::erase_if(fields, [&](const HeaderField& aField) {
-    return IsHopByHop(aField.first) ||
-           std::any_of(
-             named.begin(), named.end(), [&](const std::string& aName) {
-               return EqualsIgnoreCase(aField.first, aName);
-             });
-  });
-  return fields;
-}
-
-std::size_t
-MemoryOf(const std::vector<HeaderField>& aFields)
-{
-  // A short text is stored within its string.
-  const std::size_t inlineBytes = std::string().capacity();
-  std::size_t bytes = aFields.capacity() * sizeof(HeaderField);
-  for (const auto& [name, value] : aFields) {
-    bytes += name.capacity() > inlineBytes ? name.capacity() : 0;
-    bytes += value.capacity() > inlineBytes ? value.capacity() : 0;
-  }
-  return bytes;
-}
-
 class RequestParser::Impl
 {
 public:
@@ -469,12 +377,6 @@
   return answer;
 }
 
-void
-AppendField(std::string& aOut, std::string_view aName, std::string_view aValue)
-{
-  aOut.append(aName).append(": ").append(aValue).append("\r\n");
-}
-
 std::string_view
 ReasonPhrase(int aStatus)
 {
