--- a/packages/edge/include/goldcrestkeel/edge/HttpMessage.h
+++ b/packages/edge/include/goldcrestkeel/edge/HttpMessage.h
@@ -55,6 +55,10 @@
 std::vector<HeaderField>
 EndToEndFields(std::vector<HeaderField> aFields);
 
+/** Memory that header fields take, in bytes: of the texts and of each field. */
+std::size_t
+MemoryOf(const std::vector<HeaderField>& aFields);
+
 /** State of a parser after input. */
 enum class ParseState
 {
@@ -67,11 +71,14 @@
   Malformed,
 };
 
-/** Incremental parser for one request. */
+/** Incremental parser for one request. Trailer fields are discarded. */
 class RequestParser
 {
 public:
-  /** Limits of the header and the body, in bytes. */
+  /** Limits of the header and the body, in bytes. The limit of the header also
+   *  holds for a line of the chunk framing and for the trailer section, and
+   *  all framing together has at most as many bytes and 8 for each byte of the
+   *  body; beyond that, Read() returns BodyTooLarge. */
   RequestParser(std::size_t aHeaderLimit, std::size_t aBodyLimit);
   ~RequestParser();
 
@@ -85,6 +92,10 @@
   bool HasHeader() const;
   /** At least one byte has been parsed. */
   bool HasStarted() const;
+  /** Memory of what has been parsed, in bytes. */
+  std::size_t HeldBytes() const;
+  /** Bytes of the body that have not been parsed, if its length is known. */
+  std::optional<std::uint64_t> MissingBodyBytes() const;
   /** Returns the request; to be called once, after Read() returned Complete. */
   RequestMessage Take();
 
@@ -93,7 +104,8 @@
   std::unique_ptr<Impl> m_impl;
 };
 
-/** Incremental parser for one response; skips interim (1xx) responses. */
+/** Incremental parser for one response; skips interim (1xx) responses. A
+ *  response whose status is not 200 to 599 is malformed. */
 class ResponseParser
 {
 public:
--- a/packages/edge/src/EdgeMetrics.cpp
+++ b/packages/edge/src/EdgeMetrics.cpp
@@ -43,6 +43,11 @@
       .Help("Requests refused for want of a valid key")
       .Register(m_registry)
       .Add({});
+  prometheus::Family<prometheus::Counter>& m_refusals =
+    prometheus::BuildCounter()
+      .Name("goldcrestkeel_edge_connections_refused_total")
+      .Help("Requests refused while they were read, and connections closed")
+      .Register(m_registry);
   prometheus::Family<prometheus::Histogram>& m_latency =
     prometheus::BuildHistogram()
       .Name("goldcrestkeel_edge_answer_seconds")
@@ -73,6 +78,12 @@
   m_impl->m_unauthorized.Increment();
 }
 
+void
+EdgeMetrics::CountRefusal(std::string_view aReason)
+{
+  m_impl->m_refusals.Add({ { "reason", std::string(aReason) } }).Increment();
+}
+
 std::string
 EdgeMetrics::Text(const ForwarderCounters& aCounters, const EdgeGauges& aGauges)
 {
@@ -139,6 +150,9 @@
   impl.Set("caller_connections",
            "Open connections of callers",
            static_cast<double>(aGauges.m_callerConnections));
+  impl.Set("session_bytes",
+           "Memory of the connections of callers and hosts",
+           static_cast<double>(aGauges.m_sessionBytes));
   impl.Set("replica_connections",
            "Open connections to replicas",
            static_cast<double>(aGauges.m_replicaConnections));
--- a/packages/edge/src/HttpMessage.cpp
+++ b/packages/edge/src/HttpMessage.cpp
@@ -6,7 +6,6 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <algorithm>
-#include <array>
 #include <cstdint>
 #include <iterator>
 
@@ -22,19 +21,15 @@
 /** Limit of the bytes that the parser leaves unread because they end in the
  *  middle of an element, such as the line before a chunk. */
 constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
-
-constexpr std::array<std::string_view, 10> kHopByHopFields{
-  "connection",     "keep-alive",        "proxy-connection", "te",
-  "trailer",        "transfer-encoding", "upgrade",          "expect",
-  "content-length", "proxy-authenticate"
-};
-
-char
-ToLower(char aLetter)
-{
-  return aLetter >= 'A' && aLetter <= 'Z' ? static_cast<char>(aLetter + 32)
-                                          : aLetter;
-}
+/** Range of the status of a response that is not an interim one. */
+constexpr unsigned kMinFinalStatus = 200;
+constexpr unsigned kMaxFinalStatus = 599;
+/** Bytes of the chunk framing of a request that are accepted for each byte of
+ *  its body, beside a constant. A chunk of one byte has five. */
+constexpr std::size_t kFramingBytesPerBodyByte = 8;
+/** Memory that the parser takes for a field beside its text, in bytes: the node
+ *  of its list and set, and the share of the allocator. */
+constexpr std::size_t kParsedFieldBytes = 96;
 
 std::string_view
 View(beast::string_view aText)
@@ -47,6 +42,8 @@
 CopyFields(const Fields& aFields)
 {
   std::vector<HeaderField> fields;
+  fields.reserve(
+    static_cast<std::size_t>(std::distance(aFields.begin(), aFields.end())));
   for (const auto& field : aFields) {
     fields.emplace_back(View(field.name_string()), View(field.value()));
   }
@@ -89,10 +86,36 @@
            : ParseState::Partial;
 }
 
-// Parses aBytes and removes the parsed bytes from its front.
-template<typename Parser>
+// Counts of what a parser has parsed.
+struct Progress
+{
+  /** Bytes and lines of the header. */
+  std::size_t m_headerBytes = 0;
+  std::size_t m_headerLines = 0;
+  /** Bytes after the header: the body and its framing. */
+  std::uint64_t m_afterHeader = 0;
+
+  void Add(bool aHeader, const char* aBytes, std::size_t aCount)
+  {
+    if (aHeader) {
+      m_headerBytes += aCount;
+      m_headerLines +=
+        static_cast<std::size_t>(std::count(aBytes, aBytes + aCount, '\n'));
+    } else {
+      m_afterHeader += aCount;
+    }
+  }
+};
+
+// Parses aBytes and removes the parsed bytes from its front. aOnHeader is
+// called once the header is accepted.
+template<typename Parser, typename OnHeader>
 ParseState
-ParseInput(Parser& aParser, std::string& aBytes, std::uint64_t aBodyLimit)
+ParseInput(Parser& aParser,
+           std::string& aBytes,
+           std::uint64_t aBodyLimit,
+           Progress& aProgress,
+           const OnHeader& aOnHeader)
 {
   std::size_t parsed = 0;
   ParseState state = ParseState::Partial;
@@ -103,6 +126,7 @@
     const std::size_t count = aParser.put(
       boost::asio::buffer(aBytes.data() + parsed, aBytes.size() - parsed),
       error);
+    aProgress.Add(!hadHeader, aBytes.data() + parsed, count);
     parsed += count;
     if (error) {
       state = ToParseState(error);
@@ -114,6 +138,7 @@
         aBytes.erase(0, parsed);
         return checked;
       }
+      aOnHeader();
     }
     if (count == 0) {
       break;
@@ -125,76 +150,36 @@
 
 } // namespace
 
-bool
-EqualsIgnoreCase(std::string_view aLeft, std::string_view aRight)
-{
-  return aLeft.size() == aRight.size() &&
-         std::equal(
-           aLeft.begin(),
-           aLeft.end(),
-           aRight.begin(),
-           [](char aOne, char aTwo) { return ToLower(aOne) == ToLower(aTwo); });
-}
-
-std::string_view
-FieldValue(const std::vector<HeaderField>& aFields, std::string_view aName)
+class RequestParser::Impl
 {
-  for (const auto& [name, value] : aFields) {
-    if (EqualsIgnoreCase(name, aName)) {
-      return value;
-    }
+public:
+  // Takes the fields from the parser, which would add those of the trailer
+  // section to them. Trailer fields are discarded (RFC 9110, section 6.5.1).
+  void TakeFields()
+  {
+    auto& message = m_parser.get();
+    m_fields = CopyFields(message);
+    message.clear();
   }
-  return {};
-}
-
-bool
-IsHopByHop(std::string_view aName)
-{
-  return std::any_of(
-    kHopByHopFields.begin(),
-    kHopByHopFields.end(),
-    [&](std::string_view aOther) { return EqualsIgnoreCase(aName, aOther); });
-}
 
-std::vector<HeaderField>
-EndToEndFields(std::vector<HeaderField> aFields)
-{
-  std::vector<std::string> named;
-  for (const auto& [name, value] : aFields) {
-    if (!EqualsIgnoreCase(name, "connection")) {
-      continue;
-    }
-    std::string_view rest = value;
-    while (!rest.empty()) {
-      const std::size_t comma = rest.find(',');
-      std::string_view token = rest.substr(0, comma);
-      rest = comma == std::string_view::npos ? std::string_view()
-                                             : rest.substr(comma + 1);
-      while (!token.empty() && token.front() == ' ') {
-        token.remove_prefix(1);
-      }
-      while (!token.empty() && token.back() == ' ') {
-        token.remove_suffix(1);
-      }
-      named.emplace_back(token);
+  // aUnparsed: bytes received that end in the middle of an element of the
+  // framing, which the parser leaves unread however long the element becomes.
+  bool ExceedsFramingLimit(std::size_t aUnparsed) const
+  {
+    if (!m_parser.is_header_done() || !m_parser.chunked()) {
+      return false;
     }
+    const std::uint64_t body = m_parser.get().body().size();
+    return aUnparsed > m_headerLimit ||
+           m_progress.m_afterHeader - body >
+             m_headerLimit + kFramingBytesPerBodyByte * body;
   }
-  std::vector<HeaderField> fields = std::move(aFields);
-  std::erase_if(fields, [&](const HeaderField& aField) {
-    return IsHopByHop(aField.first) ||
-           std::any_of(
-             named.begin(), named.end(), [&](const std::string& aName) {
-               return EqualsIgnoreCase(aField.first, aName);
-             });
-  });
-  return fields;
-}
 
-class RequestParser::Impl
-{
-public:
   http::request_parser<http::string_body> m_parser;
+  std::vector<HeaderField> m_fields;
+  std::uint64_t m_headerLimit = 0;
   std::uint64_t m_bodyLimit = 0;
+  Progress m_progress;
   bool m_started = false;
   bool m_continueConsumed = false;
 };
@@ -204,6 +189,7 @@
 {
   m_impl->m_parser.header_limit(static_cast<std::uint32_t>(aHeaderLimit));
   m_impl->m_parser.body_limit(aBodyLimit);
+  m_impl->m_headerLimit = aHeaderLimit;
   m_impl->m_bodyLimit = aBodyLimit;
 }
 
@@ -215,7 +201,18 @@
   if (!aBytes.empty()) {
     m_impl->m_started = true;
   }
-  return ParseInput(m_impl->m_parser, aBytes, m_impl->m_bodyLimit);
+  const bool wasDone = m_impl->m_parser.is_done();
+  const ParseState state = ParseInput(
+    m_impl->m_parser, aBytes, m_impl->m_bodyLimit, m_impl->m_progress, [this] {
+      m_impl->TakeFields();
+    });
+  const bool accepted =
+    state == ParseState::Partial || state == ParseState::Complete;
+  // Bytes behind a complete request belong to the next one.
+  const std::size_t unparsed = m_impl->m_parser.is_done() ? 0 : aBytes.size();
+  return accepted && !wasDone && m_impl->ExceedsFramingLimit(unparsed)
+           ? ParseState::BodyTooLarge
+           : state;
 }
 
 bool
@@ -225,8 +222,8 @@
     return false;
   }
   m_impl->m_continueConsumed = true;
-  return beast::iequals(m_impl->m_parser.get()[http::field::expect],
-                        "100-continue");
+  return EqualsIgnoreCase(FieldValue(m_impl->m_fields, "expect"),
+                          "100-continue");
 }
 
 bool
@@ -241,6 +238,31 @@
   return m_impl->m_started;
 }
 
+std::size_t
+RequestParser::HeldBytes() const
+{
+  // The memory reserved for a body of known length is not in use before its
+  // bytes arrive.
+  const auto& parser = m_impl->m_parser;
+  if (!parser.is_header_done()) {
+    const Progress& progress = m_impl->m_progress;
+    return progress.m_headerBytes + progress.m_headerLines * kParsedFieldBytes;
+  }
+  const std::string& body = parser.get().body();
+  return MemoryOf(m_impl->m_fields) +
+         (parser.chunked() ? body.capacity() : body.size());
+}
+
+std::optional<std::uint64_t>
+RequestParser::MissingBodyBytes() const
+{
+  const auto& parser = m_impl->m_parser;
+  const auto missing = parser.is_header_done() && !parser.chunked()
+                         ? parser.content_length_remaining()
+                         : boost::none;
+  return missing ? std::optional<std::uint64_t>(*missing) : std::nullopt;
+}
+
 RequestMessage
 RequestParser::Take()
 {
@@ -251,7 +273,7 @@
   auto message = parser.release();
   request.m_method = std::string(View(message.method_string()));
   request.m_target = std::string(View(message.target()));
-  request.m_fields = CopyFields(message);
+  request.m_fields = std::move(m_impl->m_fields);
   request.m_body = std::move(message.body());
   return request;
 }
@@ -268,6 +290,16 @@
     Reset();
   }
 
+  // aState of the parser, or Malformed if the status of a complete response is
+  // none.
+  ParseState CheckStatus(ParseState aState) const
+  {
+    const unsigned status = m_parser->get().result_int();
+    const bool valid = status >= kMinFinalStatus && status <= kMaxFinalStatus;
+    return aState == ParseState::Complete && !valid ? ParseState::Malformed
+                                                    : aState;
+  }
+
   void Reset()
   {
     m_parser = std::make_unique<Parser>();
@@ -278,6 +310,7 @@
 
   bool m_head;
   std::uint64_t m_bodyLimit;
+  Progress m_progress;
   bool m_started = false;
   std::unique_ptr<Parser> m_parser;
 };
@@ -296,15 +329,16 @@
     if (!aBytes.empty()) {
       m_impl->m_started = true;
     }
-    const ParseState state =
-      ParseInput(*m_impl->m_parser, aBytes, m_impl->m_bodyLimit);
+    const ParseState state = ParseInput(
+      *m_impl->m_parser, aBytes, m_impl->m_bodyLimit, m_impl->m_progress, [] {
+      });
     if (state == ParseState::Partial && aBytes.size() > kMaxUnparsedBytes) {
       return ParseState::Malformed;
     }
     const bool interim = state == ParseState::Complete &&
                          m_impl->m_parser->get().result_int() / 100 == 1;
     if (!interim) {
-      return state;
+      return m_impl->CheckStatus(state);
     }
     m_impl->Reset();
   }
@@ -318,8 +352,9 @@
   }
   beast::error_code error;
   m_impl->m_parser->put_eof(error);
-  return !error && m_impl->m_parser->is_done() ? ParseState::Complete
-                                               : ParseState::Malformed;
+  return !error && m_impl->m_parser->is_done()
+           ? m_impl->CheckStatus(ParseState::Complete)
+           : ParseState::Malformed;
 }
 
 bool
@@ -342,12 +377,6 @@
   return answer;
 }
 
-void
-AppendField(std::string& aOut, std::string_view aName, std::string_view aValue)
-{
-  aOut.append(aName).append(": ").append(aValue).append("\r\n");
-}
-
 std::string_view
 ReasonPhrase(int aStatus)
 {
