Add token buckets at owners of tenants' rate limits, without I/O yet

Static equal shares would refuse requests of tenants whose traffic comes through few hosts. Owners are chosen by rendezvous hashing and grant short-lived tokens.

--- a/packages/admission/include/goldcrestkeel/Admission.h
+++ b/packages/admission/include/goldcrestkeel/Admission.h
@@ -2,3 +2,9 @@
 
 /** Decisions on which requests are admitted and in which order: rate limits of
  *  tenants over all hosts, queue order, load shedding. Performs no I/O. */
+
+#include <goldcrestkeel/admission/OwnerRanking.h>
+#include <goldcrestkeel/admission/RateLimitClient.h>
+#include <goldcrestkeel/admission/RateLimitMessage.h>
+#include <goldcrestkeel/admission/RateLimitOwner.h>
+#include <goldcrestkeel/admission/TokenBucket.h>
--- /dev/null
+++ b/packages/admission/tests/RateLimitFleetTest.cpp
@@ -0,0 +1,194 @@
+#include "RateLimitFleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <numeric>
+
+using namespace goldcrestkeel;
+using namespace goldcrestkeel::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kHosts = 60;
+constexpr std::size_t kTenants = 70;
+
+std::vector<std::size_t>
+AllBut(std::size_t aHosts, const std::vector<std::size_t>& aMissing)
+{
+  std::vector<std::size_t> listed(aHosts);
+  std::iota(listed.begin(), listed.end(), 0);
+  for (const std::size_t missing : aMissing) {
+    std::erase(listed, missing);
+  }
+  return listed;
+}
+
+/** Every tenant sends this many times its usual rate through some hosts more.
+ */
+void
+MakeHot(RateLimitFleet& aFleet, double aFactor)
+{
+  for (std::size_t i = 0; i < aFleet.m_tenants.size(); ++i) {
+    aFleet.m_tenants[i].m_rate *= aFactor;
+    for (std::size_t host = 0; host < 6; ++host) {
+      aFleet.m_tenants[i].m_hosts.push_back((i * 7 + host * 11) % kHosts);
+    }
+  }
+}
+
+struct Disturbance
+{
+  const char* m_name;
+  std::function<void(RateLimitFleet&)> m_apply;
+  /** Largest part of requests refused below the limit at the usual load. */
+  double m_refused;
+};
+
+std::vector<Disturbance>
+Disturbances()
+{
+  return {
+    { "none", [](RateLimitFleet&) {}, 0.002 },
+    { "load moves between hosts",
+      [](RateLimitFleet& aFleet) {
+        for (unsigned i = 0; i < 20; ++i) {
+          aFleet.At(i * 1s, [&aFleet, i] {
+            for (auto& tenant : aFleet.m_tenants) {
+              tenant.m_hosts = { (tenant.m_name.size() * 13 + i * 17) % kHosts,
+                                 (tenant.m_name.back() + i * 5U) % kHosts };
+            }
+          });
+        }
+      },
+      0.01 },
+    { "owners are killed and restarted",
+      [](RateLimitFleet& aFleet) {
+        for (unsigned i = 0; i < 4; ++i) {
+          const std::size_t owner = aFleet.OwnerOf(i);
+          aFleet.At(i * 5s, [&aFleet, owner] { aFleet.Kill(owner); });
+          aFleet.At(i * 5s + 2s, [&aFleet, owner] { aFleet.Restart(owner); });
+        }
+      },
+      0.02 },
+    { "owners are paused for seconds",
+      [](RateLimitFleet& aFleet) {
+        for (unsigned i = 0; i < 4; ++i) {
+          aFleet.At(i * 5s, [&aFleet, i] {
+            aFleet.Pause(aFleet.OwnerOf(i), 1s * (1 + i));
+          });
+        }
+      },
+      0.03 },
+    { "owners are cut off from all hosts",
+      [](RateLimitFleet& aFleet) {
+        aFleet.m_isCut = [one = aFleet.OwnerOf(0), two = aFleet.OwnerOf(1)](
+                           std::size_t aFrom, std::size_t aTo) {
+          return aFrom == one || aTo == one || aFrom == two || aTo == two;
+        };
+        aFleet.At(10s, [&aFleet] { aFleet.m_isCut = nullptr; });
+      },
+      0.06 },
+    { "owners are cut off from half of the hosts",
+      [](RateLimitFleet& aFleet) {
+        aFleet.m_isCut = [one = aFleet.OwnerOf(0), two = aFleet.OwnerOf(1)](
+                           std::size_t aFrom, std::size_t aTo) {
+          return (aFrom == one || aTo == one || aFrom == two || aTo == two) &&
+                 (aFrom + aTo) % 2 == 0;
+        };
+        aFleet.At(10s, [&aFleet] { aFleet.m_isCut = nullptr; });
+      },
+      0.1 },
+    { "a third of the hosts is cut off from the others",
+      [](RateLimitFleet& aFleet) {
+        aFleet.m_isCut = [](std::size_t aFrom, std::size_t aTo) {
+          return (aFrom < kHosts / 3) != (aTo < kHosts / 3);
+        };
+        aFleet.At(10s, [&aFleet] { aFleet.m_isCut = nullptr; });
+      },
+      0.25 },
+    { "several hosts are killed at once",
+      [](RateLimitFleet& aFleet) {
+        for (const std::size_t rank : { 0, 1 }) {
+          for (std::size_t i = 0; i < 4; ++i) {
+            aFleet.Kill(aFleet.OwnerOf(i, rank));
+          }
+        }
+        aFleet.At(6s, [&aFleet] {
+          for (const std::size_t rank : { 0, 1 }) {
+            for (std::size_t i = 0; i < 4; ++i) {
+              aFleet.Restart(aFleet.OwnerOf(i, rank));
+            }
+          }
+        });
+      },
+      0.03 },
+    { "hosts are added and take over tenants",
+      [](RateLimitFleet& aFleet) {
+        for (unsigned i = 0; i < 6; ++i) {
+          aFleet.At(i * 3s, [&aFleet] {
+            const std::size_t added = aFleet.AddHost(0.25);
+            // The others learn of it one after the other.
+            for (std::size_t host = 0; host < added; ++host) {
+              aFleet.At(host * 50ms, [&aFleet, host, added] {
+                aFleet.SetList(host, AllBut(added + 1, {}));
+              });
+            }
+          });
+        }
+      },
+      0.02 },
+    { "host lists differ for 15 s",
+      [](RateLimitFleet& aFleet) {
+        std::vector<std::size_t> missing;
+        for (std::size_t i = 0; i < 4; ++i) {
+          missing.push_back(aFleet.OwnerOf(i));
+        }
+        for (std::size_t host = 0; host < kHosts; host += 2) {
+          aFleet.SetList(host, AllBut(kHosts, missing));
+        }
+        aFleet.At(15s,
+                  [&aFleet] { aFleet.SetListEverywhere(AllBut(kHosts, {})); });
+      },
+      0.03 },
+    { "messages are lost and late",
+      [](RateLimitFleet& aFleet) {
+        aFleet.m_lossRatio = 0.02;
+        aFleet.m_extraDelay = 15ms;
+      },
+      0.05 },
+  };
+}
+
+} // namespace
+
+TEST_CASE("rate limits of tenants hold over all hosts", "[fleet]")
+{
+  for (const Disturbance& disturbance : Disturbances()) {
+    for (const double load : { 1.0, 8.0 }) {
+      DYNAMIC_SECTION(disturbance.m_name << ", " << load << " times the load")
+      {
+        RateLimitFleet fleet(kHosts, kTenants, 1);
+        if (load > 1) {
+          MakeHot(fleet, load);
+        }
+        fleet.Run(8s);
+        disturbance.m_apply(fleet);
+        fleet.Run(20s);
+        fleet.m_isCut = nullptr;
+        fleet.Run(8s);
+        const double used = fleet.LargestUsedBound();
+        const double refused = fleet.RefusedBelowLimit();
+        UNSCOPED_INFO("used " << used << ", refused " << refused);
+        WARN(disturbance.m_name << " " << load << " used " << used
+                                << ", refused " << refused
+                                << ", messages a second and host "
+                                << fleet.Messages() / 36.0 / kHosts);
+        CHECK(used <= 1);
+        if (load <= 1) {
+          CHECK(refused <= disturbance.m_refused);
+        }
+      }
+    }
+  }
+}
