Wire the rate limits of tenants into the edge (not built as a whole yet)

Requests of callers whose tenant has a limit are admitted before they reach the forwarder; messages between hosts go to the address for other hosts.

--- a/packages/admission/include/goldcrestkeel/admission/OwnerRanking.h
+++ b/packages/admission/include/goldcrestkeel/admission/OwnerRanking.h
@@ -21,7 +21,7 @@
 
 /** Number of hosts that may grant a tenant's tokens: the owner and the hosts
  *  that substitute for it, in order. */
-inline constexpr std::size_t kOwnerRanks = 3;
+inline constexpr std::size_t kOwnerRanks = 4;
 
 /** Indices of the hosts with the kOwnerRanks highest ranks for aTenant, by
  *  rendezvous hashing over the hosts with the largest CPU share. Every host
--- a/packages/admission/include/goldcrestkeel/admission/RateLimitClient.h
+++ b/packages/admission/include/goldcrestkeel/admission/RateLimitClient.h
@@ -88,6 +88,9 @@
   /** aOwner: the grants of this host. */
   RateLimitClient(OwnerCandidate aSelf, RateLimitOwner& aOwner, Sink& aSink);
 
+  /** Validity of tokens from when they are requested, at most
+   *  kGrantValidity. */
+  void SetGrantValidity(Duration aValidity);
   /** aLive: number of live hosts, at least 1. */
   void SetHosts(std::vector<OwnerCandidate> aHosts, std::size_t aLive);
   void SetLimits(TimePoint aNow,
@@ -183,6 +186,8 @@
     TimePoint m_nextSendAt;
     std::optional<PeerOutcome> m_failure{};
     TimePoint m_failedAt;
+    /** Failures since the last reply. */
+    unsigned m_failures = 0;
     std::uint64_t m_instance = 0;
     std::map<std::string, Asked> m_asked{};
   };
@@ -226,6 +231,7 @@
   std::map<std::string, TenantState> m_tenants;
   std::map<std::string, Peer> m_peers;
   RateLimitClientCounters m_counters;
+  Duration m_grantValidity = kGrantValidity;
   TimePoint m_wantedSentAt;
   /** Request that Admit() is deciding on, and its result if this host's own
    *  grant has decided it. */
--- a/packages/admission/include/goldcrestkeel/admission/RateLimitMessage.h
+++ b/packages/admission/include/goldcrestkeel/admission/RateLimitMessage.h
@@ -4,6 +4,7 @@
 #include <goldcrestkeel/core/Time.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -85,6 +86,10 @@
 std::string_view
 NameOf(GrantOutcome aOutcome);
 
+/** Inverse of NameOf(GrantOutcome); nothing for any other name. */
+std::optional<GrantOutcome>
+GrantOutcomeFromName(std::string_view aName);
+
 /** Reply to one TokenRequest. */
 struct TokenGrant
 {
@@ -108,13 +113,17 @@
   /** Process of the replying host; never 0. */
   std::uint64_t m_instance = 0;
   std::vector<TokenGrant> m_grants;
+  /** Hosts that have lately stated to the replying host that they grant
+   *  tokens; only in replies to messages without requests. Two hosts that do
+   * not know of each other learn of each other in this way. */
+  std::vector<OwnerCandidate> m_granters{};
 
   bool operator==(const TokenReply&) const = default;
 };
 
-/** Validity of granted tokens, from when they were requested. Together with the
- *  overshoot of 0.1 of the 5 s window it bounds what runs late: 0.3 s of the
- *  0.5 s, the rest covers the detection of failures. */
+/** Validity of granted tokens, from when they were requested. Tokens of up to
+ *  this time before a window run in it; the overshoot of 0.1 of the 5 s window
+ *  covers 0.5 s, of which the rest is left for the detection of failures. */
 inline constexpr Duration kGrantValidity{ 300000 };
 /** A host that does not answer within this time counts as unreachable. */
 inline constexpr Duration kPeerTimeout{ 200000 };
--- a/packages/admission/include/goldcrestkeel/admission/RateLimitOwner.h
+++ b/packages/admission/include/goldcrestkeel/admission/RateLimitOwner.h
@@ -42,7 +42,7 @@
   public:
     virtual ~Sink() = default;
     /** Sends aMessage, which has no requests, to find out whether aHost answers
-     *  within kPeerTimeout; OnPeer() takes the result. */
+     *  within kPeerTimeout; OnReply() or OnPeer() takes the result. */
     virtual void Probe(const OwnerCandidate& aHost,
                        const TokenMessage& aMessage) = 0;
     virtual void LogOwner(const OwnerDecision& aDecision) = 0;
@@ -62,6 +62,10 @@
                  const std::map<std::string, RateLimit>& aLimits);
 
   TokenReply OnMessage(TimePoint aNow, const TokenMessage& aMessage);
+  /** Reply of another host, whatever it was asked for. */
+  void OnReply(TimePoint aNow,
+               const std::string& aHost,
+               const TokenReply& aReply);
   /** How a call of another host ended, whatever it was for. */
   void OnPeer(TimePoint aNow, const std::string& aHost, PeerOutcome aOutcome);
 
@@ -85,6 +89,8 @@
   {
     OwnerCandidate m_host;
     TimePoint m_at;
+    /** Stated by the host itself. */
+    bool m_direct = false;
   };
   /** Rate at which a host continues if it cannot reach an owner. */
   struct Claim
--- a/packages/admission/src/RateLimitClient.cpp
+++ b/packages/admission/src/RateLimitClient.cpp
@@ -43,6 +43,12 @@
 {
 }
 
+void
+RateLimitClient::SetGrantValidity(Duration aValidity)
+{
+  m_grantValidity = std::min(aValidity, kGrantValidity);
+}
+
 void
 RateLimitClient::SetHosts(std::vector<OwnerCandidate> aHosts, std::size_t aLive)
 {
--- a/packages/admission/src/RateLimitExchange.cpp
+++ b/packages/admission/src/RateLimitExchange.cpp
@@ -231,10 +231,11 @@
   Peer& peer = m_peers[aHost];
   peer.m_busy = false;
   peer.m_failure.reset();
+  peer.m_failures = 0;
   peer.m_instance = aReply.m_instance;
   const TimePoint sentAt = peer.m_sentAt;
   if (aHost != m_self.m_id) {
-    m_owner.OnPeer(aNow, aHost, PeerOutcome::Answered);
+    m_owner.OnReply(aNow, aHost, aReply);
   }
   const std::map<std::string, Asked> asked = std::exchange(peer.m_asked, {});
   for (const TokenGrant& grant : aReply.m_grants) {
@@ -266,9 +267,14 @@
     if (aGrant.m_outcome == GrantOutcome::Redirected) {
       state.m_redirect = aGrant.m_owner;
       state.m_redirectUntil = aNow + kRedirectTime;
-      // Believed although it failed before: the other host has reached it.
       if (IsFailing(aNow, aGrant.m_owner.m_id)) {
-        state.m_skipped[aPeer.m_host.m_id] = aNow + kSkipTime;
+        // The other host has reached it: a single message may have been lost.
+        Peer& owner = m_peers[aGrant.m_owner.m_id];
+        if (owner.m_failures <= 1) {
+          owner.m_failure.reset();
+        } else {
+          state.m_skipped[aPeer.m_host.m_id] = aNow + kSkipTime;
+        }
       }
     } else if (aGrant.m_outcome == GrantOutcome::Checking) {
       aPeer.m_nextSendAt = aNow + kCheckInterval;
@@ -280,7 +286,7 @@
   state.m_fallbackUsed -= std::min(state.m_fallbackUsed, aAsked.m_fallbackUsed);
   state.m_claim = aAsked.m_claim;
   state.m_claimedAt = aSentAt;
-  const TimePoint expiresAt = aSentAt + kGrantValidity;
+  const TimePoint expiresAt = aSentAt + m_grantValidity;
   if (aGrant.m_tokens > 0) {
     state.m_tokens.push_back({ aGrant.m_tokens, expiresAt });
   }
@@ -333,6 +339,7 @@
   peer.m_busy = false;
   peer.m_failure = aOutcome;
   peer.m_failedAt = aNow;
+  ++peer.m_failures;
   for (const auto& [name, asked] : std::exchange(peer.m_asked, {})) {
     const auto found = m_tenants.find(name);
     if (found != m_tenants.end()) {
--- a/packages/admission/src/RateLimitMessage.cpp
+++ b/packages/admission/src/RateLimitMessage.cpp
@@ -1,5 +1,6 @@
 #include <goldcrestkeel/admission/RateLimitMessage.h>
 
+#include <algorithm>
 #include <array>
 
 namespace goldcrestkeel {
@@ -28,4 +29,15 @@
   return kGrantOutcomes.at(static_cast<std::size_t>(aOutcome));
 }
 
+std::optional<GrantOutcome>
+GrantOutcomeFromName(std::string_view aName)
+{
+  const auto* name =
+    std::find(kGrantOutcomes.begin(), kGrantOutcomes.end(), aName);
+  if (name == kGrantOutcomes.end()) {
+    return std::nullopt;
+  }
+  return static_cast<GrantOutcome>(name - kGrantOutcomes.begin());
+}
+
 } // namespace goldcrestkeel
--- a/packages/admission/src/RateLimitOwner.cpp
+++ b/packages/admission/src/RateLimitOwner.cpp
@@ -17,10 +17,7 @@
  *  kProbeInterval. */
 constexpr Duration kPeerValidity{ 1300000 };
 /** A tenant without requests for this time is idle. */
-constexpr Duration kBusyTime{ 2000000 };
-/** A substitute without requests for this time starts again with an empty
- *  bucket: the owner may have granted meanwhile. */
-constexpr Duration kSubstituteIdle{ 1000000 };
+constexpr Duration kBusyTime{ 5000000 };
 /** A timer that is this late shows that the process was paused; others may have
  *  granted meanwhile. */
 constexpr Duration kPauseTime{ 1000000 };
@@ -36,6 +33,8 @@
 constexpr double kMinCapacitySeconds = 0.1;
 /** Longest time in which refused requests are expected to be admitted. */
 constexpr Duration kMaxBacklog{ 2000000 };
+/** Most hosts that a reply names as granting tokens. */
+constexpr std::size_t kMaxGranters = 32;
 /** Shortest Retry-After. */
 constexpr Duration kMinRetryAfter{ 5000 };
 
@@ -121,18 +120,50 @@
   const std::string& from = aMessage.m_from.m_id;
   if (from != m_self.m_id) {
     OnPeer(aNow, from, PeerOutcome::Answered);
-    if (aMessage.m_grants) {
-      m_granters[from] = { aMessage.m_from, aNow };
+    if (aMessage.m_grants && !aMessage.m_from.m_address.empty()) {
+      m_granters[from] = { aMessage.m_from, aNow, true };
     }
   }
   TokenReply reply;
   reply.m_instance = m_instance;
+  if (aMessage.m_requests.empty() && aMessage.m_grants) {
+    for (const auto& [id, granter] : m_granters) {
+      // Only what the host itself has stated, so that news of a host that is
+      // gone do not go round.
+      if (id != from && granter.m_direct &&
+          aNow - granter.m_at <= kPeerValidity &&
+          reply.m_granters.size() < kMaxGranters) {
+        reply.m_granters.push_back(granter.m_host);
+      }
+    }
+  }
   for (const TokenRequest& request : aMessage.m_requests) {
     reply.m_grants.push_back(Grant(aNow, aMessage, request));
   }
   return reply;
 }
 
+void
+RateLimitOwner::OnReply(TimePoint aNow,
+                        const std::string& aHost,
+                        const TokenReply& aReply)
+{
+  OnPeer(aNow, aHost, PeerOutcome::Answered);
+  for (const OwnerCandidate& host : aReply.m_granters) {
+    if (host.m_id == m_self.m_id) {
+      continue;
+    }
+    Granter& granter = m_granters[host.m_id];
+    if (aNow - granter.m_at > kPeerValidity) {
+      granter.m_direct = false;
+    }
+    if (!granter.m_direct) {
+      granter.m_host = host;
+      granter.m_at = aNow;
+    }
+  }
+}
+
 TokenGrant
 RateLimitOwner::Grant(TimePoint aNow,
                       const TokenMessage& aMessage,
@@ -305,12 +336,10 @@
                       const Role& aRole)
 {
   const bool grants = aRole.m_outcome == GrantOutcome::Decided;
-  const bool idle =
-    aRole.m_rank > 0 && aNow - aState.m_askedAt > kSubstituteIdle;
   const double rate = aState.m_limit.m_rate * aRole.m_share;
   const double capacity = CapacityOf(aState.m_limit) * aRole.m_share;
   if (grants &&
-      (!aState.m_bucket || aState.m_outcome != GrantOutcome::Decided || idle)) {
+      (!aState.m_bucket || aState.m_outcome != GrantOutcome::Decided)) {
     aState.m_bucket.emplace(aNow, rate, capacity);
     aState.m_claims.clear();
   } else if (grants && aRole.m_share != aState.m_share) {
@@ -458,6 +487,15 @@
     if (state.m_outcome != GrantOutcome::Decided) {
       continue;
     }
+    if (state.m_ranked.empty() || state.m_ranked.front().m_id != m_self.m_id) {
+      // A substitute keeps its bucket only while it knows without a gap that
+      // the owner does not answer: the owner may grant afterwards.
+      const bool busy = aNow - state.m_askedAt <= kBusyTime;
+      Enter(aNow, name, state, busy ? RoleFor(aNow, name, state) : Role());
+      if (state.m_outcome != GrantOutcome::Decided) {
+        continue;
+      }
+    }
     ChargeSilentHosts(aNow, state);
     std::erase_if(state.m_claims, [&](const auto& aClaim) {
       return aNow - aClaim.second.m_heardAt > 2 * kClaimValidity;
--- a/packages/core/include/goldcrestkeel/core/Errors.h
+++ b/packages/core/include/goldcrestkeel/core/Errors.h
@@ -39,6 +39,7 @@
   StoreUnavailable,
   ConfigurationPending,
   Unauthorized,
+  RateLimited,
   /** A backend server closed the connection early, or too few shards can
    *  answer. */
   BackendFailed,
--- a/packages/edge/src/EdgeMetrics.cpp
+++ b/packages/edge/src/EdgeMetrics.cpp
@@ -62,7 +62,10 @@
 }
 
 std::string
-EdgeMetrics::Text(const ForwarderCounters& aCounters, const EdgeGauges& aGauges)
+EdgeMetrics::Text(const ForwarderCounters& aCounters,
+                  const RateLimitClientCounters& aLimits,
+                  const RateLimitOwnerCounters& aGrants,
+                  const EdgeGauges& aGauges)
 {
   Impl& impl = *m_impl;
   impl.Set(
@@ -97,6 +100,32 @@
   impl.Set("quarantined",
            "Requests refused because they are in quarantine",
            aCounters.m_quarantined);
+  impl.Set("rate_limit_admitted",
+           "Requests admitted by the rate limits of tenants",
+           aLimits.m_admitted);
+  impl.Set(
+    "rate_limit_refused", "Requests refused with 429", aLimits.m_refused);
+  impl.Set("rate_limit_waited",
+           "Requests that waited for the reply of an owner",
+           aLimits.m_waited);
+  impl.Set("rate_limit_fallbacks",
+           "Requests admitted although no owner answered",
+           aLimits.m_fallbacks);
+  impl.Set("rate_limit_messages",
+           "Messages to owners of rate limits",
+           aLimits.m_messages);
+  impl.Set("rate_limit_messages_failed",
+           "Of these, messages without a usable reply",
+           aLimits.m_failedMessages);
+  impl.Set("rate_limit_tokens_granted",
+           "Tokens that this host granted",
+           aGrants.m_granted);
+  impl.Set("rate_limit_tokens_denied",
+           "Tokens that this host denied to waiting requests",
+           aGrants.m_denied);
+  impl.Set("rate_limit_tokens_returned",
+           "Tokens that were returned to this host unused",
+           aGrants.m_returned);
   impl.Set("table_version", "Routing table in force", aGauges.m_tableVersion);
   impl.Set(
     "live_hosts", "Entry hosts counted in the store", aGauges.m_liveHosts);
--- a/packages/edge/src/EdgeMetrics.h
+++ b/packages/edge/src/EdgeMetrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <goldcrestkeel/Admission.h>
 #include <goldcrestkeel/feed/FeedItem.h>
 #include <goldcrestkeel/forward/Forwarder.h>
 
@@ -49,6 +50,8 @@
 
   /** All metrics in the text format. */
   std::string Text(const ForwarderCounters& aCounters,
+                   const RateLimitClientCounters& aLimits,
+                   const RateLimitOwnerCounters& aGrants,
                    const EdgeGauges& aGauges);
 
 private:
--- a/packages/edge/src/EdgeRequests.cpp
+++ b/packages/edge/src/EdgeRequests.cpp
@@ -21,6 +21,14 @@
  *  connection of the caller leads to another host. */
 constexpr Duration kStoppingRetryAfter{ 50000 };
 
+/** True if a request that was admitted has not run on any replica. */
+bool
+HasNotRun(const ForwardResult& aResult)
+{
+  return aResult.m_error && *aResult.m_error != ErrorKind::RateLimited &&
+         InfoOf(*aResult.m_error).m_ran == Ran::No;
+}
+
 std::string_view
 PathOf(std::string_view aTarget)
 {
@@ -59,6 +67,10 @@
     m_feedPolls.OnPoll(aSession.Id(), aRequest.m_body);
     return true;
   }
+  if (aRequest.m_target == kTokenMessageTarget) {
+    OnTokenMessage(aSession, aRequest.m_body);
+    return true;
+  }
   if (aRequest.m_target == kCrashMessageTarget) {
     OnCrashMessage(aSession, aRequest.m_body);
     return true;
@@ -140,9 +152,17 @@
   open.m_route = route->m_name;
   open.m_version = m_table->m_version;
   m_requestBySession[open.m_session] = forward.m_id;
+  // The host that got a relayed request from its caller has admitted it.
+  if (!fromHost && forward.m_tenant && forward.m_tenant->HasRateLimit()) {
+    open.m_limitedTenant = forward.m_tenant->m_name;
+  }
+  const bool limited = !open.m_limitedTenant.empty();
   m_openRequests.emplace(forward.m_id, std::move(open));
-  m_forwarder->Start(now, forward);
-  ArmForwardTimer();
+  if (limited) {
+    AdmitRequest(forward);
+  } else {
+    StartRequest(forward);
+  }
 }
 
 void
@@ -161,7 +181,11 @@
               { { "request", std::string_view(open.m_requestId) },
                 { "route", std::string_view(open.m_route) },
                 { "age_ms", (now - open.m_arrivedAt).count() / 1000.0 } });
-  m_forwarder->Cancel(now, request);
+  if (open.m_unadmitted) {
+    m_rateLimits.Cancel(open.m_limitedTenant, request);
+  } else {
+    m_forwarder->Cancel(now, request);
+  }
   m_openRequests.erase(request);
   ArmForwardTimer();
 }
@@ -187,6 +211,9 @@
   m_openRequests.erase(found);
   m_requestBySession.erase(open.m_session);
   RecordAnswer(open, aResult);
+  if (!open.m_limitedTenant.empty() && HasNotRun(aResult)) {
+    m_rateLimits.GiveBack(open.m_limitedTenant);
+  }
   if (CallerSession* session = FindSession(open.m_session)) {
     const std::string copies = std::to_string(aResult.m_copies);
     const std::string shards = FormatNumbers(aResult.m_shards);
--- a/packages/edge/src/EdgeServer.cpp
+++ b/packages/edge/src/EdgeServer.cpp
@@ -18,6 +18,17 @@
 /** Allowance above the header limit for the relay fields of another entry host,
  *  in bytes: the indices of up to 1,400 shards and a few numbers. */
 constexpr std::uint32_t kMaxRelayFieldBytes = 8192;
+/** Part of the overshoot of the rate limits' window for which granted tokens
+ * are valid. The rest covers the detection of failures. */
+constexpr double kGrantPart = 0.6;
+
+Duration
+GrantValidityOf(const EdgeSettings& aSettings)
+{
+  return Duration(static_cast<Duration::rep>(
+    static_cast<double>(aSettings.m_rateLimitWindow.count()) *
+    aSettings.m_rateLimitOvershoot * kGrantPart));
+}
 
 } // namespace
 
@@ -57,6 +68,15 @@
                     aLog,
                     aSettings.m_hostId,
                     [this](const CrashMessage& aReply) { Apply(aReply); })
+  , m_rateLimits(
+      aLoop,
+      aLog,
+      *m_random,
+      { aSettings.m_hostId, aSettings.m_relayAddress, aSettings.m_cores },
+      GrantValidityOf(aSettings),
+      [this](ForwardId aRequest, const AdmissionResult& aResult) {
+        OnAdmission(aRequest, aResult);
+      })
   , m_readiness(aLoop, aSettings.m_readinessAddress, [this] {
     return ReadinessReply();
   })
@@ -121,7 +141,10 @@
                                feed->Source() == FeedSource::Host });
   }
   CallerReply reply;
-  reply.m_body = m_metrics.Text(m_forwarder->Counters(), gauges);
+  reply.m_body = m_metrics.Text(m_forwarder->Counters(),
+                                m_rateLimits.ClientCounters(),
+                                m_rateLimits.OwnerCounters(),
+                                gauges);
   reply.m_fields.emplace_back("Content-Type", "text/plain; version=0.0.4");
   return reply;
 }
@@ -274,6 +297,7 @@
     CloseIdleSessions();
   }
   if (now >= m_shutdown.AnswerAllAt()) {
+    RefuseUnadmitted();
     m_forwarder->FinishAll(now);
     m_sessionTimer.SetAt(m_shutdown.EndAt());
   } else {
--- a/packages/edge/src/EdgeServerImpl.h
+++ b/packages/edge/src/EdgeServerImpl.h
@@ -3,6 +3,7 @@
 #include "CrashReporter.h"
 #include "EdgeMetrics.h"
 #include "FeedPolls.h"
+#include "RateLimits.h"
 #include "RelayFields.h"
 #include "ReplicaConnections.h"
 #include "SessionSet.h"
@@ -104,6 +105,11 @@
     TimePoint m_deadline;
     std::string m_route;
     RoutingVersion m_version = 0;
+    /** Tenant whose rate limit the request counts for; empty for none. */
+    std::string m_limitedTenant;
+    /** Set while the request waits to be admitted; the forwarder does not know
+     *  it yet. */
+    std::optional<ForwardRequest> m_unadmitted;
   };
 
   /** A request of another entry host that is not relayed: a poll, or a message
@@ -113,6 +119,16 @@
   void OnCrashMessage(CallerSession& aSession, std::string_view aBody);
   /** Returns what the sender must know. */
   CrashMessage Apply(const CrashMessage& aMessage);
+  void OnTokenMessage(CallerSession& aSession, std::string_view aBody);
+  /** Passes a request to the forwarder if the rate limit of its tenant admits
+   *  it. */
+  void AdmitRequest(const ForwardRequest& aRequest);
+  /** A request that was waiting to be admitted is decided. */
+  void OnAdmission(ForwardId aRequest, const AdmissionResult& aResult);
+  void LogAdmission(ForwardId aRequest, const AdmissionResult& aResult);
+  void StartRequest(const ForwardRequest& aRequest);
+  /** Answers the requests that wait to be admitted. */
+  void RefuseUnadmitted();
   void CheckSessions();
   void ArmForwardTimer();
   void CheckShutdown();
@@ -165,6 +181,7 @@
   std::function<void()> m_onStopped;
   FeedPolls m_feedPolls;
   CrashReporter m_crashReporter;
+  RateLimits m_rateLimits;
   EdgeMetrics m_metrics;
   StatusServer m_readiness;
   std::optional<StatusServer> m_metricsServer;
--- a/packages/edge/src/EdgeSettings.cpp
+++ b/packages/edge/src/EdgeSettings.cpp
@@ -189,6 +189,8 @@
   reader.ReadNumber("/repeats/ratio", settings.m_repeatRatio, 1);
   reader.ReadNumber("/repeats/slack", settings.m_repeatSlack, kMaxSlack);
   reader.ReadSeconds("/repeats/window_s", settings.m_repeatWindow);
+  reader.ReadSeconds("/rate_limits/window_s", settings.m_rateLimitWindow);
+  reader.ReadNumber("/rate_limits/overshoot", settings.m_rateLimitOvershoot, 1);
   reader.ReadMilliseconds("/limits/drain_ms", settings.m_drainLimit);
   reader.ReadMilliseconds("/limits/apply_ms", settings.m_applyLimit);
   reader.ReadCount("/feeds/min_shared_hosts", settings.m_minSharedHosts);
--- a/packages/edge/src/EdgeTopology.cpp
+++ b/packages/edge/src/EdgeTopology.cpp
@@ -32,6 +32,7 @@
       { "routes", static_cast<std::int64_t>(aTable->m_routes.size()) } });
   m_table = std::move(aTable);
   m_forwarder->SetTable(m_loop.Now(), m_table);
+  m_rateLimits.SetTenants(m_table->m_tenants);
 }
 
 void
@@ -82,6 +83,7 @@
   m_forwarder->SetLiveHosts(estimate + estimate / kCountedHostsPerJoining);
   m_forwarder->SetHosts(m_loop.Now(), aHosts);
   m_crashReporter.SetHosts(aHosts);
+  m_rateLimits.SetHosts(aHosts);
 }
 
 void
