--- a/packages/edge/src/EdgeRequests.cpp
+++ b/packages/edge/src/EdgeRequests.cpp
@@ -124,6 +124,10 @@
                std::nullopt);
     return;
   }
+  const auto identity = Identify(aSession, aRequest, *route);
+  if (!identity) {
+    return;
+  }
   const TimePoint now = m_loop.Now();
   ForwardRequest forward;
   if (parameters) {
@@ -136,6 +140,7 @@
   forward.m_id = m_nextRequest++;
   forward.m_table = m_table;
   forward.m_route = route;
+  forward.m_tenant = identity->m_tenant;
   const auto requestedTimeout =
     ParseMilliseconds(FieldValue(aRequest.m_fields, m_names.m_deadlineMs));
   // Another entry host has already subtracted the transit time.
@@ -151,6 +156,7 @@
   open.m_deadline = forward.m_deadline;
   open.m_route = route->m_name;
   open.m_version = m_table->m_version;
+  open.m_identity = IdentityFieldsOf(*m_table, *identity);
   m_requestBySession[open.m_session] = forward.m_id;
   // The host that got a relayed request from its caller has admitted it.
   if (!fromHost && forward.m_tenant && forward.m_tenant->HasRateLimit()) {
@@ -211,7 +217,8 @@
   m_openRequests.erase(found);
   m_requestBySession.erase(open.m_session);
   RecordAnswer(open, aResult);
-  if (!open.m_limitedTenant.empty() && HasNotRun(aResult)) {
+  if (!open.m_limitedTenant.empty() && !open.m_unadmitted &&
+      HasNotRun(aResult)) {
     m_rateLimits.GiveBack(open.m_limitedTenant);
   }
   if (CallerSession* session = FindSession(open.m_session)) {
@@ -291,6 +298,9 @@
       { "version",
         static_cast<std::int64_t>(m_table ? m_table->m_version : 0) } });
   CallerReply reply = ToErrorReply(aKind, aDetail, aRetryAfter);
+  if (aKind == ErrorKind::Unauthorized) {
+    reply.m_fields.emplace_back("WWW-Authenticate", m_names.m_keyScheme);
+  }
   if (aSession.Peer() == SessionPeer::Host) {
     reply.m_fields.emplace_back(kCopiesField, "0");
     reply.m_fields.emplace_back(kUnavailableField, "1");
--- a/packages/forward/src/ForwarderContact.cpp
+++ b/packages/forward/src/ForwarderContact.cpp
@@ -20,6 +20,14 @@
  *  lost contact as well, or have another version of the routing table. */
 constexpr Duration kDeclinedBackoff{ 250000 };
 
+// Other requests may use hosts that those bound to regions may not.
+TimePoint&
+NoFallbackUntil(BackendGroup& aGroup, const RegionFilter& aRegions)
+{
+  return aRegions.IsRestricted() ? aGroup.m_noBoundFallbackUntil
+                                 : aGroup.m_noFallbackUntil;
+}
+
 } // namespace
 
 void
@@ -85,7 +93,7 @@
   switch (aReport.m_state) {
     case ContactState::Lost:
       ++m_counters.m_contactLosses;
-      if (UsesFallback()) {
+      if (UsesFallback({})) {
         RelayRunningRequests(aNow);
       }
       return;
@@ -104,9 +112,10 @@
 }
 
 bool
-ForwarderImpl::UsesFallback() const
+ForwarderImpl::UsesFallback(const RegionFilter& aRegions) const
 {
-  return m_contact.State() >= ContactState::Limited && m_relayPool.HasHosts();
+  return m_contact.State() >= ContactState::Limited &&
+         m_relayPool.HasHosts(aRegions);
 }
 
 bool
@@ -117,17 +126,16 @@
   if (aForward.m_fallbackFailed || aForward.m_request.m_relayedShards) {
     return false;
   }
-  if (!UsesFallback()) {
-    return aNow >= aSubRequest.m_group->m_noFallbackUntil &&
-           BackendPool::IsHeldByRest(
-             aNow, *aSubRequest.m_group, aSubRequest.m_triedReplicas) &&
-           m_relayPool.HasHosts();
+  if (!UsesFallback(aForward.m_regions)) {
+    return aNow >= NoFallbackUntil(*aSubRequest.m_group, aForward.m_regions) &&
+           BackendPool::IsHeldByRest(aNow,
+                                     *aSubRequest.m_group,
+                                     aSubRequest.m_triedReplicas,
+                                     aForward.m_regions) &&
+           m_relayPool.HasHosts(aForward.m_regions);
   }
   return m_contact.State() == ContactState::Lost ||
-         !m_pool.Choose(aNow,
-                        *aSubRequest.m_group,
-                        aSubRequest.m_triedReplicas,
-                        ReplicaTier::Draining);
+         !ChooseReplica(aNow, aForward, aSubRequest, ReplicaTier::Draining);
 }
 
 void
@@ -197,8 +205,8 @@
 {
   RelayPool::Assignment assignment;
   if (aForward.m_fallbackHosts.size() < kMaxFallbackHosts) {
-    assignment =
-      m_relayPool.ChooseFallback(aNow, aForward.m_fallbackHosts, m_random);
+    assignment = m_relayPool.ChooseFallback(
+      aNow, aForward.m_fallbackHosts, m_random, aForward.m_regions);
   }
   assignment.m_shards = aIndexes;
   if (!assignment.m_host) {
@@ -210,8 +218,8 @@
                 aNow - m_contact.StateSince());
     aForward.m_fallbackFailed = true;
     for (const std::uint32_t index : aIndexes) {
-      aForward.m_subRequests[index].m_group->m_noFallbackUntil =
-        aNow + kNoFallbackTime;
+      NoFallbackUntil(*aForward.m_subRequests[index].m_group,
+                      aForward.m_regions) = aNow + kNoFallbackTime;
     }
     if (m_contact.State() == ContactState::Lost) {
       FailRelayedSubRequests(aNow, aForward, aIndexes);
@@ -227,8 +235,8 @@
               aForward,
               assignment.m_group->m_name,
               host,
-              UsesFallback() ? NameOf(m_contact.State())
-                             : std::string_view("replicas rest"),
+              UsesFallback({}) ? NameOf(m_contact.State())
+                               : std::string_view("replicas rest"),
               aNow - m_contact.StateSince());
   SendRelay(aNow, aForward, assignment, RelayReason::Fallback);
 }
