--- a/packages/edge/tests/ServerFixture.h
+++ b/packages/edge/tests/ServerFixture.h
@@ -35,6 +35,10 @@
   std::shared_ptr<RoutingTable> MakeTable(RoutingVersion aVersion) const;
   /** Passes aTable on. */
   void Apply(std::shared_ptr<RoutingTable> aTable);
+  void ApplyHosts(const std::vector<HostRecord>& aHosts)
+  {
+    m_listener->OnHosts(aHosts);
+  }
 
 private:
   std::string m_address;
