--- a/packages/admission/include/goldcrestkeel/Admission.h
+++ b/packages/admission/include/goldcrestkeel/Admission.h
@@ -6,3 +6,8 @@
 #include <goldcrestkeel/admission/DispatchPacer.h>
 #include <goldcrestkeel/admission/FairQueue.h>
 #include <goldcrestkeel/admission/LoadShedder.h>
+#include <goldcrestkeel/admission/OwnerRanking.h>
+#include <goldcrestkeel/admission/RateLimitClient.h>
+#include <goldcrestkeel/admission/RateLimitMessage.h>
+#include <goldcrestkeel/admission/RateLimitOwner.h>
+#include <goldcrestkeel/admission/TokenBucket.h>
