--- a/scripts/lib/replica_standin.py
+++ b/scripts/lib/replica_standin.py
@@ -51,6 +51,9 @@
 
     def __init__(self):
         self.arrivals = []  # (time, request id, service, replica id, sender's IP)
+        # (time, request id, replica id, data centre, tenant or None, whether a key came)
+        self.identities = []
+        self.first_run_at = {}  # request id -> time
         self.runs = {}      # (request id, service) -> list of replica ids
         self.stamps = {}    # stamp -> (request id, service, status)
         self.request_limits = []  # (replica id, requests a second, begin, end)
@@ -66,7 +69,13 @@
         return request.target in self.crashing and \
             self.crashing_body in (None, request.body)
 
+    def record_identity(self, request_id, replica, zone, fields):
+        has_key = "authorization" in fields or any("soak-key" in v for v in fields.values())
+        self.identities.append((time.monotonic(), request_id, replica, zone,
+                                fields.get("x-goldcrestkeel-tenant"), has_key))
+
     def record_run(self, request_id, service, replica, status):
+        self.first_run_at.setdefault(request_id, time.monotonic())
         self.runs.setdefault((request_id, service), []).append(replica)
         stamp = f"{next(self.stamp_numbers):x}.{replica}"
         self.stamps[stamp] = (request_id, service, status)
@@ -165,6 +174,7 @@
             return True
         self.observations.arrivals.append(
             (time.monotonic(), request_id, self.service, self.name, peer))
+        self.observations.record_identity(request_id, self.name, self.zone, fields)
         if self.running >= 6 * self.slots or self.random.random() < self.rejecting:
             answers.write(wire.format_response(503, not_run))
             return True
--- a/scripts/lib/soak_callers.py
+++ b/scripts/lib/soak_callers.py
@@ -41,6 +41,7 @@
         self.status = None  # None: no complete answer arrived
         self.abandoned = False
         self.ended_at = None
+        self.key = None
 
 
 class Callers:
@@ -51,9 +52,9 @@
         self.request_numbers = itertools.count(1)
         self.stopping = False
 
-    async def run_caller(self, rate):
+    async def run_caller(self, rate, draw=dict):
         """Sends requests over one keep-alive connection at a time; `rate` is in requests
-        per second."""
+        per second, `draw` returns arguments of _send_request."""
         stream = None
         host = None
         while not self.stopping:
@@ -63,7 +64,7 @@
                 stream = await self._connect(host)
                 if stream is None:
                     continue
-            reusable = await self._send_request(stream, host)
+            reusable = await self._send_request(stream, host, **draw())
             if not reusable:
                 wire.reset(stream[1])
                 stream = None
@@ -84,8 +85,9 @@
             await self._send_request(stream, host, kind, body)
             wire.reset(stream[1])
 
-    async def _send_request(self, stream, host, kind=None, body=None):
-        """Sends one request; returns true if the connection can be reused."""
+    async def _send_request(self, stream, host, kind=None, body=None, key=None, sent=None):
+        """Sends one request; returns true if the connection can be reused. `key` is a list of
+        the tenant's key or None, `sent` the list that the request is added to."""
         reader, writer = stream
         kind = kind or self.random.choices(KINDS, (6, 2, 1, 2))[0]
         request = SentRequest(kind, f"{self.run.seed:x}-{next(self.request_numbers):08x}",
@@ -94,7 +96,8 @@
                   ("X-Goldcrestkeel-Deadline-Ms", str(kind.deadline_ms))]
         if body is None:
             body = b"hold " + request.id.encode() if kind.method == "POST" else b""
-        self.sent.append(request)
+        fields += self.run.tenants.fields(request, key)
+        (self.sent if sent is None else sent).append(request)
         try:
             writer.write(wire.format_message(
                 f"{kind.method} {kind.path} HTTP/1.1", fields, body))
--- a/scripts/lib/soak_faults.py
+++ b/scripts/lib/soak_faults.py
@@ -37,7 +37,8 @@
             (2, self.hosts_cut_off),
             (3, self.replica_spoils), (1, self.replica_hangs), (2, self.answers_come_again),
             (2, self.change_configuration), (1, self.divide_anew),
-            (2, self.request_crashes_replicas), (1, self.odd_entry), (2, self.replica_endless)]
+            (2, self.request_crashes_replicas), (1, self.odd_entry), (2, self.replica_endless),
+            *run.tenants.events()]
 
     async def inject(self, seconds):
         end = time.monotonic() + seconds
--- a/scripts/lib/store_standin.py
+++ b/scripts/lib/store_standin.py
@@ -79,6 +79,9 @@
         for key, (value, _, lease) in current.items():
             if key.startswith("op/") and self.items.get(key, (None,))[0] != value:
                 await self.put(key, value, lease)
+        # Operators also repeat their deletions.
+        for key in [k for k in self.items if k.startswith("op/") and k not in current]:
+            await self.delete(key)
         return {k: v[0] for k, v in current.items() if k.startswith("servers/")}
 
     async def rewrite_entries(self, entries, restored_revision):
