Admit one request of a tenant ahead of its token

The owner now states whether at least half of the bucket is left; a host then admits one request that the owner does not know of yet, and reports it. All hosts together exceed the limit by at most their number at a time, and the owner charges it. The test that expected the first request to wait now expects it to be admitted and the second one to wait.

--- a/packages/admission/include/goldcrestkeel/admission/RateLimitClient.h
+++ b/packages/admission/include/goldcrestkeel/admission/RateLimitClient.h
@@ -32,6 +32,8 @@
   NoLimit,
   /** A token that was granted before. */
   Token,
+  /** The owner is told afterwards, as it has lately had ample tokens. */
+  Ahead,
   /** The reply of an owner to this request. */
   Reply,
   /** No owner answered in time: the last granted rate or an equal share. */
@@ -159,7 +161,10 @@
     /** Unused tokens and the process that granted them. */
     std::uint32_t m_returned = 0;
     std::string m_grantedBy{};
+    /** Requests admitted without a token that no owner has confirmed. */
     std::uint32_t m_fallbackUsed = 0;
+    /** The last reply of an owner stated that tokens are short. */
+    bool m_short = false;
     /** Claim of the last message that was answered, and when it was sent. */
     double m_claim = 0;
     TimePoint m_claimedAt;
@@ -214,6 +219,10 @@
   std::uint32_t TokenCount(const TenantState& aState) const;
   std::uint32_t WantedAhead(TimePoint aNow, const TenantState& aState) const;
   double ClaimOf(TimePoint aNow, const TenantState& aState) const;
+  /** Whether a request may be admitted before its token is requested. Each host
+   *  has at most one such request that the owner does not know of, so that all
+   *  hosts together exceed the limit by at most their number. */
+  static bool MayAdmitAhead(const TenantState& aState);
   AdmissionResult DecideByFallback(TimePoint aNow, TenantState& aState);
   void Decide(TimePoint aNow,
               const WaitingRequest& aRequest,
--- a/packages/admission/include/goldcrestkeel/admission/RateLimitMessage.h
+++ b/packages/admission/include/goldcrestkeel/admission/RateLimitMessage.h
@@ -101,6 +101,9 @@
   Duration m_nextToken{ 0 };
   /** When a request that is refused now is expected to be admitted. */
   Duration m_retryAfter{ 0 };
+  /** At least half of the bucket is left, so that a host may admit a request
+   *  before it asks for the token. */
+  bool m_ample = false;
   /** Set if redirected. */
   OwnerCandidate m_owner{};
 
--- a/packages/admission/src/RateLimitClient.cpp
+++ b/packages/admission/src/RateLimitClient.cpp
@@ -14,11 +14,9 @@
 constexpr std::array<std::string_view, 3> kAdmissions{ "admitted",
                                                        "waiting",
                                                        "refused" };
-constexpr std::array<std::string_view, 5> kBases{ "no_limit",
-                                                  "token",
-                                                  "reply",
-                                                  "fallback",
-                                                  "exhausted" };
+constexpr std::array<std::string_view, 6> kBases{ "no_limit", "token",
+                                                  "ahead",    "reply",
+                                                  "fallback", "exhausted" };
 
 } // namespace
 
@@ -140,7 +138,14 @@
     state.m_retryAt =
       std::min(state.m_retryAt + IntervalOf(state.m_limit.m_rate),
                aNow + kMaxRetryAfter);
-  } else if (const OwnerCandidate* target = Target(aNow, state)) {
+  } else if (const OwnerCandidate* target = Target(aNow, state);
+             target && target->m_id != m_self.m_id && MayAdmitAhead(state)) {
+    ++state.m_fallbackUsed;
+    state.m_grants.Add(aNow, kClaimTime);
+    state.m_wants = true;
+    SendTo(aNow, *target);
+    result = { Admission::Admitted, AdmissionBasis::Ahead };
+  } else if (target) {
     state.m_waiting.push_back({ aRequest, aNow, aWaitUntil });
     state.m_wants = true;
     m_admitting = aRequest;
@@ -179,6 +184,13 @@
   }
 }
 
+bool
+RateLimitClient::MayAdmitAhead(const TenantState& aState)
+{
+  return !aState.m_short && aState.m_fallbackUsed == 0 &&
+         aState.m_waiting.empty();
+}
+
 AdmissionResult
 RateLimitClient::DecideByFallback(TimePoint aNow, TenantState& aState)
 {
--- a/packages/admission/src/RateLimitExchange.cpp
+++ b/packages/admission/src/RateLimitExchange.cpp
@@ -284,6 +284,7 @@
     return;
   }
   state.m_fallbackUsed -= std::min(state.m_fallbackUsed, aAsked.m_fallbackUsed);
+  state.m_short = !aGrant.m_ample;
   state.m_claim = aAsked.m_claim;
   state.m_claimedAt = aSentAt;
   const TimePoint expiresAt = aSentAt + m_grantValidity;
--- a/packages/admission/src/RateLimitOwner.cpp
+++ b/packages/admission/src/RateLimitOwner.cpp
@@ -192,6 +192,8 @@
   }
   aGrant.m_tokens = taken + ahead;
   aGrant.m_nextToken = bucket.TimeTo(aNow, 1);
+  aGrant.m_ample = refused == 0 && aState.m_share == 1 &&
+                   2 * bucket.Level(aNow) >= CapacityOf(aState.m_limit);
   if (refused > 0) {
     const double rate = aState.m_limit.m_rate * aState.m_share;
     const TimePoint slot =
--- a/packages/admission/tests/RateLimitTest.cpp
+++ b/packages/admission/tests/RateLimitTest.cpp
@@ -141,9 +141,12 @@
   client.SetLimits(kStart, kLimits);
   REQUIRE(client.Admit(kStart, "other", 1, kStart).m_admission ==
           Admission::Admitted);
+  REQUIRE(client.Admit(kStart, "acme", 9, kStart + 80ms).m_basis ==
+          AdmissionBasis::Ahead);
+  REQUIRE(sinks.m_sent.size() == 1);
+  // Guards against a host that admits any number before the owner knows.
   REQUIRE(client.Admit(kStart, "acme", 2, kStart + 80ms).m_admission ==
           Admission::Waiting);
-  REQUIRE(sinks.m_sent.size() == 1);
   const TokenReply reply{ 9, { { "acme", GrantOutcome::Decided, 3 } }, {} };
 
   SECTION("uses them for waiting requests and for those that follow")
@@ -154,6 +157,21 @@
             AdmissionBasis::Token);
   }
 
+  // Guards against a round trip for each request of a tenant that is far below
+  // its limit, and against an overshoot if it is not.
+  SECTION("admits the next one ahead only if the owner has ample tokens")
+  {
+    const bool ample = GENERATE(false, true);
+    TokenReply statement = reply;
+    statement.m_grants[0].m_tokens = 1;
+    statement.m_grants[0].m_ample = ample;
+    client.OnReply(kStart + 5ms, "big", statement);
+    REQUIRE(client.Admit(kStart + 20ms, "acme", 3, kStart + 99ms).m_admission ==
+            (ample ? Admission::Admitted : Admission::Waiting));
+    REQUIRE(client.Admit(kStart + 21ms, "acme", 4, kStart + 99ms).m_admission ==
+            Admission::Waiting);
+  }
+
   // Guards against a process that was paused and uses what was granted before.
   SECTION("uses none that expired, counted from when they were requested")
   {
--- a/packages/edge/src/EdgeRateLimits.cpp
+++ b/packages/edge/src/EdgeRateLimits.cpp
@@ -78,6 +78,7 @@
 {
   // Requests admitted by a token that was there have only their answer line.
   if (aResult.m_basis == AdmissionBasis::Token ||
+      aResult.m_basis == AdmissionBasis::Ahead ||
       aResult.m_basis == AdmissionBasis::NoLimit) {
     return;
   }
--- a/packages/edge/src/RateLimitMessages.cpp
+++ b/packages/edge/src/RateLimitMessages.cpp
@@ -152,7 +152,8 @@
                                NameOf(grant.m_outcome),
                                grant.m_tokens,
                                grant.m_nextToken.count(),
-                               grant.m_retryAfter.count() });
+                               grant.m_retryAfter.count(),
+                               grant.m_ample });
     if (grant.m_outcome == GrantOutcome::Redirected) {
       entry.push_back(ToJson(grant.m_owner));
     }
@@ -174,19 +175,18 @@
   TokenReply reply;
   reply.m_instance = UnsignedOf(document.at("instance"));
   for (const json& entry : ListOf(document, "grants")) {
-    ArrayOf(entry, 5);
+    ArrayOf(entry, 6);
     const auto outcome =
       GrantOutcomeFromName(entry[1].get_ref<const std::string&>());
     if (!outcome) {
       throw std::runtime_error("unknown outcome");
     }
-    TokenGrant grant{ TextOf(entry[0]),
-                      *outcome,
-                      TokensOf(entry[2]),
-                      TimeOf(entry[3]),
-                      TimeOf(entry[4]) };
+    TokenGrant grant{
+      TextOf(entry[0]), *outcome,         TokensOf(entry[2]),
+      TimeOf(entry[3]), TimeOf(entry[4]), entry[5].get<bool>()
+    };
     if (*outcome == GrantOutcome::Redirected) {
-      grant.m_owner = HostOf(ArrayOf(entry, 6)[5], false);
+      grant.m_owner = HostOf(ArrayOf(entry, 7)[6], false);
     }
     reply.m_grants.push_back(std::move(grant));
   }
