Do not use the work time of load reports for placement

The work time was taken out of the latency samples and applied for 150 ms only, so that replicas that were slow for seconds looked as quick as the others.

--- a/packages/forward/src/BackendPool.cpp
+++ b/packages/forward/src/BackendPool.cpp
@@ -43,12 +43,6 @@
 constexpr double kConcurrencyFactor = 0.3;
 /** Random part of a score, so that hosts do not all select the same replica. */
 constexpr double kScoreNoise = 0.1;
-/** Time constant with which a reported work time returns to the usual one; it
- *  changes many times a second. */
-constexpr double kWorkTimeConstantUs = 150e3;
-/** Bounds of a reported work time, as a multiple of the usual one. */
-constexpr double kMinWorkFactor = 0.2;
-constexpr double kMaxWorkFactor = 10;
 /** Latency that is assumed before the first answer, in microseconds. */
 constexpr double kInitialLatencyUs = 20000;
 /** Additional latency that is assumed for a replica of another data centre
@@ -84,17 +78,6 @@
            kLongQueuePerSlot * std::max(1U, aReplica.m_load.m_slots);
 }
 
-/** Work time of a report as a multiple of the usual one; 1 if it is not stated.
- */
-double
-WorkFactor(const LoadReport& aLoad)
-{
-  return aLoad.m_workPercent == 0 ? 1
-                                  : std::clamp(aLoad.m_workPercent / 100.0,
-                                               kMinWorkFactor,
-                                               kMaxWorkFactor);
-}
-
 bool
 Contains(const std::vector<std::string>& aIds, const std::string& aId)
 {
@@ -275,11 +258,6 @@
   const double otherLoad = Decayed(std::max(0.0, reported),
                                    aNow - aReplica.m_loadReportedAt,
                                    kLoadTimeConstantUs);
-  if (aReplica.m_load.m_workPercent > 0) {
-    latency *= 1 + Decayed(WorkFactor(aReplica.m_load) - 1,
-                           aNow - aReplica.m_loadReportedAt,
-                           kWorkTimeConstantUs);
-  }
   const double slots = std::max(1U, aReplica.m_record.m_slots);
   // A request queues once all slots are busy. Below that, replicas still slow
   // down as their load grows.
@@ -336,10 +314,6 @@
     sample /= 1 + static_cast<double>(aAnswer.m_load->m_waiting) /
                     aAnswer.m_load->m_slots;
   }
-  if (aAnswer.m_load) {
-    // ExpectedLatency() applies the work time of the moment.
-    sample /= WorkFactor(*aAnswer.m_load);
-  }
   if (aReplica.m_latency > 0) {
     sample = std::min(sample, kMaxSampleRatio * aReplica.m_latency);
     aReplica.m_latency += kLatencyWeight * (sample - aReplica.m_latency);
