--- a/packages/admission/src/OwnerRanking.cpp
+++ b/packages/admission/src/OwnerRanking.cpp
@@ -14,9 +14,10 @@
   std::vector<Rank> ranked;
   ranked.reserve(aHosts.size());
   for (std::size_t i = 0; i < aHosts.size(); ++i) {
-    const std::uint64_t hash =
-      StableHash().Add(aTenant).Add('/').Add(aHosts[i].m_id).Mixed();
-    ranked.emplace_back(-aHosts[i].m_cores, hash, aHosts[i].m_id, i);
+    ranked.emplace_back(-aHosts[i].m_cores,
+                        RendezvousScore(aTenant, aHosts[i].m_id),
+                        aHosts[i].m_id,
+                        i);
   }
   const std::size_t count = std::min(kOwnerRanks, ranked.size());
   std::partial_sort(ranked.begin(),
--- a/packages/control/src/Rendezvous.cpp
+++ b/packages/control/src/Rendezvous.cpp
@@ -15,8 +15,7 @@
   std::vector<std::pair<std::uint64_t, std::string>> scored;
   scored.reserve(aHosts.size());
   for (std::string& host : aHosts) {
-    const std::uint64_t score =
-      StableHash().Add(aKey).Add('/').Add(host).Mixed();
+    const std::uint64_t score = RendezvousScore(aKey, host);
     scored.emplace_back(score, std::move(host));
   }
   std::sort(scored.begin(), scored.end(), std::greater<>());
--- a/packages/core/include/goldcrestkeel/core/StableHash.h
+++ b/packages/core/include/goldcrestkeel/core/StableHash.h
@@ -43,4 +43,12 @@
   std::uint64_t m_value = 0xcbf29ce484222325ULL;
 };
 
+/** Score of aHost for aKey in rendezvous hashing. It does not depend on the
+ *  other hosts, so that one that joins or leaves moves few keys. */
+inline std::uint64_t
+RendezvousScore(std::string_view aKey, std::string_view aHost)
+{
+  return StableHash().Add(aKey).Add('/').Add(aHost).Mixed();
+}
+
 } // namespace goldcrestkeel
--- a/packages/edge/include/goldcrestkeel/edge/EdgeSettings.h
+++ b/packages/edge/include/goldcrestkeel/edge/EdgeSettings.h
@@ -74,9 +74,7 @@
   double m_repeatSlack = 0;
   Duration m_repeatWindow{ 10000000 };
   /** Window of the bound of tenants' rate limits, and the part by which all
-   *  hosts together may exceed it. They limit how long a granted token is
-   * valid.
-   */
+   *  hosts together may exceed it. They limit how long a token is valid. */
   Duration m_rateLimitWindow{ 5000000 };
   double m_rateLimitOvershoot = 0.1;
   /** Time within which a draining replica must stop receiving requests
--- a/packages/edge/include/goldcrestkeel/edge/HttpMessage.h
+++ b/packages/edge/include/goldcrestkeel/edge/HttpMessage.h
@@ -55,6 +55,11 @@
 std::vector<HeaderField>
 EndToEndFields(std::vector<HeaderField> aFields);
 
+/** Memory that aText takes beside its own size, in bytes: a short text is
+ * stored within its string. */
+std::size_t
+HeapBytes(const std::string& aText);
+
 /** Memory that header fields take, in bytes: of the texts and of each field. */
 std::size_t
 MemoryOf(const std::vector<HeaderField>& aFields);
--- a/packages/edge/src/CallerSessionMemory.cpp
+++ b/packages/edge/src/CallerSessionMemory.cpp
@@ -15,12 +15,6 @@
   "memory_full",      "answer_unread",  "connections_full"
 };
 
-std::size_t
-HeapBytes(const std::string& aText)
-{
-  return aText.capacity() > std::string().capacity() ? aText.capacity() : 0;
-}
-
 } // namespace
 
 std::string_view
--- a/packages/edge/src/CrashReporter.cpp
+++ b/packages/edge/src/CrashReporter.cpp
@@ -48,16 +48,11 @@
 CrashReporter::CountingHosts(const std::vector<HostRecord>& aHosts,
                              std::uint64_t aFingerprint)
 {
-  // Rendezvous hashing: a host that joins or leaves moves few fingerprints.
+  const std::string key = std::to_string(aFingerprint);
   std::vector<std::pair<std::uint64_t, std::string>> ranked;
   ranked.reserve(aHosts.size());
   for (const HostRecord& host : aHosts) {
-    const std::uint64_t rank = StableHash()
-                                 .Add(std::to_string(aFingerprint))
-                                 .Add('/')
-                                 .Add(host.m_id)
-                                 .Mixed();
-    ranked.emplace_back(rank, host.m_id);
+    ranked.emplace_back(RendezvousScore(key, host.m_id), host.m_id);
   }
   const std::size_t count = std::min(kCountingHosts, ranked.size());
   std::partial_sort(ranked.begin(),
--- a/packages/edge/src/EdgeRateLimits.cpp
+++ b/packages/edge/src/EdgeRateLimits.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-/** Retry-After of a request that waits to be admitted during a shutdown; the
- *  next connection of the caller leads to another host. */
-constexpr Duration kStoppingRetryAfter{ 50000 };
 constexpr Duration kMillisecond{ 1000 };
 
 } // namespace
@@ -43,7 +40,7 @@
   OpenRequest& open = m_openRequests.at(aRequest.m_id);
   open.m_unadmitted = aRequest;
   const AdmissionResult result = m_rateLimits.Admit(
-    open.m_limitedTenant, aRequest.m_id, aRequest.m_deadline);
+    open.m_identity.m_tenant, aRequest.m_id, aRequest.m_deadline);
   if (result.m_admission != Admission::Waiting) {
     OnAdmission(aRequest.m_id, result);
   }
@@ -86,7 +83,7 @@
   m_log.Write(LogPriority::Request,
               "rate_limit",
               { { "request", std::string_view(open.m_requestId) },
-                { "tenant", std::string_view(open.m_limitedTenant) },
+                { "tenant", std::string_view(open.m_identity.m_tenant) },
                 { "outcome", NameOf(aResult.m_admission) },
                 { "reason", NameOf(aResult.m_basis) },
                 { "retry_after_ms", aResult.m_retryAfter.count() / 1000.0 },
@@ -103,7 +100,7 @@
     }
   }
   for (const ForwardId id : unadmitted) {
-    m_rateLimits.Cancel(m_openRequests.at(id).m_limitedTenant, id);
+    m_rateLimits.Cancel(m_openRequests.at(id).m_identity.m_tenant, id);
     ForwardResult refusal;
     refusal.m_error = ErrorKind::ShuttingDown;
     refusal.m_detail = "the host is stopping";
--- a/packages/edge/src/EdgeRequests.cpp
+++ b/packages/edge/src/EdgeRequests.cpp
@@ -17,9 +17,6 @@
 /** Retry-After while the host has no routing table. Outages of the store, which
  *  holds the table, last for seconds. */
 constexpr Duration kNotReadyRetryAfter{ 2000000 };
-/** Retry-After of a request that comes too late during a shutdown; the next
- *  connection of the caller leads to another host. */
-constexpr Duration kStoppingRetryAfter{ 50000 };
 
 /** True if a request that was admitted has not run on any replica. */
 bool
@@ -159,10 +156,9 @@
   open.m_identity = IdentityFieldsOf(*m_table, *identity);
   m_requestBySession[open.m_session] = forward.m_id;
   // The host that got a relayed request from its caller has admitted it.
-  if (!fromHost && forward.m_tenant && forward.m_tenant->HasRateLimit()) {
-    open.m_limitedTenant = forward.m_tenant->m_name;
-  }
-  const bool limited = !open.m_limitedTenant.empty();
+  const bool limited =
+    !fromHost && forward.m_tenant && forward.m_tenant->HasRateLimit();
+  open.m_rateLimited = limited;
   m_openRequests.emplace(forward.m_id, std::move(open));
   if (limited) {
     AdmitRequest(forward);
@@ -188,7 +184,7 @@
                 { "route", std::string_view(open.m_route) },
                 { "age_ms", (now - open.m_arrivedAt).count() / 1000.0 } });
   if (open.m_unadmitted) {
-    m_rateLimits.Cancel(open.m_limitedTenant, request);
+    m_rateLimits.Cancel(open.m_identity.m_tenant, request);
   } else {
     m_forwarder->Cancel(now, request);
   }
@@ -217,9 +213,8 @@
   m_openRequests.erase(found);
   m_requestBySession.erase(open.m_session);
   RecordAnswer(open, aResult);
-  if (!open.m_limitedTenant.empty() && !open.m_unadmitted &&
-      HasNotRun(aResult)) {
-    m_rateLimits.GiveBack(open.m_limitedTenant);
+  if (open.m_rateLimited && !open.m_unadmitted && HasNotRun(aResult)) {
+    m_rateLimits.GiveBack(open.m_identity.m_tenant);
   }
   if (CallerSession* session = FindSession(open.m_session)) {
     const std::string copies = std::to_string(aResult.m_copies);
--- a/packages/edge/src/EdgeServerImpl.h
+++ b/packages/edge/src/EdgeServerImpl.h
@@ -27,6 +27,11 @@
  *  replicas, assumed until the hosts have been read. */
 inline constexpr std::uint32_t kAssumedLiveHosts = 16;
 
+/** Retry-After of a request that comes, or still waits to be admitted, too late
+ *  during a shutdown; the next connection of the caller leads to another host.
+ */
+inline constexpr Duration kStoppingRetryAfter{ 50000 };
+
 class EdgeServer::Impl
   : public ForwardSink
   , public CopyListener
@@ -110,8 +115,8 @@
     TimePoint m_deadline;
     std::string m_route;
     RoutingVersion m_version = 0;
-    /** Tenant whose rate limit the request counts for; empty for none. */
-    std::string m_limitedTenant;
+    /** It counts for the rate limit of its tenant. */
+    bool m_rateLimited = false;
     /** Set while the request waits to be admitted; the forwarder does not know
      *  it yet. */
     std::optional<ForwardRequest> m_unadmitted;
--- a/packages/edge/src/HttpFields.cpp
+++ b/packages/edge/src/HttpFields.cpp
@@ -87,15 +87,18 @@
   return fields;
 }
 
+std::size_t
+HeapBytes(const std::string& aText)
+{
+  return aText.capacity() > std::string().capacity() ? aText.capacity() : 0;
+}
+
 std::size_t
 MemoryOf(const std::vector<HeaderField>& aFields)
 {
-  // A short text is stored within its string.
-  const std::size_t inlineBytes = std::string().capacity();
   std::size_t bytes = aFields.capacity() * sizeof(HeaderField);
   for (const auto& [name, value] : aFields) {
-    bytes += name.capacity() > inlineBytes ? name.capacity() : 0;
-    bytes += value.capacity() > inlineBytes ? value.capacity() : 0;
+    bytes += HeapBytes(name) + HeapBytes(value);
   }
   return bytes;
 }
--- a/packages/edge/src/RateLimits.cpp
+++ b/packages/edge/src/RateLimits.cpp
@@ -139,36 +139,34 @@
   return EncodeTokenReply(reply);
 }
 
+template<typename Receiver>
+RateLimits::OnResult
+RateLimits::DeliverTo(Receiver& aReceiver,
+                      void (Receiver::*aOnFailure)(TimePoint,
+                                                   const std::string&,
+                                                   PeerOutcome))
+{
+  return [this, &aReceiver, aOnFailure](const std::string& aHost,
+                                        PeerOutcome aOutcome,
+                                        const TokenReply& aReply) {
+    if (aOutcome == PeerOutcome::Answered) {
+      aReceiver.OnReply(m_loop.Now(), aHost, aReply);
+    } else {
+      (aReceiver.*aOnFailure)(m_loop.Now(), aHost, aOutcome);
+    }
+  };
+}
+
 void
 RateLimits::Probe(const OwnerCandidate& aHost, const TokenMessage& aMessage)
 {
-  Call(aHost,
-       EncodeTokenMessage(aMessage),
-       [this](const std::string& aId,
-              PeerOutcome aOutcome,
-              const TokenReply& aReply) {
-         if (aOutcome == PeerOutcome::Answered) {
-           m_owner.OnReply(m_loop.Now(), aId, aReply);
-         } else {
-           m_owner.OnPeer(m_loop.Now(), aId, aOutcome);
-         }
-       });
+  Call(aHost, aMessage, DeliverTo(m_owner, &RateLimitOwner::OnPeer));
 }
 
 void
 RateLimits::Send(const OwnerCandidate& aHost, const TokenMessage& aMessage)
 {
-  Call(aHost,
-       EncodeTokenMessage(aMessage),
-       [this](const std::string& aId,
-              PeerOutcome aOutcome,
-              const TokenReply& aReply) {
-         if (aOutcome == PeerOutcome::Answered) {
-           m_client.OnReply(m_loop.Now(), aId, aReply);
-         } else {
-           m_client.OnFailed(m_loop.Now(), aId, aOutcome);
-         }
-       });
+  Call(aHost, aMessage, DeliverTo(m_client, &RateLimitClient::OnFailed));
 }
 
 void
@@ -192,10 +190,14 @@
 
 void
 RateLimits::Call(const OwnerCandidate& aHost,
-                 std::string aBody,
-                 OnResult aOnResult)
+                 const TokenMessage& aMessage,
+                 const OnResult& aOnResult)
 {
-  Start(aHost, aBody, m_loop.Now() + kPeerTimeout, true, aOnResult);
+  Start(aHost,
+        EncodeTokenMessage(aMessage),
+        m_loop.Now() + kPeerTimeout,
+        true,
+        aOnResult);
 }
 
 void
--- a/packages/edge/src/RateLimits.h
+++ b/packages/edge/src/RateLimits.h
@@ -86,7 +86,15 @@
   void OnDecided(RateLimitClient::RequestId aRequest,
                  const AdmissionResult& aResult) override;
 
-  void Call(const OwnerCandidate& aHost, std::string aBody, OnResult aOnResult);
+  /** Hands replies and failures to the owner or the client of this host. */
+  template<typename Receiver>
+  OnResult DeliverTo(Receiver& aReceiver,
+                     void (Receiver::*aOnFailure)(TimePoint,
+                                                  const std::string&,
+                                                  PeerOutcome));
+  void Call(const OwnerCandidate& aHost,
+            const TokenMessage& aMessage,
+            const OnResult& aOnResult);
   void Start(const OwnerCandidate& aHost,
              const std::string& aBody,
              TimePoint aEndsAt,
--- a/packages/forward/src/RelayPool.cpp
+++ b/packages/forward/src/RelayPool.cpp
@@ -45,8 +45,7 @@
 double
 RelayPool::PreferenceOf(const HostRecord& aHost) const
 {
-  const std::uint64_t hash =
-    StableHash().Add(m_options.m_hostId).Add('/').Add(aHost.m_id).Mixed();
+  const std::uint64_t hash = RendezvousScore(m_options.m_hostId, aHost.m_id);
   const double unit =
     (static_cast<double>(hash) + 1) /
     (static_cast<double>(std::numeric_limits<std::uint64_t>::max()) + 2);
--- a/packages/pacing/tests/RequestLimitTest.cpp
+++ b/packages/pacing/tests/RequestLimitTest.cpp
@@ -1,3 +1,5 @@
+#include "Permits.h"
+
 #include <goldcrestkeel/Pacing.h>
 
 #include <catch2/catch.hpp>
@@ -6,23 +8,9 @@
 #include <vector>
 
 using namespace goldcrestkeel;
+using namespace goldcrestkeel::testing;
 using namespace std::chrono_literals;
 
-namespace {
-
-/** Uses all permits that are available. */
-std::size_t
-UseAll(RequestLimit& aLimit, TimePoint aNow)
-{
-  std::size_t used = 0;
-  for (; aLimit.Allows(aNow); ++used) {
-    aLimit.Use(aNow);
-  }
-  return used;
-}
-
-} // namespace
-
 TEST_CASE("A host issues itself permits for its share of a request limit",
           "[request-limit]")
 {
--- a/packages/pacing/tests/WarmupLimitTest.cpp
+++ b/packages/pacing/tests/WarmupLimitTest.cpp
@@ -1,3 +1,5 @@
+#include "Permits.h"
+
 #include <goldcrestkeel/Pacing.h>
 
 #include <catch2/catch.hpp>
@@ -6,22 +8,9 @@
 #include <vector>
 
 using namespace goldcrestkeel;
+using namespace goldcrestkeel::testing;
 using namespace std::chrono_literals;
 
-namespace {
-
-std::size_t
-UseAll(WarmupLimit& aLimit, TimePoint aNow)
-{
-  std::size_t used = 0;
-  for (; aLimit.Allows(aNow) && used < 1000; ++used) {
-    aLimit.Use(aNow);
-  }
-  return used;
-}
-
-} // namespace
-
 TEST_CASE("A warm-up limit holds while the replica is cold", "[warmup]")
 {
   auto random = MakeSeededRandom(3);
