Test rate limits with all callers at one host and with hosts that fail

Cause: the fleet in virtual time let only owners fail, and spread callers over hosts; a host that carries callers and is killed, paused or cut off from all owners was not played.

No code of the product changes.

--- a/packages/admission/tests/RateLimitFleetTest.cpp
+++ b/packages/admission/tests/RateLimitFleetTest.cpp
@@ -166,6 +166,38 @@
                   [&aFleet] { aFleet.SetListEverywhere(AllBut(kHosts, {})); });
       },
       0.03 },
+    { "all callers come to one host",
+      [](RateLimitFleet& aFleet) {
+        for (auto& tenant : aFleet.m_tenants) {
+          tenant.m_hosts = { 17 };
+        }
+      },
+      0.02 },
+    { "hosts with callers are killed and restarted",
+      [](RateLimitFleet& aFleet) {
+        for (std::size_t host = 1; host < kHosts; host += 3) {
+          aFleet.At(host * 200ms, [&aFleet, host] { aFleet.Kill(host); });
+          aFleet.At(host * 200ms + 2s,
+                    [&aFleet, host] { aFleet.Restart(host); });
+        }
+      },
+      0.02 },
+    { "hosts with callers are paused for seconds",
+      [](RateLimitFleet& aFleet) {
+        for (std::size_t host = 1; host < kHosts; host += 3) {
+          aFleet.At(host * 200ms, [&aFleet, host] { aFleet.Pause(host, 3s); });
+        }
+      },
+      0.03 },
+    { "hosts with callers reach no candidate",
+      [](RateLimitFleet& aFleet) {
+        // Every third host has a large CPU quota and is a candidate.
+        aFleet.m_isCut = [](std::size_t aFrom, std::size_t aTo) {
+          return (aFrom % 3 == 0) != (aTo % 3 == 0);
+        };
+        aFleet.At(10s, [&aFleet] { aFleet.m_isCut = nullptr; });
+      },
+      0.25 },
     { "messages are lost and late",
       [](RateLimitFleet& aFleet) {
         aFleet.m_lossRatio = 0.02;
