--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -40,10 +40,34 @@
 ZONES = {"lugo-a": "galicia", "oviedo-a": "asturias", "torrelavega-a": "cantabria"}
 
 
+LOCK_PORT = 47111
+given_ports = set()
+
+
 def free_port(ip):
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+    """A port of ip that nothing uses and that was not given before."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind((ip, 0))
+            port = probe.getsockname()[1]
+        if (ip, port) not in given_ports and port != LOCK_PORT:
+            given_ports.add((ip, port))
+            return port
+
+
+def reserve_subnet():
+    """The second byte of loopback addresses that no other run uses, and the socket that
+    keeps it reserved."""
+    for offset in range(100):
+        subnet = 64 + (os.getpid() + offset) % 100
+        lock = socket.socket()
+        try:
+            lock.bind((f"127.{subnet}.255.1", LOCK_PORT))
+            lock.listen()
+            return subnet, lock
+        except OSError:
+            lock.close()
+    raise RuntimeError("no free loopback addresses")
 
 
 # --- HTTP messages ---------------------------------------------------------------------
@@ -137,6 +161,7 @@
         self.stale_s = 0.0
         self.calls = []    # (time, peer, method, target, status)
         self.open = set()
+        self.silenced = set()
 
     async def start(self):
         ip, port = self.address.split(":")
@@ -148,6 +173,10 @@
         for writer in list(self.open):
             writer.transport.abort()
 
+    def silence_open_connections(self):
+        """Nothing comes back any more on the connections that are open now."""
+        self.silenced |= self.open
+
     async def come_back(self):
         self.mode = None
 
@@ -215,6 +244,8 @@
                     await asyncio.sleep(3600)
                 await asyncio.sleep(0.004)
                 status, body = await self._call(request)
+                if writer in self.silenced:
+                    await asyncio.sleep(3600)
                 if self.mode:
                     writer.transport.abort()
                     return
@@ -515,7 +546,7 @@
         self.case = case
         self.bounds = bounds or {}
         self.numbers = itertools.count(os.getpid() * 1000)
-        self.subnet = 64 + os.getpid() % 128
+        self.subnet, self._lock = reserve_subnet()
         self.record = open(f"{case}/record.txt", "w", encoding="utf-8")
         self.events = []  # (time, event, details)
         self.store = Store(f"127.{self.subnet}.200.1")
