--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -494,6 +494,7 @@
         self.settings = f"{rig.folder}/{self.name}.json"
         self.log = f"{rig.folder}/{self.name}.log"
         self.process = None
+        self.ended = False  # by a signal of the script
         self.starts = 0
 
     def start(self, bootstrap=None):
@@ -514,6 +515,7 @@
         words = [self.settings if w == "/etc/goldcrestkeel/settings.conf" else w
                  for w in shlex.split(role["run"])]
         self.starts += 1
+        self.ended = False
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen(words, cwd=ROOT, stdout=log, stderr=log,
                                             stdin=subprocess.DEVNULL)
@@ -521,6 +523,7 @@
 
     def signal(self, number):
         if self.process and self.process.poll() is None:
+            self.ended = self.ended or number in (signal.SIGKILL, signal.SIGTERM)
             os.kill(self.process.pid, number)
 
     def is_alive(self):
@@ -663,7 +666,7 @@
         rig = Rig(case, bounds)
         try:
             broken, text = await asyncio.wait_for(scenario(rig), 115)
-            dead = [h.name for h in rig.hosts if h.process and h.process.poll() is not None]
+            dead = [h.name for h in rig.hosts if not h.is_alive() and not h.ended]
             verdict = "BROKEN" if broken else "held"
             rig.note("verdict", verdict=verdict, text=text)
             print(f"{verdict}: {text}" + (f"; ended by themselves: {dead}" if dead else ""))
