--- a/review/rig/rig.py
+++ b/review/rig/rig.py
@@ -652,6 +652,9 @@
             if host.process:
                 host.process.wait()
 
+    def remove_folder(self):
+        self._folder.cleanup()
+
     def host_events(self, host, event):
         with open(host.log, encoding="utf-8", errors="replace") as file:
             return [json.loads(l) for l in file if f'"event":"{event}"' in l]
@@ -664,6 +667,10 @@
 
     async def main():
         rig = Rig(case, bounds)
+        # A script that is ended from outside ends its processes, too.
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(
+                number, asyncio.current_task().cancel)
         try:
             broken, text = await asyncio.wait_for(scenario(rig), 115)
             dead = [h.name for h in rig.hosts if not h.is_alive() and not h.ended]
@@ -676,9 +683,10 @@
             if os.environ.get("KEEP_LOGS"):
                 subprocess.run(["cp", "-r", rig.folder, os.environ["KEEP_LOGS"]], check=False)
             rig.record.close()
+            rig.remove_folder()
     try:
         code = asyncio.run(main())
-    except Exception as error:  # pylint: disable=broad-except
+    except (Exception, asyncio.CancelledError) as error:  # pylint: disable=broad-except
         print(f"could not run: {error!r}")
         code = 2
     sys.stdout.flush()
