Answer a message that is not UTF-8 instead of ending the process

Seen: one byte 0xFF posted to /goldcrestkeel/crashes at the hosts' address ends the process; all callers of the host lose their requests.

Cause: the parser's message quotes the byte, and the refusal was written as JSON by dump(), which throws for bytes that are not UTF-8. The exception left the callback of the event loop. Refusals now replace such bytes, as the messages between hosts did already.

OddMessagesTest throws without the change.

--- a/packages/edge/src/ForwardReplies.cpp
+++ b/packages/edge/src/ForwardReplies.cpp
@@ -56,7 +56,9 @@
                                 { "detail", aDetail },
                                 { "kind", info.m_name },
                                 { "ran", NameOf(info.m_ran) } };
-  reply.m_body = problem.dump();
+  // The detail may quote bytes of a peer that are not UTF-8.
+  reply.m_body =
+    problem.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   reply.m_fields.emplace_back("Content-Type", "application/problem+json");
   if (aRetryAfter) {
     reply.m_fields.emplace_back("Retry-After", FormatSeconds(*aRetryAfter));
--- a/packages/edge/tests/OddMessagesTest.cpp
+++ b/packages/edge/tests/OddMessagesTest.cpp
@@ -1,5 +1,6 @@
 #include "CrashMessages.h"
 #include "FeedMessages.h"
+#include "ForwardReplies.h"
 #include "RelayFields.h"
 
 #include <goldcrestkeel/Edge.h>
@@ -131,3 +132,23 @@
     (!parameters || (parameters->m_timeToTarget >= Duration(0) &&
                      parameters->m_timeToTarget <= std::chrono::hours(24))));
 }
+
+// Guards against an exception that leaves the event loop and ends the process.
+TEST_CASE("A message of another host is not UTF-8", "[crash]")
+{
+  std::string reason;
+  try {
+    DecodeCrashMessage("\xff");
+  } catch (const std::exception& error) {
+    reason = error.what();
+  }
+  REQUIRE_FALSE(reason.empty());
+
+  SECTION("and is refused with its reason")
+  {
+    const CallerReply reply =
+      ToErrorReply(ErrorKind::BadRequest, reason + "\xff", std::nullopt);
+    REQUIRE(reply.m_status == 400);
+    REQUIRE(reply.m_body.find("\xff") == std::string::npos);
+  }
+}
