Limit the size and nesting of messages between hosts

Cause: a parsed level of JSON takes about 64 bytes for one of text, and polls, crash messages and token messages were parsed whatever their size. They are now refused beyond 4 KiB, 64 KiB and 256 KiB (the limits that their replies had), and when nested more than 8 levels, before the level is stored.

--- a/packages/edge/src/CrashMessages.cpp
+++ b/packages/edge/src/CrashMessages.cpp
@@ -4,6 +4,7 @@
 
 #include <goldcrestkeel/core/StableHash.h>
 #include <goldcrestkeel/edge/JsonNumbers.h>
+#include <goldcrestkeel/edge/JsonText.h>
 #include <goldcrestkeel/edge/QuarantineRecord.h>
 
 #include <algorithm>
@@ -91,7 +92,7 @@
 CrashMessage
 DecodeCrashMessage(std::string_view aBody)
 {
-  const json document = json::parse(aBody);
+  const json document = ParseHostMessage(aBody, kMaxCrashMessageBytes);
   CrashMessage message;
   for (const json& entry : document.at("crashes")) {
     CrashReport crash;
--- a/packages/edge/src/CrashMessages.h
+++ b/packages/edge/src/CrashMessages.h
@@ -3,6 +3,7 @@
 #include <goldcrestkeel/edge/HttpMessage.h>
 #include <goldcrestkeel/forward/Forwarder.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -32,6 +33,9 @@
 inline constexpr std::string_view kCrashMessageTarget =
   "/goldcrestkeel/crashes";
 
+/** Largest message that is accepted, in bytes. */
+inline constexpr std::size_t kMaxCrashMessageBytes = 64 * 1024;
+
 /** Fingerprint of what a request asks for: its method, host, target and body.
  *  Never 0. */
 std::uint64_t
--- a/packages/edge/src/CrashReporter.cpp
+++ b/packages/edge/src/CrashReporter.cpp
@@ -14,8 +14,6 @@
 constexpr std::size_t kCountingHosts = 3;
 /** A message is given up after this time. */
 constexpr Duration kMessageTimeout{ 1000000 };
-/** Largest reply that is accepted. */
-constexpr std::uint64_t kMaxReplyBytes = 64 * 1024;
 /** Clients are released when no message was sent for this time. */
 constexpr Duration kReleaseDelay{ 2000000 };
 
@@ -98,7 +96,7 @@
   call.m_target = kCrashMessageTarget;
   call.m_body = EncodeCrashMessage(aMessage);
   call.m_timeout = kMessageTimeout;
-  call.m_maxAnswerBytes = kMaxReplyBytes;
+  call.m_maxAnswerBytes = kMaxCrashMessageBytes;
   m_callers.back()->Call(
     call, [this, host = aHost.m_id](const HttpCallResult& aResult) {
       OnAnswer(host, aResult);
--- a/packages/edge/src/FeedMessages.cpp
+++ b/packages/edge/src/FeedMessages.cpp
@@ -134,7 +134,7 @@
 FeedPoll
 DecodeFeedPoll(std::string_view aBody)
 {
-  const json document = ParseSecretJson(aBody);
+  const json document = ParseHostMessage(aBody, kMaxFeedPollBytes);
   const std::uint64_t wait = UnsignedOf(document.at("wait_ms"));
   return { document.at("feed").get<std::string>(),
            document.at("reader").get<std::string>(),
--- a/packages/edge/src/FeedMessages.h
+++ b/packages/edge/src/FeedMessages.h
@@ -3,6 +3,7 @@
 #include <goldcrestkeel/Feed.h>
 #include <goldcrestkeel/edge/HttpMessage.h>
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -30,6 +31,9 @@
 inline constexpr std::string_view kFeedPollMethod = "POST";
 inline constexpr std::string_view kFeedPollTarget = "/goldcrestkeel/changes";
 
+/** Largest poll that is accepted, in bytes. */
+inline constexpr std::size_t kMaxFeedPollBytes = 4 * 1024;
+
 /** Encodes a poll as JSON, the body of its request. */
 std::string
 EncodeFeedPoll(const FeedPoll& aPoll);
--- a/packages/edge/src/RateLimitMessages.cpp
+++ b/packages/edge/src/RateLimitMessages.cpp
@@ -3,6 +3,7 @@
 #include "Socket.h"
 
 #include <goldcrestkeel/edge/JsonNumbers.h>
+#include <goldcrestkeel/edge/JsonText.h>
 
 #include <algorithm>
 #include <stdexcept>
@@ -126,7 +127,7 @@
 TokenMessage
 DecodeTokenMessage(std::string_view aBody)
 {
-  const json document = json::parse(aBody);
+  const json document = ParseHostMessage(aBody, kMaxTokenMessageBytes);
   TokenMessage message;
   message.m_from = HostOf(document.at("from"), true);
   message.m_grants = document.at("grants").get<bool>();
@@ -171,7 +172,7 @@
 TokenReply
 DecodeTokenReply(std::string_view aBody)
 {
-  const json document = json::parse(aBody);
+  const json document = ParseHostMessage(aBody, kMaxTokenMessageBytes);
   TokenReply reply;
   reply.m_instance = UnsignedOf(document.at("instance"));
   for (const json& entry : ListOf(document, "grants")) {
--- a/packages/edge/src/RateLimitMessages.h
+++ b/packages/edge/src/RateLimitMessages.h
@@ -2,6 +2,7 @@
 
 #include <goldcrestkeel/Admission.h>
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -11,6 +12,9 @@
 inline constexpr std::string_view kTokenMessageMethod = "POST";
 inline constexpr std::string_view kTokenMessageTarget = "/goldcrestkeel/tokens";
 
+/** Largest message or reply that is accepted, in bytes. */
+inline constexpr std::size_t kMaxTokenMessageBytes = 256 * 1024;
+
 /** Encodes as JSON, with an array instead of an object for each tenant and
  *  host, as these messages are frequent. */
 std::string
--- a/packages/edge/src/RateLimits.cpp
+++ b/packages/edge/src/RateLimits.cpp
@@ -12,8 +12,6 @@
 constexpr Duration kMaxWait{ 80000 };
 /** Part of the time until its deadline that a request waits at most. */
 constexpr int kWaitDivisor = 5;
-/** Largest reply that is accepted, in bytes. */
-constexpr std::uint64_t kMaxReplyBytes = 256 * 1024;
 
 std::vector<OwnerCandidate>
 CandidatesOf(const std::vector<HostRecord>& aHosts)
@@ -218,7 +216,7 @@
   call.m_target = kTokenMessageTarget;
   call.m_body = aBody;
   call.m_timeout = aEndsAt - m_loop.Now();
-  call.m_maxAnswerBytes = kMaxReplyBytes;
+  call.m_maxAnswerBytes = kMaxTokenMessageBytes;
   peer.m_caller.Call(
     call,
     [this, &peer, aHost, aBody, aEndsAt, aMayRepeat, aOnResult](
--- a/packages/edge/tests/OddMessagesTest.cpp
+++ b/packages/edge/tests/OddMessagesTest.cpp
@@ -1,6 +1,7 @@
 #include "CrashMessages.h"
 #include "FeedMessages.h"
 #include "ForwardReplies.h"
+#include "RateLimitMessages.h"
 #include "RelayFields.h"
 
 #include <goldcrestkeel/Edge.h>
@@ -152,3 +153,23 @@
     REQUIRE(reply.m_body.find("\xff") == std::string::npos);
   }
 }
+
+// Guards against messages that take many times their bytes once they are parsed.
+TEST_CASE("A message of another host is larger than any", "[crash]")
+{
+  SECTION("because of its spaces")
+  {
+    REQUIRE_NOTHROW(
+      DecodeCrashMessage(R"({"crashes":[],"quarantined":[]})"));
+    REQUIRE_THROWS(DecodeCrashMessage(R"({"crashes":[],"quarantined":[]})" +
+                                      std::string(kMaxCrashMessageBytes, ' ')));
+  }
+
+  SECTION("or because of a level within a level")
+  {
+    const std::string nested = std::string(20, '[') + std::string(20, ']');
+    REQUIRE_THROWS_WITH(DecodeTokenMessage(nested),
+                        Catch::Contains("too deeply"));
+    REQUIRE_THROWS_WITH(DecodeFeedPoll(nested), Catch::Contains("too deeply"));
+  }
+}
