Limit what a host remembers of hosts that are not listed

Seen: 8 connections that post token messages with a new, long host id each take 994.5 MiB (46.1 allowed) within 8 s: the process ends.

Cause: RateLimitOwner keeps a peer, a granter and, for each tenant, a claim by the id that a message states, whatever its length; without rate limits its timer does not run and nothing is forgotten. Every granter that is not listed was also compared with all hosts for each grant, and probed.

Ids are now at most 200 bytes, and beside the listed hosts, which are always tracked, 256 others: those that have just joined. That a granter is listed is looked up instead of searched for.

--- a/packages/admission/include/goldcrestkeel/admission/RateLimitOwner.h
+++ b/packages/admission/include/goldcrestkeel/admission/RateLimitOwner.h
@@ -3,9 +3,11 @@
 #include <goldcrestkeel/admission/RateLimitMessage.h>
 #include <goldcrestkeel/admission/TokenBucket.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -36,6 +38,10 @@
 class RateLimitOwner
 {
 public:
+  /** Hosts that are not listed, such as those that have just joined, of which
+   *  more are ignored. */
+  static constexpr std::size_t kMaxUnlistedHosts = 256;
+
   /** Must outlive the object. */
   class Sink
   {
@@ -153,6 +159,14 @@
   void ProbeIfDue(TimePoint aNow, const OwnerCandidate& aHost);
   void ProbeCandidates(TimePoint aNow);
   const Peer* FindPeer(const std::string& aHost) const;
+  /** Whether aTable, which is keyed by host, has room for aHost: any process
+   *  may claim to be a host, but only listed hosts are always tracked. */
+  template<typename Table>
+  bool HasRoomFor(const Table& aTable, const std::string& aHost) const
+  {
+    return aTable.contains(aHost) || m_listed.contains(aHost) ||
+           aTable.size() < m_listed.size() + kMaxUnlistedHosts;
+  }
   /** Part of the other hosts that were heard of lately, and this one. */
   double ReachedPart(TimePoint aNow) const;
 
@@ -160,6 +174,8 @@
   std::uint64_t m_instance;
   Sink& m_sink;
   std::vector<OwnerCandidate> m_hosts;
+  /** Ids of m_hosts. */
+  std::set<std::string> m_listed;
   std::map<std::string, TenantState> m_tenants;
   std::map<std::string, Peer> m_peers;
   std::map<std::string, Granter> m_granters;
--- a/packages/admission/src/OwnerRoles.cpp
+++ b/packages/admission/src/OwnerRoles.cpp
@@ -23,11 +23,7 @@
 {
   std::vector<OwnerCandidate> hosts = aState.m_ranked;
   for (const auto& [id, granter] : m_granters) {
-    const bool listed = std::any_of(
-      hosts.begin(), hosts.end(), [&, &host = id](const OwnerCandidate& aHost) {
-        return aHost.m_id == host;
-      });
-    if (!listed && aNow - granter.m_at <= kPeerValidity) {
+    if (!m_listed.contains(id) && aNow - granter.m_at <= kPeerValidity) {
       hosts.push_back(granter.m_host);
     }
   }
@@ -118,6 +114,9 @@
                        const std::string& aHost,
                        PeerOutcome aOutcome)
 {
+  if (!HasRoomFor(m_peers, aHost)) {
+    return;
+  }
   Peer& peer = m_peers[aHost];
   if (aOutcome != PeerOutcome::Answered &&
       (peer.m_outcome == PeerOutcome::Answered || peer.m_at == TimePoint())) {
@@ -164,7 +163,7 @@
 {
   OnPeer(aNow, aHost, PeerOutcome::Answered);
   for (const OwnerCandidate& host : aReply.m_granters) {
-    if (host.m_id == m_self.m_id) {
+    if (host.m_id == m_self.m_id || !HasRoomFor(m_granters, host.m_id)) {
       continue;
     }
     Granter& granter = m_granters[host.m_id];
--- a/packages/admission/src/RateLimitOwner.cpp
+++ b/packages/admission/src/RateLimitOwner.cpp
@@ -63,6 +63,10 @@
     aHosts.push_back(m_self);
   }
   m_hosts = std::move(aHosts);
+  m_listed.clear();
+  for (const OwnerCandidate& host : m_hosts) {
+    m_listed.insert(host.m_id);
+  }
   RankAll(aNow);
 }
 
@@ -109,7 +113,8 @@
   const std::string& from = aMessage.m_from.m_id;
   if (from != m_self.m_id) {
     OnPeer(aNow, from, PeerOutcome::Answered);
-    if (aMessage.m_grants && !aMessage.m_from.m_address.empty()) {
+    if (aMessage.m_grants && !aMessage.m_from.m_address.empty() &&
+        HasRoomFor(m_granters, from)) {
       m_granters[from] = { aMessage.m_from, aNow, true };
     }
   }
@@ -270,7 +275,8 @@
     aState.m_claims.erase(found);
   }
   aState.m_bucket->Adjust(aNow, reserved - aRequest.m_fallbackUsed);
-  if (aRequest.m_claim > 0 && aHost != m_self.m_id) {
+  if (aRequest.m_claim > 0 && aHost != m_self.m_id &&
+      HasRoomFor(aState.m_claims, aHost)) {
     aState.m_claims[aHost] = {
       std::min(aRequest.m_claim, aState.m_limit.m_rate), aNow, aNow
     };
--- a/packages/admission/tests/RateLimitTest.cpp
+++ b/packages/admission/tests/RateLimitTest.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <map>
+#include <set>
 
 using namespace goldcrestkeel;
 using namespace std::chrono_literals;
@@ -198,3 +199,40 @@
     REQUIRE(sinks.m_decided.empty());
   }
 }
+
+// Guards against tables that grow with each name that a message claims.
+TEST_CASE("Messages claim to be of many hosts", "[ratelimit]")
+{
+  Sinks sinks;
+  RateLimitOwner owner(kStart, { "big", "a", 2 }, 1, sinks);
+  owner.SetHosts(kStart, kHosts);
+  owner.SetLimits(kStart, kLimits);
+  TokenMessage message;
+  message.m_grants = true;
+  for (std::size_t i = 0; i < 4 * RateLimitOwner::kMaxUnlistedHosts; ++i) {
+    message.m_from = { "x" + std::to_string(i), "127.0.0.1:1", 1 };
+    owner.OnMessage(kStart, message);
+  }
+
+  SECTION("and those that are tracked are limited")
+  {
+    // Each host that is thought to grant and ranks before is probed.
+    owner.OnMessage(kStart + 1ms, Ask(1));
+    REQUIRE(sinks.m_probed.size() <=
+            kHosts.size() + RateLimitOwner::kMaxUnlistedHosts);
+  }
+
+  SECTION("but listed hosts are heard, too")
+  {
+    message.m_from = kHosts[1];
+    owner.OnMessage(kStart + 1ms, message);
+    TokenMessage probe;
+    probe.m_from = kHosts[2];
+    probe.m_grants = true;
+    std::set<std::string> granters;
+    for (const auto& host : owner.OnMessage(kStart + 1ms, probe).m_granters) {
+      granters.insert(host.m_id);
+    }
+    REQUIRE(granters.contains("h1"));
+  }
+}
--- a/packages/edge/src/RateLimitMessages.cpp
+++ b/packages/edge/src/RateLimitMessages.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <stdexcept>
+#include <utility>
 
 namespace goldcrestkeel {
 
@@ -18,6 +19,8 @@
 constexpr std::size_t kMaxEntries = 4096;
 /** Largest number of tokens or requests of one entry. */
 constexpr std::uint32_t kMaxTokens = 1000000;
+/** Longest id of a host, in bytes. */
+constexpr std::size_t kMaxHostIdBytes = 200;
 /** Largest rate and number of cores. */
 constexpr double kMaxNumber = 1e9;
 /** Longest times are clamped, in microseconds. */
@@ -99,7 +102,11 @@
   if (!aMayLackAddress || !aValue[1].get_ref<const std::string&>().empty()) {
     ParseAddress(aValue[1].get<std::string>());
   }
-  return { TextOf(aValue[0]),
+  std::string id = TextOf(aValue[0]);
+  if (id.size() > kMaxHostIdBytes) {
+    throw std::runtime_error("the id of a host is too long");
+  }
+  return { std::move(id),
            aValue[1].get<std::string>(),
            NumberOf(aValue[2]) };
 }
