Limit what crash messages of other hosts make a host remember

Seen: 8 connections that post crash messages of 1 MiB to the hosts' address, no two of one request, take 51.4 MiB after 8 s (46.1 allowed), and more each second.

Cause: entries in quarantine were never evicted, however many; requests, services and replicas were kept in full length; an entry kept each service and replica that a message named; and each report set a timer of ten minutes.

At most 10,000 entries are kept in any case, then the half with the oldest crashes is evicted; summaries of requests are cut to 200 bytes as those that this host writes, longer names of services and replicas refused; an entry records 64 of each; one timer is set, for the oldest crash.

CrashGuardTest kept all 10,010 entries before.

--- a/packages/core/include/goldcrestkeel/core/CrashGuard.h
+++ b/packages/core/include/goldcrestkeel/core/CrashGuard.h
@@ -2,6 +2,7 @@
 
 #include <goldcrestkeel/core/Time.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -57,6 +58,10 @@
 class CrashGuard
 {
 public:
+  /** Most entries. Beyond it, those of statements that are not quarantined are
+   *  evicted first, then half of all, those of the oldest crashes. */
+  static constexpr std::size_t kMaxEntries = 10000;
+
   explicit CrashGuard(const CrashGuardOptions& aOptions = {})
     : m_options(aOptions)
   {
@@ -100,7 +105,8 @@
   void Merge(TimePoint aNow, const std::vector<SuspectReport>& aReports);
   /** Forgets the statements whose last crash was before aTime. */
   void ForgetBefore(TimePoint aTime);
-  bool IsEmpty() const { return m_entries.empty(); }
+  /** When the statement crashed whose last crash is the oldest. */
+  std::optional<TimePoint> OldestCrash() const;
   /** Returns false if the statement is not quarantined. */
   bool LiftQuarantine(std::uint64_t aFingerprint);
 
--- a/packages/core/src/CrashGuard.cpp
+++ b/packages/core/src/CrashGuard.cpp
@@ -10,9 +10,8 @@
 /** Coverage of a run without a reset that clears a suspect. It is below 1 so
  *  that a lost shard does not keep statements suspected. */
 constexpr double kMinClearingCoverage = 0.5;
-/** Maximum number of entries; entries that are not quarantined are evicted
- *  first. */
-constexpr std::size_t kMaxEntries = 10000;
+/** Shards, and replicas, that are recorded for one statement. */
+constexpr std::size_t kMaxCrashesOfEntry = 64;
 
 bool
 IsSpace(char aCharacter)
@@ -80,15 +79,16 @@
 {
   EvictEntries();
   Entry& entry = m_entries[aFingerprint];
-  if (std::find(entry.m_shards.begin(), entry.m_shards.end(), aShard) ==
-      entry.m_shards.end()) {
+  if (entry.m_shards.size() < kMaxCrashesOfEntry &&
+      std::find(entry.m_shards.begin(), entry.m_shards.end(), aShard) ==
+        entry.m_shards.end()) {
     entry.m_shards.push_back(aShard);
   }
   const std::pair replica(aReplica, aIncarnation);
   const bool alreadyCounted =
     std::find(entry.m_replicas.begin(), entry.m_replicas.end(), replica) !=
     entry.m_replicas.end();
-  if (!alreadyCounted) {
+  if (!alreadyCounted && entry.m_replicas.size() < kMaxCrashesOfEntry) {
     entry.m_replicas.push_back(replica);
   }
   entry.m_lastCrash = std::max(entry.m_lastCrash, aNow);
@@ -207,6 +207,16 @@
   }
 }
 
+std::optional<TimePoint>
+CrashGuard::OldestCrash() const
+{
+  std::optional<TimePoint> oldest;
+  for (const auto& [fingerprint, entry] : m_entries) {
+    oldest = std::min(oldest.value_or(entry.m_lastCrash), entry.m_lastCrash);
+  }
+  return oldest;
+}
+
 bool
 CrashGuard::LiftQuarantine(std::uint64_t aFingerprint)
 {
@@ -267,6 +277,26 @@
     entry = entry->second.m_report.m_quarantined ? std::next(entry)
                                                  : m_entries.erase(entry);
   }
+  if (m_entries.size() < kMaxEntries) {
+    return;
+  }
+  // Half of them at once, so that a full table is not searched for each entry.
+  std::vector<TimePoint> times;
+  times.reserve(m_entries.size());
+  for (const auto& [fingerprint, entry] : m_entries) {
+    times.push_back(entry.m_lastCrash);
+  }
+  const auto middle =
+    times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+  std::nth_element(times.begin(), middle, times.end());
+  std::size_t evicted = 0;
+  std::erase_if(m_entries, [&](const auto& aItem) {
+    // Many entries may have the same time.
+    const bool evict = aItem.second.m_lastCrash <= *middle &&
+                       evicted < times.size() / 2;
+    evicted += evict ? 1 : 0;
+    return evict;
+  });
 }
 
 } // namespace goldcrestkeel
--- a/packages/core/tests/CrashGuardTest.cpp
+++ b/packages/core/tests/CrashGuardTest.cpp
@@ -173,3 +173,27 @@
     REQUIRE(fixture.Engine().Suspects().front().m_quarantined);
   }
 }
+
+// Guards against a table that other hosts can make grow without bound.
+TEST_CASE("A guard has more reports than entries", "[crash]")
+{
+  using namespace std::chrono_literals;
+  CrashGuard guard({ 1 });
+  TimePoint now(1000s);
+  const auto quarantine = [&](std::uint64_t aFingerprint) {
+    guard.Merge(now, { { aFingerprint, 3, true, 1, false, "GET /a" } });
+    now += 1ms;
+  };
+  constexpr std::uint64_t kReports = CrashGuard::kMaxEntries + 10;
+  for (std::uint64_t fingerprint = 1; fingerprint <= kReports; ++fingerprint) {
+    quarantine(fingerprint);
+  }
+  REQUIRE(guard.Reports().size() <= CrashGuard::kMaxEntries);
+
+  SECTION("so the oldest crashes are forgotten")
+  {
+    REQUIRE(guard.StatusOf(1) == StatementStatus::Allowed);
+    REQUIRE(guard.StatusOf(kReports) == StatementStatus::Quarantined);
+    REQUIRE(guard.OldestCrash() > TimePoint(1001s));
+  }
+}
--- a/packages/edge/include/goldcrestkeel/edge/QuarantineRecord.h
+++ b/packages/edge/include/goldcrestkeel/edge/QuarantineRecord.h
@@ -2,12 +2,16 @@
 
 #include <goldcrestkeel/core/CrashGuard.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
 
 namespace goldcrestkeel {
 
+/** Longer summaries of requests are cut, in bytes. */
+inline constexpr std::size_t kMaxSummaryBytes = 200;
+
 /** A fingerprint as hexadecimal digits. */
 std::string
 FormatFingerprint(std::uint64_t aFingerprint);
--- a/packages/edge/src/CrashMessages.cpp
+++ b/packages/edge/src/CrashMessages.cpp
@@ -8,6 +8,7 @@
 #include <goldcrestkeel/edge/QuarantineRecord.h>
 
 #include <algorithm>
+#include <stdexcept>
 
 namespace goldcrestkeel {
 
@@ -15,8 +16,8 @@
 
 using nlohmann::json;
 
-/** Longer summaries are cut, in bytes. */
-constexpr std::size_t kMaxSummaryBytes = 200;
+/** Longest name of a service or replica, in bytes. */
+constexpr std::size_t kMaxNameBytes = 200;
 /** Larger ages are clamped; no host remembers crashes for longer. */
 constexpr std::uint64_t kMaxAgeUs = 600000000;
 
@@ -30,6 +31,16 @@
   return entries;
 }
 
+std::string
+NameOf(const json& aName)
+{
+  std::string name = aName.get<std::string>();
+  if (name.size() > kMaxNameBytes) {
+    throw std::runtime_error("a name is too long");
+  }
+  return name;
+}
+
 std::optional<Duration>
 AgeOf(const json& aEntry, const char* aName)
 {
@@ -98,9 +109,10 @@
     CrashReport crash;
     crash.m_fingerprint =
       ParseFingerprint(entry.at("fingerprint").get<std::string>());
-    crash.m_summary = entry.at("request").get<std::string>();
-    crash.m_service = entry.at("service").get<std::string>();
-    crash.m_replica = entry.at("replica").get<std::string>();
+    crash.m_summary =
+      entry.at("request").get<std::string>().substr(0, kMaxSummaryBytes);
+    crash.m_service = NameOf(entry.at("service"));
+    crash.m_replica = NameOf(entry.at("replica"));
     crash.m_startedAt =
       static_cast<WallTime>(UnsignedOf(entry.at("started_at_ms")));
     // Hosts of an earlier version do not name these.
--- a/packages/edge/src/QuarantineRecord.cpp
+++ b/packages/edge/src/QuarantineRecord.cpp
@@ -53,7 +53,8 @@
   SuspectReport report;
   report.m_fingerprint =
     ParseFingerprint(aEntry.at("fingerprint").get<std::string>());
-  report.m_statement = aEntry.at("request").get<std::string>();
+  report.m_statement =
+    aEntry.at("request").get<std::string>().substr(0, kMaxSummaryBytes);
   report.m_crashes = Unsigned32Of(aEntry.at("crashes"));
   report.m_version = UnsignedOf(aEntry.at("version"));
   report.m_quarantined = true;
--- a/packages/forward/src/Forwarder.cpp
+++ b/packages/forward/src/Forwarder.cpp
@@ -273,7 +273,7 @@
         OnHealthCheckTimer(aNow, timer.m_id);
         continue;
       case ForwardTimer::ForgetCrashes:
-        m_crashGuard.ForgetBefore(aNow - kCrashMemory);
+        ForgetCrashes(aNow);
         continue;
       case ForwardTimer::Target:
       case ForwardTimer::Deadline:
--- a/packages/forward/src/ForwarderCrashes.cpp
+++ b/packages/forward/src/ForwarderCrashes.cpp
@@ -232,6 +232,27 @@
                     aReported });
 }
 
+void
+ForwarderImpl::ForgetCrashesLater(TimePoint aNow)
+{
+  if (!std::exchange(m_forgetsCrashes, true)) {
+    AddTimer(
+      aNow + kCrashMemory + Duration(1), ForwardTimer::ForgetCrashes, 0);
+  }
+}
+
+void
+ForwarderImpl::ForgetCrashes(TimePoint aNow)
+{
+  m_forgetsCrashes = false;
+  m_crashGuard.ForgetBefore(aNow - kCrashMemory);
+  if (const auto oldest = m_crashGuard.OldestCrash()) {
+    m_forgetsCrashes = true;
+    AddTimer(
+      *oldest + kCrashMemory + Duration(1), ForwardTimer::ForgetCrashes, 0);
+  }
+}
+
 void
 ForwarderImpl::RecordCrash(TimePoint aNow,
                            const CrashReport& aReport,
@@ -263,7 +284,7 @@
                            aReport.m_sinceServed ? aNow - *aReport.m_sinceServed
                                                  : TimePoint::min(),
                            crashes);
-  AddTimer(aNow + kCrashMemory + Duration(1), ForwardTimer::ForgetCrashes, 0);
+  ForgetCrashesLater(aNow);
   const SuspectReport suspect = m_crashGuard.ReportOf(aReport.m_fingerprint);
   LogCrash(aReport,
            suspect.m_crashes > crashesBefore ? CrashOutcome::Counted
@@ -296,7 +317,7 @@
     return true;
   }
   m_crashGuard.AddSuspect(aNow, aReport.m_fingerprint, aReport.m_statement);
-  AddTimer(aNow + kCrashMemory + Duration(1), ForwardTimer::ForgetCrashes, 0);
+  ForgetCrashesLater(aNow);
   return false;
 }
 
@@ -324,7 +345,7 @@
   const std::uint64_t before = m_crashGuard.Version();
   m_crashGuard.Merge(aNow, aReports);
   if (m_crashGuard.Version() != before) {
-    AddTimer(aNow + kCrashMemory + Duration(1), ForwardTimer::ForgetCrashes, 0);
+    ForgetCrashesLater(aNow);
     RefuseQuarantined(aNow);
   }
 }
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -211,6 +211,9 @@
   bool HasAnswerOfService(const PooledReplica& aReplica,
                           TimePoint aTime) const override;
   void RecordCrash(TimePoint aNow, const CrashReport& aReport, bool aReported);
+  /** Sets the timer of the crashes that are to be forgotten, unless it is. */
+  void ForgetCrashesLater(TimePoint aNow);
+  void ForgetCrashes(TimePoint aNow);
   void LogCrash(const CrashReport& aReport,
                 CrashOutcome aOutcome,
                 bool aReported);
@@ -423,6 +426,8 @@
   std::map<CopyId, HealthCheck> m_healthChecks;
   CrashGuard m_crashGuard;
   AnsweredFingerprints m_answered;
+  /** A timer of the kind ForgetCrashes is set. */
+  bool m_forgetsCrashes = false;
   CrashChecks m_crashChecks;
   std::unordered_map<std::string, RouteState> m_routes;
   std::unordered_map<ForwardId, std::unique_ptr<RunningForward>> m_running;
--- a/scripts/lib/limit_cases.py
+++ b/scripts/lib/limit_cases.py
@@ -96,21 +96,21 @@
     return post(MESSAGE_TARGETS[number // 2 % 3], body)
 
 
-def crash_message(number):
+def crash_message(number, size=MESSAGE_BYTES):
     """Reports of crashes, quarantines and suspects. Each crash is reported twice, so that
     its request enters quarantine."""
     def fingerprint(i):
         return f"{number // 6 * 10000 + i + 1:x}"
     text = f"GET /{number}" + "x" * 800
-    count = MESSAGE_BYTES // 1000
+    count = size // 1100
     reports = [{"fingerprint": fingerprint(i), "request": text, "crashes": 3, "version": 1}
                for i in range(count)]
     crashes = [{"fingerprint": fingerprint(i), "request": text, "service": f"s{number}-{i}",
-                "replica": f"r{i}", "started_at_ms": i, "crashed_us_ago": 0,
-                "sent_us_ago": 0, "services": 3} for i in range(count)]
+                "replica": f"r{number}", "started_at_ms": i, "crashed_us_ago": 0,
+                "sent_us_ago": 0, "served_us_ago": 0, "services": 3} for i in range(count)]
     message = {"crashes": [], "quarantined": [], "suspects": [], "answered": []}
     message[("crashes", "quarantined", "suspects")[number % 3]] = \
-        (crashes if number % 3 == 0 else reports)[:MESSAGE_BYTES // 1100]
+        crashes if number % 3 == 0 else reports
     return post(MESSAGE_TARGETS[0], json.dumps(message).encode())
 
 
@@ -183,6 +183,12 @@
              again=True, reads=True),
         case("crash-messages-descriptors-hosts", "hosts", 8, 256,
              messages(crash_message, 60), again=True, reads=True, other_hosts=20),
+        case("small-crash-messages-hosts", "hosts", 8, None,
+             messages(lambda number: crash_message(number, 60 * KIB), 1500), again=True,
+             reads=True),
+        case("small-crash-messages-descriptors-hosts", "hosts", 8, 256,
+             messages(lambda number: crash_message(number, 60 * KIB), 1500), again=True,
+             reads=True, other_hosts=20),
         case("token-messages-hosts", "hosts", 8, None, messages(token_message, 12),
              again=True, reads=True),
         case("short-token-messages-hosts", "hosts", 8, None,
