--- a/packages/edge/src/CrashReporter.cpp
+++ b/packages/edge/src/CrashReporter.cpp
@@ -14,20 +14,20 @@
 constexpr std::size_t kCountingHosts = 3;
 /** A message is given up after this time. */
 constexpr Duration kMessageTimeout{ 1000000 };
-/** Clients are released when no message was sent for this time. */
-constexpr Duration kReleaseDelay{ 2000000 };
 
 } // namespace
 
 CrashReporter::CrashReporter(Loop& aLoop,
                              DecisionLog& aLog,
                              std::string aHostId,
+                             std::size_t aMaxOpen,
                              OnReply aOnReply)
   : m_loop(aLoop)
   , m_log(aLog)
   , m_hostId(std::move(aHostId))
   , m_onReply(std::move(aOnReply))
-  , m_releaseTimer(aLoop, [this] { m_callers.clear(); })
+  , m_maxOpen(aMaxOpen)
+  , m_cleanUpTimer(aLoop, [this] { m_ended.clear(); })
 {
 }
 
@@ -67,40 +67,82 @@
 CrashReporter::Report(std::uint64_t aFingerprint, const CrashMessage& aMessage)
 {
   const std::vector<std::string> ids = CountingHosts(m_hosts, aFingerprint);
-  for (const HostRecord& host : m_hosts) {
-    if (std::find(ids.begin(), ids.end(), host.m_id) != ids.end()) {
-      Send(host, aMessage);
-    }
-  }
+  SendTo(aMessage, [&](const HostRecord& aHost) {
+    return std::find(ids.begin(), ids.end(), aHost.m_id) != ids.end();
+  });
 }
 
 void
 CrashReporter::Announce(const CrashMessage& aMessage)
 {
+  SendTo(aMessage, [](const HostRecord&) { return true; });
+}
+
+void
+CrashReporter::SendTo(const CrashMessage& aMessage,
+                      const std::function<bool(const HostRecord&)>& aChosen)
+{
+  const auto body =
+    std::make_shared<const std::string>(EncodeCrashMessage(aMessage));
+  std::int64_t dropped = 0;
   for (const HostRecord& host : m_hosts) {
-    Send(host, aMessage);
+    if (host.m_id == m_hostId || !aChosen(host)) {
+      continue;
+    }
+    if (m_waiting.size() < kMaxWaiting) {
+      m_waiting.push_back({ host.m_id, host.m_relayAddress, body });
+    } else {
+      ++dropped;
+    }
   }
+  if (dropped > 0) {
+    m_log.Write(LogPriority::Request,
+                "crash_message_dropped",
+                { { "hosts", dropped }, { "reason", "too many wait" } });
+  }
+  SendWaiting();
 }
 
 void
-CrashReporter::Send(const HostRecord& aHost, const CrashMessage& aMessage)
+CrashReporter::SendWaiting()
 {
-  if (aHost.m_id == m_hostId) {
-    return;
+  while (!m_waiting.empty() && m_open.size() < m_maxOpen) {
+    const Message message = std::move(m_waiting.front());
+    m_waiting.pop_front();
+    Send(message);
   }
-  m_callers.push_back(
-    std::make_unique<HttpCaller>(m_loop, aHost.m_relayAddress));
-  m_releaseTimer.SetAfter(kReleaseDelay);
+}
+
+void
+CrashReporter::Send(const Message& aMessage)
+{
+  const std::uint64_t number = m_nextNumber++;
+  std::unique_ptr<HttpCaller>& caller = m_open[number];
+  caller = std::make_unique<HttpCaller>(m_loop, aMessage.m_address);
   HttpCall call;
   call.m_method = kCrashMessageMethod;
   call.m_target = kCrashMessageTarget;
-  call.m_body = EncodeCrashMessage(aMessage);
+  call.m_body = *aMessage.m_body;
   call.m_timeout = kMessageTimeout;
   call.m_maxAnswerBytes = kMaxCrashMessageBytes;
-  m_callers.back()->Call(
-    call, [this, host = aHost.m_id](const HttpCallResult& aResult) {
-      OnAnswer(host, aResult);
-    });
+  caller->Call(call,
+               [this, number, host = aMessage.m_hostId](
+                 const HttpCallResult& aResult) {
+                 OnEnded(number, host, aResult);
+               });
+}
+
+void
+CrashReporter::OnEnded(std::uint64_t aNumber,
+                       const std::string& aHost,
+                       const HttpCallResult& aResult)
+{
+  const auto found = m_open.find(aNumber);
+  m_ended.push_back(std::move(found->second));
+  m_open.erase(found);
+  m_cleanUpTimer.SetAfter(Duration(0));
+  OnAnswer(aHost, aResult);
+  SendWaiting();
 }
 
 void
--- a/packages/edge/src/CrashReporter.h
+++ b/packages/edge/src/CrashReporter.h
@@ -7,10 +7,13 @@
 #include <goldcrestkeel/edge/Loop.h>
 #include <goldcrestkeel/forward/HostRecord.h>
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace goldcrestkeel {
@@ -23,10 +26,15 @@
   /** Called with what another host replies. */
   using OnReply = std::function<void(const CrashMessage&)>;
 
-  /** aLoop and aLog must outlive the object. aHostId is this host. */
+  /** Most messages that wait to be sent. Further ones are dropped. */
+  static constexpr std::size_t kMaxWaiting = 4096;
+
+  /** aLoop and aLog must outlive the object. aHostId is this host, aMaxOpen the
+   *  most messages that are under way at once, each over a connection. */
   CrashReporter(Loop& aLoop,
                 DecisionLog& aLog,
                 std::string aHostId,
+                std::size_t aMaxOpen,
                 OnReply aOnReply);
   ~CrashReporter();
   CrashReporter(const CrashReporter&) = delete;
@@ -44,8 +52,27 @@
     const std::vector<HostRecord>& aHosts,
     std::uint64_t aFingerprint);
 
+  /** Messages that have not been answered or given up. */
+  std::size_t OpenCount() const { return m_open.size(); }
+  std::size_t WaitingCount() const { return m_waiting.size(); }
+
 private:
-  void Send(const HostRecord& aHost, const CrashMessage& aMessage);
+  struct Message
+  {
+    std::string m_hostId;
+    std::string m_address;
+    /** Shared by the hosts that it is sent to. */
+    std::shared_ptr<const std::string> m_body;
+  };
+
+  /** Sends aMessage to the hosts for which aChosen is true. */
+  void SendTo(const CrashMessage& aMessage,
+              const std::function<bool(const HostRecord&)>& aChosen);
+  void SendWaiting();
+  void Send(const Message& aMessage);
+  void OnEnded(std::uint64_t aNumber,
+               const std::string& aHost,
+               const HttpCallResult& aResult);
   void OnAnswer(const std::string& aHost, const HttpCallResult& aResult);
 
   Loop& m_loop;
@@ -53,9 +80,14 @@
   std::string m_hostId;
   OnReply m_onReply;
   std::vector<HostRecord> m_hosts;
-  /** One client for each message; they are released together. */
-  std::vector<std::unique_ptr<HttpCaller>> m_callers;
-  LoopTimer m_releaseTimer;
+  std::size_t m_maxOpen;
+  std::deque<Message> m_waiting;
+  /** The client of each open message, by the number of the message. */
+  std::unordered_map<std::uint64_t, std::unique_ptr<HttpCaller>> m_open;
+  std::uint64_t m_nextNumber = 1;
+  /** Clients that may be in one of their callbacks. */
+  std::vector<std::unique_ptr<HttpCaller>> m_ended;
+  LoopTimer m_cleanUpTimer;
 };
 
 } // namespace goldcrestkeel
--- a/packages/edge/tests/CrashMessagesTest.cpp
+++ b/packages/edge/tests/CrashMessagesTest.cpp
@@ -3,6 +3,7 @@
 #include "CrashReporter.h"
 
 #include <goldcrestkeel/Edge.h>
+#include <goldcrestkeel/net/SystemClock.h>
 
 #include <catch2/catch.hpp>
 
@@ -148,3 +149,31 @@
     REQUIRE(first.size() > 10);
   }
 }
+
+// Guards against a connection for each message to each host.
+TEST_CASE("Many messages are sent to hosts that do not answer", "[crash]")
+{
+  SystemClock clock;
+  Loop loop(clock);
+  DecisionLog log(loop, -1, "h0");
+  CrashReporter reporter(loop, log, "h0", 8, [](const CrashMessage&) {});
+  std::vector<HostRecord> hosts(100);
+  for (std::size_t i = 0; i < hosts.size(); ++i) {
+    hosts[i].m_id = "h" + std::to_string(i);
+    hosts[i].m_relayAddress = "127.0.0.1:1";
+  }
+  reporter.SetHosts(hosts);
+  for (int i = 0; i < 100; ++i) {
+    reporter.Announce({});
+  }
+  REQUIRE(reporter.OpenCount() == 8);
+  REQUIRE(reporter.WaitingCount() == CrashReporter::kMaxWaiting);
+
+  SECTION("and all that wait are sent in the end")
+  {
+    while (reporter.OpenCount() > 0) {
+      loop.RunOnce(true);
+    }
+    REQUIRE(reporter.WaitingCount() == 0);
+  }
+}
