Let the copies of a request share its bytes

Cause: the request was serialized for each shard, and each connection to a replica kept the bytes until it sent another request, also after they were sent.

A request is serialized once, when its first copy is sent, and its fields and body are then released: the copies hold a reference and their own fields, and three parts are written with one sendmsg(). A connection releases its request once it is written. The bytes on the wire are the same (tests of CopyWriter, unchanged expectations).

--- a/packages/edge/src/ClientConnection.cpp
+++ b/packages/edge/src/ClientConnection.cpp
@@ -52,13 +52,13 @@
 ClientConnection::IsReusable() const
 {
   return m_connected && m_keepAlive && !m_broken && !HasRequest() &&
-         m_input.empty() && m_written == m_output.size();
+         m_input.empty() && m_output.empty();
 }
 
 void
-ClientConnection::Send(std::string aBytes, bool aHead)
+ClientConnection::Send(RequestBytes aRequest, bool aHead)
 {
-  m_output = std::move(aBytes);
+  m_output = std::move(aRequest);
   m_written = 0;
   m_head = aHead;
   m_heldBytes = 0;
@@ -75,7 +75,7 @@
 void
 ClientConnection::CancelUnsent()
 {
-  m_output.clear();
+  m_output = RequestBytes();
   m_written = 0;
   m_parser.reset();
 }
@@ -92,13 +92,17 @@
     m_failTimer->Cancel();
   }
   m_socket.Close();
+  m_output = RequestBytes();
 }
 
 bool
 ClientConnection::Write()
 {
   const bool first = m_written == 0;
-  const IoState state = WriteFrom(m_socket, m_output, m_written);
+  const IoState state = WriteFrom(m_socket, m_output.Parts(), m_written);
+  if (state == IoState::Done) {
+    m_output = RequestBytes();
+  }
   if (first && m_written > 0) {
     m_owner.Sent(*this);
   }
--- a/packages/edge/src/ClientConnection.h
+++ b/packages/edge/src/ClientConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "RequestBytes.h"
 #include "Socket.h"
 
 #include <goldcrestkeel/edge/HttpMessage.h>
@@ -78,7 +79,7 @@
 
   /** Sends a request, once connected. aHead: it is a HEAD request. No other
    *  request may be open. */
-  void Send(std::string aBytes, bool aHead);
+  void Send(RequestBytes aRequest, bool aHead);
   /** Cancels the open request; allowed only if no byte of it was sent. */
   void CancelUnsent();
   /** Closes the connection without a callback. The owner may destroy it later:
@@ -116,7 +117,9 @@
   bool m_connected = false;
   bool m_broken = false;
   bool m_keepAlive = true;
-  std::string m_output;
+  /** Released once it is written. */
+  RequestBytes m_output;
+  /** Bytes written of the request. */
   std::size_t m_written = 0;
   std::string m_input;
   std::size_t m_heldBytes = 0;
--- a/packages/edge/src/CopyWriter.cpp
+++ b/packages/edge/src/CopyWriter.cpp
@@ -2,13 +2,16 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 namespace goldcrestkeel {
 
 namespace {
 
-/** Memory reserved for the request line and the header fields, in bytes. */
-constexpr std::size_t kReservedHeaderBytes = 768;
+/** Memory reserved for what a request has beside its texts, in bytes. */
+constexpr std::size_t kReservedBytes = 128;
+/** Bytes of a header field beside its name and value. */
+constexpr std::size_t kFieldFramingBytes = 4;
 constexpr std::string_view kHostField = "Host";
 
 std::string
@@ -19,16 +22,41 @@
   return std::to_string(std::max<std::int64_t>(1, milliseconds));
 }
 
-// Request line and header fields, without the empty line that ends the header.
+std::size_t
+SizeOf(const RequestMessage& aRequest)
+{
+  std::size_t size = aRequest.m_method.size() + aRequest.m_target.size() +
+                     aRequest.m_body.size() + kReservedBytes;
+  for (const auto& [name, value] : aRequest.m_fields) {
+    size += name.size() + value.size() + kFieldFramingBytes;
+  }
+  return size;
+}
+
+// The fields that a copy for a replica and one for a host have.
 std::string
-WriteHeader(const RequestMessage& aRequest,
-            const EdgeFieldNames& aNames,
+WriteFields(const EdgeFieldNames& aNames,
             const IdentityFields& aIdentity,
             Duration aTimeLeft)
 {
-  std::string bytes;
-  bytes.reserve(aRequest.m_target.size() + aRequest.m_body.size() +
-                kReservedHeaderBytes);
+  std::string fields;
+  AppendField(fields, aNames.m_deadlineMs, FormatMilliseconds(aTimeLeft));
+  if (!aIdentity.m_tenant.empty()) {
+    AppendField(fields, aNames.m_tenant, aIdentity.m_tenant);
+  }
+  return fields;
+}
+
+} // namespace
+
+std::shared_ptr<const EncodedRequest>
+EncodeRequest(const RequestMessage& aRequest,
+              const EdgeFieldNames& aNames,
+              const IdentityFields& aIdentity)
+{
+  const auto encoded = std::make_shared<EncodedRequest>();
+  std::string& bytes = encoded->m_bytes;
+  bytes.reserve(SizeOf(aRequest));
   bytes.append(aRequest.m_method)
     .append(" ")
     .append(aRequest.m_target)
@@ -53,49 +81,37 @@
       AppendField(bytes, needed, value);
     }
   }
-  AppendField(bytes, aNames.m_deadlineMs, FormatMilliseconds(aTimeLeft));
-  if (!aIdentity.m_tenant.empty()) {
-    AppendField(bytes, aNames.m_tenant, aIdentity.m_tenant);
-  }
-  return bytes;
-}
-
-void
-AppendBody(std::string& aBytes, const RequestMessage& aRequest)
-{
+  encoded->m_fieldsAt = bytes.size();
   if (aRequest.m_hasBody || !aRequest.m_body.empty()) {
     AppendField(
-      aBytes, "Content-Length", std::to_string(aRequest.m_body.size()));
+      bytes, "Content-Length", std::to_string(aRequest.m_body.size()));
   }
-  aBytes.append("\r\n").append(aRequest.m_body);
+  bytes.append("\r\n").append(aRequest.m_body);
+  return encoded;
 }
 
-} // namespace
-
-std::string
-WriteCopy(const RequestMessage& aRequest,
+RequestBytes
+WriteCopy(std::shared_ptr<const EncodedRequest> aRequest,
           const EdgeFieldNames& aNames,
           const IdentityFields& aIdentity,
           const std::string& aReplica,
           Duration aTimeLeft)
 {
-  std::string bytes = WriteHeader(aRequest, aNames, aIdentity, aTimeLeft);
-  AppendField(bytes, aNames.m_targetInstance, aReplica);
-  AppendBody(bytes, aRequest);
-  return bytes;
+  std::string fields = WriteFields(aNames, aIdentity, aTimeLeft);
+  AppendField(fields, aNames.m_targetInstance, aReplica);
+  return { std::move(aRequest), std::move(fields) };
 }
 
-std::string
-WriteRelay(const RequestMessage& aRequest,
+RequestBytes
+WriteRelay(std::shared_ptr<const EncodedRequest> aRequest,
            const EdgeFieldNames& aNames,
            const IdentityFields& aIdentity,
            const RelayParameters& aParameters,
            Duration aTimeLeft)
 {
-  std::string bytes = WriteHeader(aRequest, aNames, aIdentity, aTimeLeft);
-  AppendRelayParameters(bytes, aParameters);
-  AppendBody(bytes, aRequest);
-  return bytes;
+  std::string fields = WriteFields(aNames, aIdentity, aTimeLeft);
+  AppendRelayParameters(fields, aParameters);
+  return { std::move(aRequest), std::move(fields) };
 }
 
 std::string
--- a/packages/edge/src/EdgeServer.cpp
+++ b/packages/edge/src/EdgeServer.cpp
@@ -199,19 +199,31 @@
   }
 }
 
+std::shared_ptr<const EncodedRequest>
+EdgeServer::Impl::Encode(OpenRequest& aOpen) const
+{
+  if (!aOpen.m_encoded) {
+    RequestMessage& request = aOpen.m_request;
+    aOpen.m_encoded = EncodeRequest(request, m_names, aOpen.m_identity);
+    std::vector<HeaderField>().swap(request.m_fields);
+    std::string().swap(request.m_body);
+  }
+  return aOpen.m_encoded;
+}
+
 void
 EdgeServer::Impl::SendCopy(CopyId aCopy,
                            ForwardId aRequest,
                            const ReplicaRecord& aReplica,
                            TimePoint aDeadline)
 {
-  const OpenRequest& open = m_openRequests.at(aRequest);
+  OpenRequest& open = m_openRequests.at(aRequest);
   OutgoingCopy copy;
   copy.m_copy = aCopy;
   copy.m_requestId = open.m_requestId;
   copy.m_requestEndsAt = open.m_deadline;
   copy.m_head = open.m_request.m_method == "HEAD";
-  copy.m_bytes = WriteCopy(open.m_request,
+  copy.m_bytes = WriteCopy(Encode(open),
                            m_names,
                            open.m_identity,
                            aReplica.m_id,
@@ -226,14 +238,14 @@
                             TimePoint aDeadline,
                             const RelayedShards& aPart)
 {
-  const OpenRequest& open = m_openRequests.at(aRequest);
+  OpenRequest& open = m_openRequests.at(aRequest);
   const TimePoint now = m_loop.Now();
   OutgoingCopy copy;
   copy.m_copy = aCopy;
   copy.m_requestId = open.m_requestId;
   copy.m_requestEndsAt = open.m_deadline;
   copy.m_head = open.m_request.m_method == "HEAD";
-  copy.m_bytes = WriteRelay(open.m_request,
+  copy.m_bytes = WriteRelay(Encode(open),
                             m_names,
                             open.m_identity,
                             { open.m_version,
--- a/packages/edge/src/EdgeServerImpl.h
+++ b/packages/edge/src/EdgeServerImpl.h
@@ -109,7 +109,10 @@
   struct OpenRequest
   {
     SessionId m_session = 0;
+    /** Without its fields and body once it is encoded. */
     RequestMessage m_request;
+    /** Set when the first copy is sent. */
+    std::shared_ptr<const EncodedRequest> m_encoded;
     std::string m_requestId;
     TimePoint m_arrivedAt;
     TimePoint m_deadline;
@@ -127,6 +130,8 @@
    *  about crashes. Returns false if aRequest is none. */
   bool HandleHostRequest(CallerSession& aSession,
                          const RequestMessage& aRequest);
+  /** What the copies of a request share. */
+  std::shared_ptr<const EncodedRequest> Encode(OpenRequest& aOpen) const;
   void OnCrashMessage(CallerSession& aSession, std::string_view aBody);
   /** Returns what the sender must know. */
   CrashMessage Apply(const CrashMessage& aMessage);
--- a/packages/edge/src/ReplicaConnections.h
+++ b/packages/edge/src/ReplicaConnections.h
@@ -35,7 +35,7 @@
 struct OutgoingCopy
 {
   CopyId m_copy = 0;
-  std::string m_bytes;
+  RequestBytes m_bytes;
   /** Request id; responses that carry another one are skipped. */
   std::string m_requestId;
   /** The request is a HEAD request. */
--- a/packages/edge/src/Socket.cpp
+++ b/packages/edge/src/Socket.cpp
@@ -4,6 +4,7 @@
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -18,6 +19,8 @@
 
 /** Length of the queue of connections that are not accepted yet. */
 constexpr int kBacklog = 512;
+/** Parts of a message that one system call writes. */
+constexpr std::size_t kMaxPartsAtOnce = 4;
 /** If sent data is unacknowledged for this long, the peer counts as unreachable
  *  and the connection is closed, which frees its descriptor. */
 constexpr unsigned kUserTimeoutMs = 4000;
@@ -141,24 +144,47 @@
 
 IoState
 WriteFrom(const Socket& aSocket,
-          const std::string& aBytes,
+          std::span<const std::string_view> aParts,
           std::size_t& aOffset)
 {
-  while (aOffset < aBytes.size()) {
-    const ssize_t count = send(aSocket.Get(),
-                               aBytes.data() + aOffset,
-                               aBytes.size() - aOffset,
-                               MSG_NOSIGNAL);
-    if (count < 0) {
+  while (true) {
+    std::array<iovec, kMaxPartsAtOnce> unwritten{};
+    std::size_t count = 0;
+    std::size_t skipped = aOffset;
+    for (const std::string_view part : aParts) {
+      const std::size_t skip = std::min(skipped, part.size());
+      skipped -= skip;
+      if (skip < part.size() && count < unwritten.size()) {
+        // sendmsg() does not change the bytes.
+        unwritten.at(count++) = { const_cast<char*>(part.data()) + skip,
+                                  part.size() - skip };
+      }
+    }
+    if (count == 0) {
+      return IoState::Done;
+    }
+    msghdr message{};
+    message.msg_iov = unwritten.data();
+    message.msg_iovlen = count;
+    const ssize_t written = sendmsg(aSocket.Get(), &message, MSG_NOSIGNAL);
+    if (written < 0) {
       if (errno == EINTR) {
         continue;
       }
       const bool again = errno == EAGAIN || errno == EWOULDBLOCK;
       return again ? IoState::WouldBlock : IoState::Failed;
     }
-    aOffset += static_cast<std::size_t>(count);
+    aOffset += static_cast<std::size_t>(written);
   }
-  return IoState::Done;
+}
+
+IoState
+WriteFrom(const Socket& aSocket,
+          const std::string& aBytes,
+          std::size_t& aOffset)
+{
+  const std::string_view part(aBytes);
+  return WriteFrom(aSocket, { &part, 1 }, aOffset);
 }
 
 } // namespace goldcrestkeel
--- a/packages/edge/src/Socket.h
+++ b/packages/edge/src/Socket.h
@@ -3,7 +3,9 @@
 #include <netinet/in.h>
 
 #include <cstddef>
+#include <span>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace goldcrestkeel {
@@ -77,8 +79,14 @@
          std::string& aBytes,
          std::size_t aMaxBytes = kReadBufferBytes);
 
-/** Writes aBytes from aOffset on and advances aOffset by the bytes written.
- *  Done means that all bytes are written. */
+/** Writes aParts, one after the other, from aOffset on, which counts from the
+ *  start of the first, and advances aOffset by the bytes written. Done means
+ *  that all bytes are written. */
+IoState
+WriteFrom(const Socket& aSocket,
+          std::span<const std::string_view> aParts,
+          std::size_t& aOffset);
+/** The same for bytes in one part. */
 IoState
 WriteFrom(const Socket& aSocket,
           const std::string& aBytes,
--- a/packages/edge/tests/CallerIdentityTest.cpp
+++ b/packages/edge/tests/CallerIdentityTest.cpp
@@ -1,10 +1,11 @@
 #include "CallerIdentity.h"
 
-#include "CopyWriter.h"
+#include "RequestText.h"
 
 #include <catch2/catch.hpp>
 
 using namespace goldcrestkeel;
+using namespace goldcrestkeel::testing;
 using namespace std::chrono_literals;
 
 namespace {
@@ -119,7 +120,7 @@
                        { "kEY", "Token a-key" }, { "Tenant", "spoofed" },
                        { "TENANT", "spoofed" },  { "X-End", "2" } };
   const auto copyFor = [&](const IdentityFields& aIdentity) {
-    return WriteCopy(request, Names(), aIdentity, "r", 250ms);
+    return CopyText(request, Names(), aIdentity, "r", 250ms);
   };
 
   // Guards against a tenant field of the caller that is found first.
@@ -147,7 +148,7 @@
   SECTION("and relays do so, too")
   {
     request.m_fields.emplace_back("Connection", "tenant");
-    const std::string relay = WriteRelay(
+    const std::string relay = RelayText(
       request, Names(), { true, "acme" }, { 7, { 0 }, 0, 85ms }, 100ms);
     REQUIRE(relay.starts_with("GET /p/ HTTP/1.1\r\nHost: h\r\nId: 7\r\n"
                               "X-End: 2\r\nWait-Ms: 100\r\nTenant: acme\r\n"
--- a/packages/edge/tests/HttpMessageTest.cpp
+++ b/packages/edge/tests/HttpMessageTest.cpp
@@ -1,10 +1,11 @@
-#include "CopyWriter.h"
+#include "RequestText.h"
 
 #include <goldcrestkeel/Edge.h>
 
 #include <catch2/catch.hpp>
 
 using namespace goldcrestkeel;
+using namespace goldcrestkeel::testing;
 
 namespace {
 
@@ -248,7 +249,7 @@
     { "Content-Length", "4" }
   };
   const std::string bytes =
-    WriteCopy(request, names, {}, "r-1", std::chrono::milliseconds(250));
+    CopyText(request, names, {}, "r-1", std::chrono::milliseconds(250));
   REQUIRE(bytes == "POST /p/?q=1 HTTP/1.1\r\nHost: h\r\nid: 7\r\nX-End: 2\r\n"
                    "Wait-Ms: 250\r\nTo: r-1\r\nContent-Length: 4\r\n\r\nbody");
 }
--- a/packages/edge/tests/InvalidStatusTest.cpp
+++ b/packages/edge/tests/InvalidStatusTest.cpp
@@ -64,7 +64,7 @@
     replica.m_address = server.Address();
     OutgoingCopy copy;
     copy.m_copy = 1;
-    copy.m_bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    copy.m_bytes = std::string("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
     SECTION("as a copy of a request")
     {
       connections.Send(replica, copy);
--- a/packages/edge/tests/RelayFieldsTest.cpp
+++ b/packages/edge/tests/RelayFieldsTest.cpp
@@ -1,10 +1,11 @@
 #include "RelayFields.h"
 
-#include "CopyWriter.h"
+#include "RequestText.h"
 
 #include <catch2/catch.hpp>
 
 using namespace goldcrestkeel;
+using namespace goldcrestkeel::testing;
 using namespace std::chrono_literals;
 
 TEST_CASE("Relay fields between two entry hosts", "[relay]")
@@ -73,12 +74,12 @@
   names.m_deadlineMs = "Deadline";
   names.m_targetInstance = "Target";
   const std::string relay =
-    WriteRelay(request, names, {}, { 7, { 0, 3 }, 0, 85ms }, 100ms);
+    RelayText(request, names, {}, { 7, { 0, 3 }, 0, 85ms }, 100ms);
   REQUIRE(relay == "GET /p/ HTTP/1.1\r\nHost: h\r\nDeadline: 100\r\n"
                    "Goldcrestkeel-Table-Version: 7\r\n"
                    "Goldcrestkeel-Shards: 0,3\r\n"
                    "Goldcrestkeel-May-Miss: 0\r\n"
                    "Goldcrestkeel-Target-Ms: 85\r\n\r\n");
-  const std::string copy = WriteCopy(request, names, {}, "r", 100ms);
+  const std::string copy = CopyText(request, names, {}, "r", 100ms);
   REQUIRE(copy.find("oldcrestkeel-") == std::string::npos);
 }
--- a/packages/edge/tests/ReplicaConnectionsTest.cpp
+++ b/packages/edge/tests/ReplicaConnectionsTest.cpp
@@ -53,7 +53,7 @@
   void Send(CopyId aCopy, const std::string& aRequestId)
   {
     m_connections.Send(Record(),
-                       { aCopy, "GET / HTTP/1.1\r\n\r\n", aRequestId, false });
+                       { aCopy, std::string("GET / HTTP/1.1\r\n\r\n"), aRequestId, false });
     Turn();
   }
 
@@ -206,7 +206,7 @@
     Fixture ended;
     ended.m_connections.Send(
       ended.Record(),
-      { 1, "GET / HTTP/1.1\r\n\r\n", "one", false, ended.m_clock.Now() + 5ms });
+      { 1, std::string("GET / HTTP/1.1\r\n\r\n"), "one", false, ended.m_clock.Now() + 5ms });
     ended.Turn();
     ended.m_server.Send(0, bytes);
     ended.Turn();
