Keep of a part only the records that the gathered answer can need

Seen: 16 callers whose requests over 24 shards are answered with parts of 2.5 MiB take 100.7 MiB (46.2 allowed), and 224.6 once the copies share their bytes.

Cause: answers_bytes bounds answers that are not complete; a complete part stayed in full with its request while other parts were awaited. It is now reduced to the greatest top_k records, 16 bytes each, when it arrives. The merged answer is the same: the greatest records of all are among the greatest of each part.

--- a/packages/forward/src/ForwarderFinish.cpp
+++ b/packages/forward/src/ForwarderFinish.cpp
@@ -86,6 +86,14 @@
   return true;
 }
 
+std::string
+ForwarderImpl::TopRecordsOf(const RunningForward& aForward,
+                            std::string_view aBody)
+{
+  return MergeTopRecords({ aBody },
+                         aForward.m_request.m_route->m_gather->m_topRecords);
+}
+
 void
 ForwarderImpl::OnSubRequestAnswered(TimePoint aNow,
                                     RunningForward& aForward,
@@ -108,7 +116,9 @@
   }
   LeaveQueue(aNow, aForward, aIndex);
   subRequest.m_state = SubRequest::State::Answered;
-  subRequest.m_answer = std::move(aAnswer);
+  subRequest.m_answer = ReplicaAnswer();
+  subRequest.m_answer.m_stamp = std::move(aAnswer.m_stamp);
+  subRequest.m_answer.m_body = TopRecordsOf(aForward, aAnswer.m_body);
   AbandonCopies(aNow, subRequest, kSurplusCopyGrace);
   ++aForward.m_answered;
   FinishIfGathered(aNow, aForward);
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -306,6 +306,10 @@
   /** Finishes the request with an error and returns true if too few of its
    *  services have a usable replica. */
   bool RefuseIfUnserved(TimePoint aNow, RunningForward& aForward);
+  /** What a gathered answer can need of the records of a part. The part, which
+   *  may be large, is not kept while others are awaited. */
+  static std::string TopRecordsOf(const RunningForward& aForward,
+                                  std::string_view aBody);
   void OnSubRequestAnswered(TimePoint aNow,
                             RunningForward& aForward,
                             std::uint32_t aIndex,
--- a/packages/forward/src/ForwarderRelay.cpp
+++ b/packages/forward/src/ForwarderRelay.cpp
@@ -184,7 +184,7 @@
   // The body has the merged records of all these shards; the first stands for
   // all of them.
   aForward.m_subRequests[aAnswer.m_shards.front()].m_answer.m_body =
-    std::move(aAnswer.m_body);
+    TopRecordsOf(aForward, aAnswer.m_body);
   FailRelayedSubRequests(aNow, aForward, aCopy.m_relayedSubRequests);
 }
 
