Look up the fields that a Connection field names

Seen: 4 callers whose requests have 8,000 fields and name 15,001 in Connection (64 KiB, within max_header_bytes) hang the process: no ordinary request is answered within 20 s.

Cause: each field was compared with each name, 120 million comparisons for each copy of a request, on a route over 24 shards 24 times and for each retry.

--- a/packages/edge/src/HttpFields.cpp
+++ b/packages/edge/src/HttpFields.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 
 namespace goldcrestkeel {
 
@@ -20,6 +21,19 @@
                                           : aLetter;
 }
 
+struct LessIgnoreCase
+{
+  bool operator()(std::string_view aLeft, std::string_view aRight) const
+  {
+    return std::lexicographical_compare(
+      aLeft.begin(),
+      aLeft.end(),
+      aRight.begin(),
+      aRight.end(),
+      [](char aOne, char aTwo) { return ToLower(aOne) < ToLower(aTwo); });
+  }
+};
+
 } // namespace
 
 bool
@@ -56,7 +70,8 @@
 std::vector<HeaderField>
 EndToEndFields(std::vector<HeaderField> aFields)
 {
-  std::vector<std::string> named;
+  // Looked up for each field: a request may have thousands of both.
+  std::set<std::string, LessIgnoreCase> named;
   for (const auto& [name, value] : aFields) {
     if (!EqualsIgnoreCase(name, "connection")) {
       continue;
@@ -73,16 +88,12 @@
       while (!token.empty() && token.back() == ' ') {
         token.remove_suffix(1);
       }
-      named.emplace_back(token);
+      named.emplace(token);
     }
   }
   std::vector<HeaderField> fields = std::move(aFields);
   std::erase_if(fields, [&](const HeaderField& aField) {
-    return IsHopByHop(aField.first) ||
-           std::any_of(
-             named.begin(), named.end(), [&](const std::string& aName) {
-               return EqualsIgnoreCase(aField.first, aName);
-             });
+    return IsHopByHop(aField.first) || named.contains(aField.first);
   });
   return fields;
 }
