Fix the thresholds of the allocator

Cause: the parser reserves a body of known length, of which only the bytes that have arrived count. Once such a buffer is freed, glibc raises its mmap threshold to that size, and later ones come from the heap, whose pages stay resident where an earlier body has used them. Both thresholds are now set to 128 KiB, which ends that.

--- a/packages/goldcrestkeeld/src/PlatformHost.cpp
+++ b/packages/goldcrestkeeld/src/PlatformHost.cpp
@@ -4,6 +4,7 @@
 #include <goldcrestkeel/Net.h>
 #include <goldcrestkeel/Platform.h>
 
+#include <malloc.h>
 #include <unistd.h>
 
 #include <csignal>
@@ -13,6 +14,22 @@
 
 namespace {
 
+/** Allocations from this size on, in bytes, are mapped, and unmapped once they
+ *  are freed. */
+constexpr int kMappedBytes = 128 * 1024;
+/** Free memory at the end of the heap from which it is returned, in bytes. */
+constexpr int kTrimBytes = 128 * 1024;
+
+// Fixes the thresholds of the allocator. It would raise them to the size of the
+// largest buffer that was freed; bodies would then come from the heap, where
+// memory that was used once stays resident.
+void
+FixAllocatorThresholds()
+{
+  mallopt(M_MMAP_THRESHOLD, kMappedBytes);
+  mallopt(M_TRIM_THRESHOLD, kTrimBytes);
+}
+
 // Checks the settings file and logs whether it differs from the settings in
 // force. On the platform a changed file takes effect only after a restart.
 void
@@ -44,6 +61,7 @@
     std::cout << "settings are valid\n";
     return 0;
   }
+  FixAllocatorThresholds();
   const SystemClock clock;
   Loop loop(clock);
   DecisionLog log(loop, STDOUT_FILENO, settings.m_hostId);
