Limit the receive buffers of accepted connections

Seen: 600 callers that send requests ahead of one that is not answered take 88.9 MiB (55.4 allowed), of which 66.3 are bytes that the process has not read; 2,500 of them 262.8 MiB with default settings, and a mixed crowd at all addresses 221.4: more than the 160 MB of the smallest hosts, whose memory includes such bytes.

Cause: a session stops reading while it serves, but the kernel goes on receiving, 110 KB a connection and more, as it sizes the buffer itself. The listening sockets now have a buffer of 8 KiB (16 in the kernel), which accepted ones inherit. A request within the limits is served as before: its window is smaller, so a body of 256 KiB needs more round trips.

--- a/packages/edge/src/Socket.cpp
+++ b/packages/edge/src/Socket.cpp
@@ -21,6 +21,10 @@
 constexpr int kBacklog = 512;
 /** Parts of a message that one system call writes. */
 constexpr std::size_t kMaxPartsAtOnce = 4;
+/** Receive buffer of an accepted connection, in bytes, for which the kernel
+ *  reserves twice as much. What the process does not read, such as requests sent
+ *  ahead, stays there; a buffer that the kernel sizes grows to megabytes. */
+constexpr int kReceiveBufferBytes = 8 * 1024;
 /** If sent data is unacknowledged for this long, the peer counts as unreachable
  *  and the connection is closed, which frees its descriptor. */
 constexpr unsigned kUserTimeoutMs = 4000;
@@ -88,6 +92,9 @@
   Socket listener(
     socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   SetOption(listener.Get(), SOL_SOCKET, SO_REUSEADDR, 1);
+  // Accepted connections inherit it. Set later, it would not limit the window
+  // that is advertised first.
+  SetOption(listener.Get(), SOL_SOCKET, SO_RCVBUF, kReceiveBufferBytes);
   if (bind(listener.Get(), ToSockaddr(address), sizeof address) != 0 ||
       listen(listener.Get(), kBacklog) != 0) {
     throw std::system_error(
