Refuse requests for which no descriptors are left

Seen: with 256 descriptors, 60 callers whose requests over 24 shards are not answered take all of them (224 allowed). New connections, to the store too, then fail as if the other side refused them.

Cause: connections to replicas were bounded only by their share of each replica.

An eighth of the descriptors stays free. A request that may need more connections than are left is refused at once, as not run: 503, Retry-After 1 s; a request of another host with the sign to ask elsewhere. At the limit, a connection without a copy is closed for a new one. Replicas may take what accepted connections leave, a sixteenth at least; messages about crashes now take a sixteenth at most.

ReplicaConnectionsTest, MemoryBudgetTest (all limits together within the descriptors).

--- a/packages/edge/src/ConnectionLimits.cpp
+++ b/packages/edge/src/ConnectionLimits.cpp
@@ -23,6 +23,9 @@
 {
   // Of the usual limit of 4,000 descriptors, these shares are the limits above.
   ConnectionLimits limits;
+  limits.m_all = aDescriptors / 8 * 7;
+  limits.m_minReplicas = aDescriptors / 16;
+  limits.m_crashMessages = aDescriptors / 16;
   limits.m_callers = std::min(kMaxCallers, aDescriptors / 8 * 5);
   limits.m_hosts = std::min(kMaxHosts, aDescriptors / 8);
   limits.m_status = std::min(kMaxStatus, aDescriptors / 32);
--- a/packages/edge/src/EdgeRequests.cpp
+++ b/packages/edge/src/EdgeRequests.cpp
@@ -18,6 +18,13 @@
  *  holds the table, last for seconds. */
 constexpr Duration kNotReadyRetryAfter{ 2000000 };
 
+/** Retry-After while too many connections are open. Most requests end, and
+ *  leave theirs to others, sooner. */
+constexpr Duration kConnectionsRetryAfter{ 1000000 };
+/** Descriptors for other purposes: listening sockets, the log, the event loop,
+ *  connections to the store and for the rate limits. */
+constexpr std::size_t kOtherDescriptors = 32;
+
 /** True if a request that was admitted has not run on any replica. */
 bool
 HasNotRun(const ForwardResult& aResult)
@@ -121,6 +128,14 @@
                std::nullopt);
     return;
   }
+  if (!HasRoomForCopies(*route)) {
+    ReplyError(aSession,
+               aRequest,
+               ErrorKind::NotReady,
+               "too many connections to backend servers are open",
+               kConnectionsRetryAfter);
+    return;
+  }
   const auto identity = Identify(aSession, aRequest, *route);
   if (!identity) {
     return;
@@ -253,6 +268,24 @@
   return session || !m_relaySessions ? session : m_relaySessions->Find(aId);
 }
 
+bool
+EdgeServer::Impl::HasRoomForCopies(const Route& aRoute)
+{
+  const std::size_t used =
+    m_sessions.size() + (m_relaySessions ? m_relaySessions->size() : 0) +
+    m_readiness.ConnectionCount() +
+    (m_metricsServer ? m_metricsServer->ConnectionCount() : 0) +
+    m_crashReporter.OpenCount() + kOtherDescriptors;
+  const std::size_t all = m_connectionLimits.m_all;
+  const std::size_t limit =
+    std::max(m_connectionLimits.m_minReplicas, all - std::min(all, used));
+  m_replicas.SetLimit(limit);
+  // A request over more shards than there are descriptors is served alone.
+  const std::size_t needed = std::min(
+    limit, aRoute.m_gather ? aRoute.m_gather->m_shards.size() : 1);
+  return m_replicas.BusyCount() + needed <= limit;
+}
+
 bool
 EdgeServer::Impl::CanServeRelay(
   const std::optional<RelayParameters>& aParameters,
--- a/packages/edge/src/EdgeServer.cpp
+++ b/packages/edge/src/EdgeServer.cpp
@@ -64,7 +64,7 @@
   , m_crashReporter(aLoop,
                     aLog,
                     aSettings.m_hostId,
-                    m_connectionLimits.m_hosts,
+                    m_connectionLimits.m_crashMessages,
                     [this](const CrashMessage& aReply) { Apply(aReply); })
   , m_rateLimits(
       aLoop,
--- a/packages/edge/src/EdgeServerImpl.h
+++ b/packages/edge/src/EdgeServerImpl.h
@@ -152,6 +152,9 @@
   void CheckShutdown();
   void CloseIdleSessions();
   CallerSession* FindSession(SessionId aId) const;
+  /** Descriptors are left for the connections that a request on aRoute may
+   *  need. */
+  bool HasRoomForCopies(const Route& aRoute);
   /** True if a request that another entry host relays can be served. */
   bool CanServeRelay(const std::optional<RelayParameters>& aParameters,
                      const Route& aRoute) const;
--- a/packages/edge/src/ReplicaConnections.cpp
+++ b/packages/edge/src/ReplicaConnections.cpp
@@ -109,6 +109,9 @@
            (!m_connection.IsConnected() ||
             (m_connection.IsReusable() && aNow < m_idleDeadline));
   }
+  /** It is established and has no copy. */
+  bool IsUnused() const { return m_copy == 0 && m_connection.IsConnected(); }
+  TimePoint IdleDeadline() const { return m_idleDeadline; }
   bool HasAnswered(std::string_view aRequestId, TimePoint aNow) const
   {
     return m_answered.Contains(aNow, aRequestId);
@@ -286,7 +289,11 @@
 ReplicaConnections::Connection&
 ReplicaConnections::Open(const ReplicaRecord& aReplica)
 {
+  if (m_openCount >= m_limit) {
+    CloseFree();
+  }
   ++m_openedTotal;
+  ++m_openCount;
   auto& connections = m_endpoints[EndpointKey(aReplica)].m_connections;
   connections.push_back(std::make_unique<Connection>(*this, aReplica));
   return *connections.back();
@@ -308,14 +315,21 @@
   }
 }
 
-std::size_t
-ReplicaConnections::OpenCount() const
+void
+ReplicaConnections::CloseFree()
 {
-  std::size_t open = 0;
+  Connection* first = nullptr;
   for (const auto& [id, endpoint] : m_endpoints) {
-    open += endpoint.m_connections.size();
+    for (const auto& connection : endpoint.m_connections) {
+      if (connection->IsUnused() &&
+          (!first || connection->IdleDeadline() < first->IdleDeadline())) {
+        first = connection.get();
+      }
+    }
+  }
+  if (first) {
+    Remove(*first);
   }
-  return open;
 }
 
 void
@@ -344,6 +358,7 @@
       return aOther.get() == &aConnection;
     });
   if (found != connections.end()) {
+    --m_openCount;
     // The connection may be in one of its callbacks, so it is destroyed in the
     // next iteration of the event loop.
     if (aConnection.IsProven()) {
--- a/packages/edge/src/ReplicaConnections.h
+++ b/packages/edge/src/ReplicaConnections.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -68,7 +69,12 @@
   /** Bytes received of answers that are not complete. */
   std::size_t HeldBytes() const { return m_heldBytes; }
   /** Connections that are open or being established. */
-  std::size_t OpenCount() const;
+  std::size_t OpenCount() const { return m_openCount; }
+  /** Of these, connections that have a copy. */
+  std::size_t BusyCount() const { return m_connectionByCopy.size(); }
+  /** From aLimit connections on, one that has no copy is closed for a new one.
+   */
+  void SetLimit(std::size_t aLimit) { m_limit = aLimit; }
   /** Connections opened since the start. */
   std::uint64_t OpenedTotal() const { return m_openedTotal; }
 
@@ -81,6 +87,8 @@
 
   /** Opens a connection to aReplica. */
   Connection& Open(const ReplicaRecord& aReplica);
+  /** Closes the connection without a copy that would expire first, if any. */
+  void CloseFree();
   /** Updates m_heldBytes, and ends the largest answer if it exceeds its limit.
    */
   void UpdateHeldBytes(Connection& aConnection);
@@ -97,6 +105,8 @@
   std::unordered_map<CopyId, Connection*> m_connectionByCopy;
   std::vector<std::unique_ptr<Connection>> m_removed;
   std::uint64_t m_openedTotal = 0;
+  std::size_t m_openCount = 0;
+  std::size_t m_limit = std::numeric_limits<std::size_t>::max();
   LoopTimer m_expiryTimer;
   LoopTimer m_cleanUpTimer;
 };
--- a/packages/edge/src/StatusServer.h
+++ b/packages/edge/src/StatusServer.h
@@ -39,6 +39,9 @@
     m_sessions.Remove(aSession);
   }
 
+  /** Open connections. */
+  std::size_t ConnectionCount() const { return m_sessions.size(); }
+
 private:
   void CheckSessions();
 
--- a/packages/edge/tests/MemoryBudgetTest.cpp
+++ b/packages/edge/tests/MemoryBudgetTest.cpp
@@ -82,6 +82,11 @@
   REQUIRE(limits.m_callers > 0);
   REQUIRE(limits.m_hosts > 0);
   REQUIRE(limits.m_status > 0);
-  REQUIRE(limits.m_callers + limits.m_hosts + 2 * limits.m_status <=
-          descriptors * 7 / 8);
+  const std::size_t accepted =
+    limits.m_callers + limits.m_hosts + 2 * limits.m_status;
+  REQUIRE(accepted <= descriptors * 7 / 8);
+  REQUIRE(limits.m_minReplicas > 0);
+  REQUIRE(limits.m_crashMessages > 0);
+  REQUIRE(accepted + limits.m_minReplicas + limits.m_crashMessages <=
+          descriptors);
 }
--- a/packages/edge/tests/ReplicaConnectionsTest.cpp
+++ b/packages/edge/tests/ReplicaConnectionsTest.cpp
@@ -481,3 +481,41 @@
   fixture.Send(4, "four");
   REQUIRE(fixture.m_sentOn.back() == ConnectionState::Proven);
 }
+
+// Guards against pools that take all descriptors of the process.
+TEST_CASE("As many connections are open as allowed", "[replicas]")
+{
+  Fixture fixture;
+  fixture.m_connections.SetLimit(2);
+  fixture.Send(1, "one");
+  fixture.Send(2, "two");
+  REQUIRE(fixture.m_connections.OpenCount() == 2);
+  REQUIRE(fixture.m_connections.BusyCount() == 2);
+
+  LoopbackServer other;
+  ReplicaRecord replica = fixture.Record();
+  replica.m_id = "other";
+  replica.m_address = other.Address();
+  const auto sendToOther = [&] {
+    fixture.m_connections.Send(
+      replica, { 3, std::string("GET / HTTP/1.1\r\n\r\n"), "three" });
+    fixture.Turn();
+  };
+
+  SECTION("so one without a copy is closed for another replica")
+  {
+    fixture.m_server.Send(0, Answer("one", "first"));
+    fixture.Turn();
+    sendToOther();
+    REQUIRE(fixture.m_connections.OpenCount() == 2);
+    REQUIRE(fixture.m_ended.size() == 1);
+    REQUIRE(fixture.m_failures.empty());
+  }
+
+  SECTION("but none that has a copy")
+  {
+    sendToOther();
+    REQUIRE(fixture.m_connections.OpenCount() == 3);
+    REQUIRE(fixture.m_failures.empty());
+  }
+}
