Cut long texts in the log

Seen: a request id fills a header of up to 64 KiB, and each line about the request has it, escaped at up to six bytes for one: 384 KiB a line, 150 lines a second.

Cause: the log bounds lines and what it buffers, not a line. Texts are now cut at 4 KiB. DecisionLogTest failed before: the line was not complete within 8 KiB.

--- a/packages/edge/src/DecisionLog.cpp
+++ b/packages/edge/src/DecisionLog.cpp
@@ -19,6 +19,9 @@
 constexpr double kBurstLines = 600;
 /** Limit of buffered bytes, beyond which lines are dropped. */
 constexpr std::size_t kMaxBufferedBytes = 256 * 1024;
+/** Texts are cut at this length, in bytes: ids and names may come from callers,
+ *  who may fill a header with one. */
+constexpr std::size_t kMaxTextBytes = 4096;
 /** Lines are buffered this long and written together to save system calls. */
 constexpr Duration kFlushInterval{ 200000 };
 
@@ -27,7 +30,7 @@
 {
   constexpr std::string_view kHex = "0123456789abcdef";
   aOut += '"';
-  for (const char letter : aText) {
+  for (const char letter : aText.substr(0, kMaxTextBytes)) {
     const auto byte = static_cast<unsigned char>(letter);
     if (letter == '"' || letter == '\\') {
       aOut += '\\';
--- a/packages/edge/tests/DecisionLogTest.cpp
+++ b/packages/edge/tests/DecisionLogTest.cpp
@@ -60,6 +60,29 @@
   close(ends[1]);
 }
 
+// Guards against a caller that fills the log with a header of the largest size.
+TEST_CASE("Long texts are cut in the log", "[log]")
+{
+  std::array<int, 2> ends{};
+  REQUIRE(pipe(ends.data()) == 0);
+  const SystemClock clock;
+  Loop loop(clock);
+  DecisionLog log(loop, ends[1], "h1");
+  const std::string id(64 * 1024, 'x');
+  log.Write(LogPriority::Request, "answer", { { "request", std::string_view(id) } });
+  log.Flush();
+  std::array<char, 8192> buffer{};
+  const ssize_t count = read(ends[0], buffer.data(), buffer.size());
+  REQUIRE(count > 0);
+  const auto line = nlohmann::json::parse(
+    std::string_view(buffer.data(), static_cast<std::size_t>(count)));
+  const auto text = line.at("request").get<std::string>();
+  REQUIRE_FALSE(text.empty());
+  REQUIRE(id.starts_with(text));
+  close(ends[0]);
+  close(ends[1]);
+}
+
 TEST_CASE("The rate limit applies to lines about requests only", "[log]")
 {
   const int descriptor = open("/dev/null", O_WRONLY);
