Let the copies of a request share its id

Cause: each copy held the id for as long as its connection was open, to recognise its answer. Copies now refer to the id of the request and let go of it when they end.

--- a/packages/edge/src/EdgeLogLines.cpp
+++ b/packages/edge/src/EdgeLogLines.cpp
@@ -45,7 +45,7 @@
   m_log.Write(
     LogPriority::Request,
     "answer",
-    { { "request", std::string_view(aOpen.m_requestId) },
+    { { "request", aOpen.m_requestId.View() },
       { "route", std::string_view(aOpen.m_route) },
       { "tenant", std::string_view(aOpen.m_identity.m_tenant) },
       { "version", static_cast<std::int64_t>(aOpen.m_version) },
@@ -72,7 +72,7 @@
               { { "request",
                   open == m_openRequests.end()
                     ? std::string_view()
-                    : std::string_view(open->second.m_requestId) },
+                    : open->second.m_requestId.View() },
                 { "service", aDecision.m_service },
                 { "replica", aDecision.m_replica },
                 { "reason", aDecision.m_reason },
--- a/packages/edge/src/EdgeRateLimits.cpp
+++ b/packages/edge/src/EdgeRateLimits.cpp
@@ -82,7 +82,7 @@
   const OpenRequest& open = m_openRequests.at(aRequest);
   m_log.Write(LogPriority::Request,
               "rate_limit",
-              { { "request", std::string_view(open.m_requestId) },
+              { { "request", open.m_requestId.View() },
                 { "tenant", std::string_view(open.m_identity.m_tenant) },
                 { "outcome", NameOf(aResult.m_admission) },
                 { "reason", NameOf(aResult.m_basis) },
--- a/packages/edge/src/EdgeRequests.cpp
+++ b/packages/edge/src/EdgeRequests.cpp
@@ -162,7 +162,8 @@
   forward.m_deadline = now + std::min(route->m_timeout, timeLeft);
   OpenRequest open;
   open.m_session = aSession.Id();
-  open.m_requestId = FieldValue(aRequest.m_fields, m_names.m_requestId);
+  open.m_requestId =
+    std::string(FieldValue(aRequest.m_fields, m_names.m_requestId));
   open.m_request = std::move(aRequest);
   open.m_arrivedAt = now;
   open.m_deadline = forward.m_deadline;
@@ -195,7 +196,7 @@
   const TimePoint now = m_loop.Now();
   m_log.Write(LogPriority::Request,
               "caller_gone",
-              { { "request", std::string_view(open.m_requestId) },
+              { { "request", open.m_requestId.View() },
                 { "route", std::string_view(open.m_route) },
                 { "age_ms", (now - open.m_arrivedAt).count() / 1000.0 } });
   if (open.m_unadmitted) {
@@ -242,7 +243,7 @@
       if (quarantined) {
         reply.m_fields.emplace_back(kQuarantinedField, "1");
       }
-      EchoRequestId(reply, open.m_requestId);
+      EchoRequestId(reply, open.m_requestId.View());
       // It tells when this host is to stop using the replica, not the other
       // one.
       std::erase_if(reply.m_fields, [&](const HeaderField& aField) {
--- a/packages/edge/src/EdgeServerImpl.h
+++ b/packages/edge/src/EdgeServerImpl.h
@@ -113,7 +113,7 @@
     RequestMessage m_request;
     /** Set when the first copy is sent. */
     std::shared_ptr<const EncodedRequest> m_encoded;
-    std::string m_requestId;
+    SharedText m_requestId;
     TimePoint m_arrivedAt;
     TimePoint m_deadline;
     std::string m_route;
--- a/packages/edge/src/ReplicaConnections.cpp
+++ b/packages/edge/src/ReplicaConnections.cpp
@@ -148,7 +148,7 @@
       return m_echoesIds ? AnswerMatch::Unknown : AnswerMatch::Belongs;
     }
     m_echoesIds = true;
-    return id == m_requestId ? AnswerMatch::Belongs : AnswerMatch::Other;
+    return id == m_requestId.View() ? AnswerMatch::Belongs : AnswerMatch::Other;
   }
 
   void Received(ClientConnection&) override { m_owner.UpdateHeldBytes(*this); }
@@ -158,8 +158,10 @@
     const CopyId copy = std::exchange(m_copy, 0);
     m_owner.m_connectionByCopy.erase(copy);
     CountHeldBytes();
-    m_answered.Add(m_owner.m_loop.Now(), m_requestId, m_requestEndsAt);
+    m_answered.Add(
+      m_owner.m_loop.Now(), m_requestId.View(), m_requestEndsAt);
     m_checkMayRepeat = m_checkMayRepeat || m_requestId.empty();
+    m_requestId = SharedText();
     m_idleDeadline = m_owner.m_loop.Now() + IdleTimeoutOf(aAnswer);
     ReplicaAnswer answer = m_owner.ToAnswer(std::move(aAnswer));
     ReplicaConnections& owner = m_owner;
@@ -218,7 +220,7 @@
   std::string m_id;
   std::string m_endpoint;
   CopyId m_copy = 0;
-  std::string m_requestId;
+  SharedText m_requestId;
   TimePoint m_requestEndsAt;
   AnsweredRequests m_answered;
   ConnectionState m_state = ConnectionState::New;
@@ -262,7 +264,7 @@
        connection != endpoint.m_connections.rend();
        ++connection) {
     if ((*connection)->IsFree(now) &&
-        !(*connection)->HasAnswered(aCopy.m_requestId, now) &&
+        !(*connection)->HasAnswered(aCopy.m_requestId.View(), now) &&
         (!chosen || (*connection)->Reliability() > chosen->Reliability())) {
       chosen = connection->get();
       if (chosen->IsProven()) {
--- a/packages/edge/src/ReplicaConnections.h
+++ b/packages/edge/src/ReplicaConnections.h
@@ -38,7 +38,7 @@
   CopyId m_copy = 0;
   RequestBytes m_bytes;
   /** Request id; responses that carry another one are skipped. */
-  std::string m_requestId;
+  SharedText m_requestId;
   /** The request is a HEAD request. */
   bool m_head = false;
   /** No copy of the request is sent after this time. */
--- a/packages/edge/src/RequestBytes.h
+++ b/packages/edge/src/RequestBytes.h
@@ -9,6 +9,32 @@
 
 namespace goldcrestkeel {
 
+/** A text that its copies share. */
+class SharedText
+{
+public:
+  SharedText() = default;
+  SharedText(std::string aText)
+    : m_text(aText.empty()
+               ? nullptr
+               : std::make_shared<const std::string>(std::move(aText)))
+  {
+  }
+  SharedText(const char* aText)
+    : SharedText(std::string(aText))
+  {
+  }
+
+  std::string_view View() const
+  {
+    return m_text ? std::string_view(*m_text) : std::string_view();
+  }
+  bool empty() const { return View().empty(); }
+
+private:
+  std::shared_ptr<const std::string> m_text;
+};
+
 /** What all copies of a request have in common. */
 struct EncodedRequest
 {
