Keep descriptors free with as many callers as are accepted

Cause: the check at the arrival of a request does not see the copies of those that wait for a replica; they are all dispatched when the first ones end. Callers and replicas also did not leave room for each other.

A copy that finds neither a connection nor a descriptor fails with NoConnection, which says nothing of the replica: no backoff, no loss of contact; the request is tried elsewhere, or refused as not run. Health checks are not limited. Replicas leave room for half of the accepted connections; at the limit, a new caller takes the place of the one that has waited longest, as with as many callers as allowed.

--- a/packages/edge/src/CallerSession.h
+++ b/packages/edge/src/CallerSession.h
@@ -9,6 +9,7 @@
 #include <goldcrestkeel/forward/RoutingTable.h>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -78,6 +79,9 @@
 
   SessionLimits m_limits;
   MemoryBudget m_budget;
+  /** Whether the process has no descriptors left for further connections; not
+   *  set: never. */
+  std::function<bool()> m_isFull;
 };
 
 /** Server side of one HTTP/1.1 connection; serves one request at a time. No
--- a/packages/edge/src/ConnectionLimits.cpp
+++ b/packages/edge/src/ConnectionLimits.cpp
@@ -29,6 +29,8 @@
   limits.m_callers = std::min(kMaxCallers, aDescriptors / 8 * 5);
   limits.m_hosts = std::min(kMaxHosts, aDescriptors / 8);
   limits.m_status = std::min(kMaxStatus, aDescriptors / 32);
+  limits.m_minAccepted =
+    (limits.m_callers + limits.m_hosts + 2 * limits.m_status) / 2;
   return limits;
 }
 
--- a/packages/edge/src/ConnectionLimits.h
+++ b/packages/edge/src/ConnectionLimits.h
@@ -12,6 +12,8 @@
   std::size_t m_all = 0;
   /** To replicas and other hosts, whatever the number of the others. */
   std::size_t m_minReplicas = 0;
+  /** Accepted ones that replicas leave room for. */
+  std::size_t m_minAccepted = 0;
   /** That carry messages about crashes to other hosts. */
   std::size_t m_crashMessages = 0;
   /** Accepted of callers. */
--- a/packages/edge/src/EdgeRequests.cpp
+++ b/packages/edge/src/EdgeRequests.cpp
@@ -269,17 +269,23 @@
   return session || !m_relaySessions ? session : m_relaySessions->Find(aId);
 }
 
+std::size_t
+EdgeServer::Impl::UsedDescriptors() const
+{
+  return m_sessions.size() + (m_relaySessions ? m_relaySessions->size() : 0) +
+         m_readiness.ConnectionCount() +
+         (m_metricsServer ? m_metricsServer->ConnectionCount() : 0) +
+         m_crashReporter.OpenCount() + kOtherDescriptors;
+}
+
 bool
 EdgeServer::Impl::HasRoomForCopies(const Route& aRoute)
 {
+  const ConnectionLimits& limits = m_connectionLimits;
   const std::size_t used =
-    m_sessions.size() + (m_relaySessions ? m_relaySessions->size() : 0) +
-    m_readiness.ConnectionCount() +
-    (m_metricsServer ? m_metricsServer->ConnectionCount() : 0) +
-    m_crashReporter.OpenCount() + kOtherDescriptors;
-  const std::size_t all = m_connectionLimits.m_all;
-  const std::size_t limit =
-    std::max(m_connectionLimits.m_minReplicas, all - std::min(all, used));
+    std::max(UsedDescriptors(), limits.m_minAccepted + kOtherDescriptors);
+  const std::size_t limit = std::max(
+    limits.m_minReplicas, limits.m_all - std::min(limits.m_all, used));
   m_replicas.SetLimit(limit);
   // A request over more shards than there are descriptors is served alone.
   const std::size_t needed = std::min(
--- a/packages/edge/src/EdgeServer.cpp
+++ b/packages/edge/src/EdgeServer.cpp
@@ -85,6 +85,10 @@
         RecordRefusal("readiness", aRefusal);
       })
 {
+  m_sessionMemory.m_isFull = [this] {
+    return UsedDescriptors() + m_replicas.OpenCount() >=
+           m_connectionLimits.m_all;
+  };
   if (!aSettings.m_relayAddress.empty()) {
     m_relaySessions.emplace(aLoop,
                             SessionPeer::Host,
--- a/packages/edge/src/EdgeServerImpl.h
+++ b/packages/edge/src/EdgeServerImpl.h
@@ -152,6 +152,8 @@
   void CheckShutdown();
   void CloseIdleSessions();
   CallerSession* FindSession(SessionId aId) const;
+  /** Accepted connections, and descriptors for other purposes. */
+  std::size_t UsedDescriptors() const;
   /** Descriptors are left for the connections that a request on aRoute may
    *  need. */
   bool HasRoomForCopies(const Route& aRoute);
--- a/packages/edge/src/ReplicaConnections.cpp
+++ b/packages/edge/src/ReplicaConnections.cpp
@@ -244,6 +244,7 @@
   , m_names(aNames)
   , m_listener(aListener)
   , m_limits(aLimits)
+  , m_rejectTimer(aLoop, [this] { FailRejected(); })
   , m_expiryTimer(aLoop, [this] { CloseExpired(); })
   , m_cleanUpTimer(aLoop, [this] { m_removed.clear(); })
 {
@@ -272,6 +273,15 @@
       }
     }
   }
+  if (!chosen && m_openCount >= m_limit) {
+    CloseFree();
+  }
+  if (!chosen && m_openCount >= m_limit) {
+    // Not within this call, in which the owner is still sending.
+    m_rejected.push_back(aCopy.m_copy);
+    m_rejectTimer.SetAfter(Duration(0));
+    return;
+  }
   if (!chosen) {
     chosen = &Open(aReplica);
   }
@@ -291,9 +301,6 @@
 ReplicaConnections::Connection&
 ReplicaConnections::Open(const ReplicaRecord& aReplica)
 {
-  if (m_openCount >= m_limit) {
-    CloseFree();
-  }
   ++m_openedTotal;
   ++m_openCount;
   auto& connections = m_endpoints[EndpointKey(aReplica)].m_connections;
@@ -304,6 +311,7 @@
 void
 ReplicaConnections::Abort(CopyId aCopy)
 {
+  std::erase(m_rejected, aCopy);
   const auto found = m_connectionByCopy.find(aCopy);
   if (found == m_connectionByCopy.end()) {
     return;
@@ -317,6 +325,14 @@
   }
 }
 
+void
+ReplicaConnections::FailRejected()
+{
+  for (const CopyId copy : std::exchange(m_rejected, {})) {
+    m_listener.OnCopyFailed(copy, CopyFailure::NoConnection);
+  }
+}
+
 void
 ReplicaConnections::CloseFree()
 {
--- a/packages/edge/src/ReplicaConnections.h
+++ b/packages/edge/src/ReplicaConnections.h
@@ -72,8 +72,8 @@
   std::size_t OpenCount() const { return m_openCount; }
   /** Of these, connections that have a copy. */
   std::size_t BusyCount() const { return m_connectionByCopy.size(); }
-  /** From aLimit connections on, one that has no copy is closed for a new one.
-   */
+  /** From aLimit connections on, one that has no copy is closed for a new one
+   *  of Send(). If there is none, the copy fails with NoConnection. */
   void SetLimit(std::size_t aLimit) { m_limit = aLimit; }
   /** Connections opened since the start. */
   std::uint64_t OpenedTotal() const { return m_openedTotal; }
@@ -89,6 +89,8 @@
   Connection& Open(const ReplicaRecord& aReplica);
   /** Closes the connection without a copy that would expire first, if any. */
   void CloseFree();
+  /** Reports the copies that have found no connection. */
+  void FailRejected();
   /** Updates m_heldBytes, and ends the largest answer if it exceeds its limit.
    */
   void UpdateHeldBytes(Connection& aConnection);
@@ -107,6 +109,9 @@
   std::uint64_t m_openedTotal = 0;
   std::size_t m_openCount = 0;
   std::size_t m_limit = std::numeric_limits<std::size_t>::max();
+  /** Copies that have found no connection. */
+  std::vector<CopyId> m_rejected;
+  LoopTimer m_rejectTimer;
   LoopTimer m_expiryTimer;
   LoopTimer m_cleanUpTimer;
 };
--- a/packages/edge/src/SessionSet.cpp
+++ b/packages/edge/src/SessionSet.cpp
@@ -89,7 +89,8 @@
 SessionSet::Accept()
 {
   for (int i = 0; i < kMaxAcceptsAtOnce; ++i) {
-    const bool full = m_sessions.size() >= m_limit;
+    const bool full = m_sessions.size() >= m_limit ||
+                      (m_memory.m_isFull && m_memory.m_isFull());
     if (full && !FindLongestWaiting()) {
       PauseAccepting();
       return;
--- a/packages/forward/include/goldcrestkeel/forward/Forwarder.h
+++ b/packages/forward/include/goldcrestkeel/forward/Forwarder.h
@@ -122,6 +122,9 @@
   Broken,
   /** The received bytes are not a valid answer. */
   Malformed,
+  /** This host had no descriptor left for a connection; nothing was sent. It
+   *  says nothing of the replica. */
+  NoConnection,
 };
 
 std::string_view
--- a/packages/forward/src/Forwarder.cpp
+++ b/packages/forward/src/Forwarder.cpp
@@ -7,10 +7,9 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 4> kCopyFailures{ "refused",
-                                                         "not_sent",
-                                                         "broken",
-                                                         "malformed" };
+constexpr std::array<std::string_view, 5> kCopyFailures{
+  "refused", "not_sent", "broken", "malformed", "no_connection"
+};
 constexpr std::array<std::string_view, 4> kCopyReasons{ "first",
                                                         "hedge",
                                                         "retry",
--- a/packages/forward/src/ForwarderCopies.cpp
+++ b/packages/forward/src/ForwarderCopies.cpp
@@ -16,6 +16,7 @@
       return ProbeOutcome::Answered;
     case CopyFailure::NotSent:
     case CopyFailure::Broken:
+    case CopyFailure::NoConnection:
       break;
   }
   return ProbeOutcome::NoAnswer;
@@ -143,6 +144,10 @@
     OnRelayFailed(aNow, copy, aFailure);
     return;
   }
+  if (aFailure == CopyFailure::NoConnection) {
+    OnNoConnection(aNow, copy);
+    return;
+  }
   PooledReplica& replica = *copy.m_replica;
   if (aFailure == CopyFailure::Refused || aFailure == CopyFailure::NotSent) {
     BackOff(aNow, *copy.m_group, copy.m_replica, kUnreachableBackoff);
@@ -172,6 +177,22 @@
   UpdateContact(aNow);
 }
 
+void
+ForwarderImpl::OnNoConnection(TimePoint aNow, const ForwardCopy& aCopy)
+{
+  const auto running = m_running.find(aCopy.m_request);
+  if (running != m_running.end() && !aCopy.m_abandoned) {
+    LogDecision("copy_failed",
+                *running->second,
+                aCopy.m_group->m_name,
+                aCopy.m_replica->m_record.m_id,
+                NameOf(CopyFailure::NoConnection),
+                aNow - aCopy.m_startedAt);
+    // Waiting requests are not dispatched: they would fail in the same way.
+    Retry(aNow, *running->second, aCopy.m_subRequest);
+  }
+}
+
 void
 ForwarderImpl::ReportUnanswered(TimePoint aNow, const ForwardCopy& aCopy)
 {
--- a/packages/forward/src/ForwarderImpl.h
+++ b/packages/forward/src/ForwarderImpl.h
@@ -398,6 +398,8 @@
    *  repeated. */
   static bool IsSuccess(const ReplicaAnswer& aAnswer);
   /** A copy to a replica is late or has failed: reports it to m_contact. */
+  /** A copy had no connection for want of descriptors. */
+  void OnNoConnection(TimePoint aNow, const ForwardCopy& aCopy);
   void ReportUnanswered(TimePoint aNow, const ForwardCopy& aCopy);
   /** Releases the copy's in-flight slot and erases it. */
   void EndCopy(CopyId aCopy);
--- a/packages/forward/src/ForwarderRelay.cpp
+++ b/packages/forward/src/ForwarderRelay.cpp
@@ -216,14 +216,17 @@
                              CopyFailure aFailure)
 {
   PooledReplica& host = *aCopy.m_replica;
-  BackendPool::BackOff(aNow, host, kUnreachableBackoff);
+  if (aFailure != CopyFailure::NoConnection) {
+    BackendPool::BackOff(aNow, host, kUnreachableBackoff);
+  }
   const auto running = m_running.find(aCopy.m_request);
   if (running == m_running.end()) {
     return;
   }
   RunningForward& forward = *running->second;
-  const bool notSent =
-    aFailure == CopyFailure::Refused || aFailure == CopyFailure::NotSent;
+  const bool notSent = aFailure == CopyFailure::Refused ||
+                       aFailure == CopyFailure::NotSent ||
+                       aFailure == CopyFailure::NoConnection;
   if (notSent && aCopy.m_relayReason == RelayReason::Fallback) {
     RetryFallback(aNow, forward, aCopy, NameOf(aFailure));
     return;
--- a/scripts/lib/limit_cases.py
+++ b/scripts/lib/limit_cases.py
@@ -11,7 +11,7 @@
 # The smallest memory of a host that goldcrestkeel is deployed on, its connections, and
 # what remains for them beside the process, whose bodies count once, as they are not sent.
 HOST_BYTES = 160 * MIB
-HOST_CALLERS, HOST_CONNECTIONS = 2500, 3128
+HOST_CALLERS, HOST_CONNECTIONS, HOST_DESCRIPTORS = 2500, 3128, 4096
 BODIES_BYTES = (32 + 32) * MIB + HOST_CALLERS * 16 * KIB
 SHARDS = [f"shard-{i}" for i in range(24)]
 MESSAGE_TARGETS = ["/goldcrestkeel/crashes", "/goldcrestkeel/tokens",
@@ -215,6 +215,8 @@
         case("without-replicas", "callers", 160, None, mix, stage="without-replicas"),
         case("draining", "callers", 160, None, mix, stage="draining"),
         # With default settings.
+        case("gathered-descriptors-host-size", "callers", HOST_CALLERS, HOST_DESCRIPTORS,
+             once(head("/gather/hung/")), bound=HOST_BYTES),
         case("pieces-2k-host-size", "callers", HOST_CALLERS, None, pieces_2k, again=True,
              bound=BODIES_BYTES),
         case("pieces-20k-host-size", "callers", HOST_CALLERS, None, pieces_20k, again=True,
