--- a/packages/core/src/CrashGuard.cpp
+++ b/packages/core/src/CrashGuard.cpp
@@ -292,8 +292,8 @@
   std::size_t evicted = 0;
   std::erase_if(m_entries, [&](const auto& aItem) {
     // Many entries may have the same time.
-    const bool evict = aItem.second.m_lastCrash <= *middle &&
-                       evicted < times.size() / 2;
+    const bool evict =
+      aItem.second.m_lastCrash <= *middle && evicted < times.size() / 2;
     evicted += evict ? 1 : 0;
     return evict;
   });
--- a/packages/edge/src/CrashReporter.cpp
+++ b/packages/edge/src/CrashReporter.cpp
@@ -125,11 +125,11 @@
   call.m_body = *aMessage.m_body;
   call.m_timeout = kMessageTimeout;
   call.m_maxAnswerBytes = kMaxCrashMessageBytes;
-  caller->Call(call,
-               [this, number, host = aMessage.m_hostId](
-                 const HttpCallResult& aResult) {
-                 OnEnded(number, host, aResult);
-               });
+  caller->Call(
+    call,
+    [this, number, host = aMessage.m_hostId](const HttpCallResult& aResult) {
+      OnEnded(number, host, aResult);
+    });
 }
 
 void
--- a/packages/edge/src/EdgeLogLines.cpp
+++ b/packages/edge/src/EdgeLogLines.cpp
@@ -67,16 +67,16 @@
 EdgeServer::Impl::LogDecision(const ForwardDecision& aDecision)
 {
   const auto open = m_openRequests.find(aDecision.m_request);
-  m_log.Write(LogPriority::Request,
-              aDecision.m_decision,
-              { { "request",
-                  open == m_openRequests.end()
-                    ? std::string_view()
-                    : open->second.m_requestId.View() },
-                { "service", aDecision.m_service },
-                { "replica", aDecision.m_replica },
-                { "reason", aDecision.m_reason },
-                { "age_ms", aDecision.m_age.count() / 1000.0 } });
+  m_log.Write(
+    LogPriority::Request,
+    aDecision.m_decision,
+    { { "request",
+        open == m_openRequests.end() ? std::string_view()
+                                     : open->second.m_requestId.View() },
+      { "service", aDecision.m_service },
+      { "replica", aDecision.m_replica },
+      { "reason", aDecision.m_reason },
+      { "age_ms", aDecision.m_age.count() / 1000.0 } });
 }
 
 void
--- a/packages/edge/src/EdgeRequests.cpp
+++ b/packages/edge/src/EdgeRequests.cpp
@@ -284,12 +284,12 @@
   const ConnectionLimits& limits = m_connectionLimits;
   const std::size_t used =
     std::max(UsedDescriptors(), limits.m_minAccepted + kOtherDescriptors);
-  const std::size_t limit = std::max(
-    limits.m_minReplicas, limits.m_all - std::min(limits.m_all, used));
+  const std::size_t limit =
+    std::max(limits.m_minReplicas, limits.m_all - std::min(limits.m_all, used));
   m_replicas.SetLimit(limit);
   // A request over more shards than there are descriptors is served alone.
-  const std::size_t needed = std::min(
-    limit, aRoute.m_gather ? aRoute.m_gather->m_shards.size() : 1);
+  const std::size_t needed =
+    std::min(limit, aRoute.m_gather ? aRoute.m_gather->m_shards.size() : 1);
   return m_replicas.BusyCount() + needed <= limit;
 }
 
--- a/packages/edge/src/RateLimitMessages.cpp
+++ b/packages/edge/src/RateLimitMessages.cpp
@@ -106,9 +106,7 @@
   if (id.size() > kMaxHostIdBytes) {
     throw std::runtime_error("the id of a host is too long");
   }
-  return { std::move(id),
-           aValue[1].get<std::string>(),
-           NumberOf(aValue[2]) };
+  return { std::move(id), aValue[1].get<std::string>(), NumberOf(aValue[2]) };
 }
 
 } // namespace
--- a/packages/edge/src/ReplicaConnections.cpp
+++ b/packages/edge/src/ReplicaConnections.cpp
@@ -158,8 +158,7 @@
     const CopyId copy = std::exchange(m_copy, 0);
     m_owner.m_connectionByCopy.erase(copy);
     CountHeldBytes();
-    m_answered.Add(
-      m_owner.m_loop.Now(), m_requestId.View(), m_requestEndsAt);
+    m_answered.Add(m_owner.m_loop.Now(), m_requestId.View(), m_requestEndsAt);
     m_checkMayRepeat = m_checkMayRepeat || m_requestId.empty();
     m_requestId = SharedText();
     m_idleDeadline = m_owner.m_loop.Now() + IdleTimeoutOf(aAnswer);
--- a/packages/edge/src/SessionSet.h
+++ b/packages/edge/src/SessionSet.h
@@ -17,12 +17,12 @@
   /** aLoop, aNextId and aOwner must outlive the set; aNextId is the counter
    *  that all sets take their session ids from. aMemory must outlive it, too.
    *  At most aLimit sessions are open, or fewer while
-   *  the process has no descriptors left. For a further connection, the session is
-   *  closed that has sent no complete request for the longest time, first among
-   *  those that have never sent one; if all are being served, the connection
-   *  waits in the listen queue. Throws
-   *  std::runtime_error if aAddress is not of the form "IP:port", and
-   *  std::system_error if it cannot be listened on. */
+   *  the process has no descriptors left. For a further connection, the session
+   * is closed that has sent no complete request for the longest time, first
+   * among those that have never sent one; if all are being served, the
+   * connection waits in the listen queue. Throws std::runtime_error if aAddress
+   * is not of the form "IP:port", and std::system_error if it cannot be
+   * listened on. */
   SessionSet(Loop& aLoop,
              SessionPeer aPeer,
              SessionId& aNextId,
--- a/packages/edge/src/Socket.cpp
+++ b/packages/edge/src/Socket.cpp
@@ -22,8 +22,9 @@
 /** Parts of a message that one system call writes. */
 constexpr std::size_t kMaxPartsAtOnce = 4;
 /** Receive buffer of an accepted connection, in bytes, for which the kernel
- *  reserves twice as much. What the process does not read, such as requests sent
- *  ahead, stays there; a buffer that the kernel sizes grows to megabytes. */
+ *  reserves twice as much. What the process does not read, such as requests
+ * sent ahead, stays there; a buffer that the kernel sizes grows to megabytes.
+ */
 constexpr int kReceiveBufferBytes = 8 * 1024;
 /** If sent data is unacknowledged for this long, the peer counts as unreachable
  *  and the connection is closed, which frees its descriptor. */
--- a/packages/edge/tests/DecisionLogTest.cpp
+++ b/packages/edge/tests/DecisionLogTest.cpp
@@ -69,7 +69,8 @@
   Loop loop(clock);
   DecisionLog log(loop, ends[1], "h1");
   const std::string id(64 * 1024, 'x');
-  log.Write(LogPriority::Request, "answer", { { "request", std::string_view(id) } });
+  log.Write(
+    LogPriority::Request, "answer", { { "request", std::string_view(id) } });
   log.Flush();
   std::array<char, 8192> buffer{};
   const ssize_t count = read(ends[0], buffer.data(), buffer.size());
--- a/packages/edge/tests/OddMessagesTest.cpp
+++ b/packages/edge/tests/OddMessagesTest.cpp
@@ -154,13 +154,13 @@
   }
 }
 
-// Guards against messages that take many times their bytes once they are parsed.
+// Guards against messages that take many times their bytes once they are
+// parsed.
 TEST_CASE("A message of another host is larger than any", "[crash]")
 {
   SECTION("because of its spaces")
   {
-    REQUIRE_NOTHROW(
-      DecodeCrashMessage(R"({"crashes":[],"quarantined":[]})"));
+    REQUIRE_NOTHROW(DecodeCrashMessage(R"({"crashes":[],"quarantined":[]})"));
     REQUIRE_THROWS(DecodeCrashMessage(R"({"crashes":[],"quarantined":[]})" +
                                       std::string(kMaxCrashMessageBytes, ' ')));
   }
--- a/packages/edge/tests/ReplicaConnectionsTest.cpp
+++ b/packages/edge/tests/ReplicaConnectionsTest.cpp
@@ -52,8 +52,9 @@
 
   void Send(CopyId aCopy, const std::string& aRequestId)
   {
-    m_connections.Send(Record(),
-                       { aCopy, std::string("GET / HTTP/1.1\r\n\r\n"), aRequestId, false });
+    m_connections.Send(
+      Record(),
+      { aCopy, std::string("GET / HTTP/1.1\r\n\r\n"), aRequestId, false });
     Turn();
   }
 
@@ -204,9 +205,12 @@
   SECTION("and over the same one once the request has ended")
   {
     Fixture ended;
-    ended.m_connections.Send(
-      ended.Record(),
-      { 1, std::string("GET / HTTP/1.1\r\n\r\n"), "one", false, ended.m_clock.Now() + 5ms });
+    ended.m_connections.Send(ended.Record(),
+                             { 1,
+                               std::string("GET / HTTP/1.1\r\n\r\n"),
+                               "one",
+                               false,
+                               ended.m_clock.Now() + 5ms });
     ended.Turn();
     ended.m_server.Send(0, bytes);
     ended.Turn();
--- a/packages/forward/src/Forwarder.cpp
+++ b/packages/forward/src/Forwarder.cpp
@@ -7,9 +7,11 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 5> kCopyFailures{
-  "refused", "not_sent", "broken", "malformed", "no_connection"
-};
+constexpr std::array<std::string_view, 5> kCopyFailures{ "refused",
+                                                         "not_sent",
+                                                         "broken",
+                                                         "malformed",
+                                                         "no_connection" };
 constexpr std::array<std::string_view, 4> kCopyReasons{ "first",
                                                         "hedge",
                                                         "retry",
--- a/packages/forward/src/ForwarderCrashes.cpp
+++ b/packages/forward/src/ForwarderCrashes.cpp
@@ -236,8 +236,7 @@
 ForwarderImpl::ForgetCrashesLater(TimePoint aNow)
 {
   if (!std::exchange(m_forgetsCrashes, true)) {
-    AddTimer(
-      aNow + kCrashMemory + Duration(1), ForwardTimer::ForgetCrashes, 0);
+    AddTimer(aNow + kCrashMemory + Duration(1), ForwardTimer::ForgetCrashes, 0);
   }
 }
 
