Let the tests of the edge listen on addresses of their process

Seen: "Another host asks for tokens" failed once in 12 runs beside others: cannot listen on 127.0.0.1:39675, address already in use.

Cause: FreeAddress() returned a port that had just been closed. Until it is listened on, another process can take it, or a connection as its own end, and a second call can return it again. Each call now returns another loopback address, which depends on the process, with a fixed port. No check changes.

--- a/packages/edge/tests/ServerFixture.cpp
+++ b/packages/edge/tests/ServerFixture.cpp
@@ -15,7 +15,14 @@
 std::string
 FreeAddress()
 {
-  return LoopbackServer().Address();
+  // Addresses of this process alone: a port of 127.0.0.1 that was free can be
+  // taken by another process, or by a connection, before it is listened on.
+  constexpr unsigned kHostsPerProcess = 254;
+  static unsigned sCalls = 0;
+  const auto process = static_cast<unsigned>(getpid());
+  return "127." + std::to_string(1 + (process >> 8U) % 60) + "." +
+         std::to_string(process % 256) + "." +
+         std::to_string(1 + sCalls++ % kHostsPerProcess) + ":18080";
 }
 
 std::shared_ptr<RoutingTable>
--- a/packages/edge/tests/ServerFixture.h
+++ b/packages/edge/tests/ServerFixture.h
@@ -12,7 +12,7 @@
 
 namespace goldcrestkeel::testing {
 
-/** Address of a port that was free a moment ago. */
+/** Address that nothing else listens on. */
 std::string
 FreeAddress();
 
