--- a/scripts/lib/limit_cases.py
+++ b/scripts/lib/limit_cases.py
@@ -44,6 +44,7 @@
 
 
 def in_chunks(path, total, piece):
+    """The same with a chunked body, a chunk at a time."""
     async def send(write):
         await write(head(path, "POST", "Transfer-Encoding: chunked"))
         for _ in range(total // piece - 1):
@@ -54,7 +55,8 @@
 
 
 def messages(make, count):
-    """Requests that `make` returns for a number, which differs between clients."""
+    """`count` requests, each of which `make` returns for the next number. All clients of
+    a case share the numbers."""
     numbers = itertools.count(1)
 
     async def send(write):
@@ -141,6 +143,7 @@
 
 
 def mixed(*clients):
+    """Connections take one of `clients` in turn."""
     numbers = itertools.count()
 
     async def send(write):
@@ -233,7 +236,7 @@
     return cases
 
 
-def unread_bytes(pid, port_table="/proc/net/tcp"):
+def unread_bytes(pid):
     """Bytes that the kernel has received for the sockets of a process, which has not
     read them."""
     inodes = set()
@@ -245,7 +248,7 @@
         if link.startswith("socket:["):
             inodes.add(link[8:-1])
     total = 0
-    with open(port_table, encoding="ascii") as table:
+    with open("/proc/net/tcp", encoding="ascii") as table:
         next(table)
         for line in table:
             parts = line.split()
