Add the cases of unread answers, and use one look-up of socket inodes

limit_cases.py had written again what links.py does to find the sockets of a process; inodes_of() now serves both.

--- a/scripts/lib/limit_cases.py
+++ b/scripts/lib/limit_cases.py
@@ -4,9 +4,10 @@
 import asyncio
 import itertools
 import json
-import os
 import random
 
+from links import inodes_of
+
 KIB, MIB = 1 << 10, 1 << 20
 # The smallest memory of a host that goldcrestkeel is deployed on, its connections, and
 # what remains for them beside the process, whose bodies count once, as they are not sent.
@@ -178,6 +179,8 @@
         case("pieces-2k-hosts", "hosts", 400, None, pieces_2k, again=True),
         case("unread-requests", "callers", 600, None, ahead),
         case("unread-requests-hosts", "hosts", 400, None, ahead),
+        case("unread-answers", "callers", 160, None, once(head("/lookup/large")),
+             unsent=True),
         case("odd-bytes-hosts", "hosts", 8, None, messages(odd_message, 400), again=True,
              reads=True),
         case("nested-messages-hosts", "hosts", 8, None, messages(nested_message, 6),
@@ -226,6 +229,8 @@
              bound=BODIES_BYTES),
         case("unread-requests-host-size", "callers", HOST_CALLERS, None, ahead,
              bound=HOST_BYTES),
+        case("unread-answers-host-size", "callers", HOST_CALLERS, None,
+             once(head("/lookup/large")), bound=HOST_BYTES, unsent=True),
         case("mixed-host-size", "all", HOST_CONNECTIONS, None, mixed(
             pieces_20k, ahead, pieces_2k, once(body_60k), once(head("/gather/large/")),
             messages(crash_message, 4)), again=True, bound=HOST_BYTES),
@@ -236,17 +241,10 @@
     return cases
 
 
-def unread_bytes(pid):
-    """Bytes that the kernel has received for the sockets of a process, which has not
-    read them."""
-    inodes = set()
-    for number in os.listdir(f"/proc/{pid}/fd"):
-        try:
-            link = os.readlink(f"/proc/{pid}/fd/{number}")
-        except OSError:
-            continue
-        if link.startswith("socket:["):
-            inodes.add(link[8:-1])
+def kernel_bytes(process, unsent):
+    """Bytes that the kernel holds for the sockets of a process: received and not read
+    and, if `unsent`, written and not sent or not acknowledged."""
+    inodes = inodes_of(process)
     total = 0
     with open("/proc/net/tcp", encoding="ascii") as table:
         next(table)
@@ -254,5 +252,6 @@
             parts = line.split()
             # The queue of a listening socket counts connections.
             if parts[3] != "0A" and parts[9] in inodes:
-                total += int(parts[4].split(":")[1], 16)
+                sent, received = (int(queue, 16) for queue in parts[4].split(":"))
+                total += received + (sent if unsent else 0)
     return total
--- a/scripts/lib/links.py
+++ b/scripts/lib/links.py
@@ -29,7 +29,8 @@
     return connections
 
 
-def _inodes_of(process):
+def inodes_of(process):
+    """Inodes of the sockets that a process has open."""
     inodes = set()
     directory = f"/proc/{process.pid}/fd"
     for name in os.listdir(directory):
@@ -59,7 +60,7 @@
         owned = set()
         for host in self.how:
             try:
-                owned |= _inodes_of(host.process)
+                owned |= inodes_of(host.process)
             except OSError:
                 continue  # the process has ended
         return _connections_of(owned)
